--- /dev/null
+++ b/adapters/src/main/java/org/quetzalvane/adapters/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Engines and services over HTTP. */
+package org.quetzalvane.adapters.engine;
--- /dev/null
+++ b/adapters/src/main/java/org/quetzalvane/adapters/http/Exchange.java
@@ -0,0 +1,89 @@
+package org.quetzalvane.adapters.http;
+
+import java.nio.ByteBuffer;
+import java.util.concurrent.CompletableFuture;
+
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Fields;
+
+/** One HTTP request with its response. Answered exactly once; thread-safe as far as Jetty's response is. */
+public final class Exchange {
+    private static final String BEARER = "Bearer ";
+
+    private final Request request;
+    private final Response response;
+    private final Callback callback;
+    private final int bodyLimitBytes;
+
+    Exchange(Request request, Response response, Callback callback, int bodyLimitBytes) {
+        this.request = request;
+        this.response = response;
+        this.callback = callback;
+        this.bodyLimitBytes = bodyLimitBytes;
+    }
+
+    public String method() {
+        return request.getMethod();
+    }
+
+    public String path() {
+        return Request.getPathInContext(request);
+    }
+
+    /** A header's value, or null. */
+    public String header(String name) {
+        return request.getHeaders().get(name);
+    }
+
+    /** The bearer token, or null. */
+    public String bearerToken() {
+        String value = header(HttpHeader.AUTHORIZATION.asString());
+        return value != null && value.startsWith(BEARER) ? value.substring(BEARER.length()) : null;
+    }
+
+    /** A query parameter, or the given default. */
+    public String query(String name, String missing) {
+        Fields fields = Request.extractQueryParameters(request);
+        String value = fields.getValue(name);
+        return value == null ? missing : value;
+    }
+
+    /** Reads the whole body. */
+    public CompletableFuture<byte[]> body() {
+        return BodyReader.read(request, bodyLimitBytes);
+    }
+
+    /** Sets a response header; call before the answer. */
+    public Exchange withHeader(String name, String value) {
+        response.getHeaders().put(name, value);
+        return this;
+    }
+
+    /** Answers with a JSON value. */
+    public void reply(int status, Object value) {
+        reply(status, "application/json", Json.bytes(value));
+    }
+
+    /** Answers with bytes. */
+    public void reply(int status, String type, byte[] body) {
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, type);
+        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
+        response.write(true, ByteBuffer.wrap(body), callback);
+    }
+
+    /** Starts a stream of server-sent events; {@code gone} runs once when the caller goes away. */
+    public EventStream stream(int bufferLimitBytes, Runnable gone) {
+        response.setStatus(200);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/event-stream");
+        return new EventStream(response, callback, bufferLimitBytes, gone);
+    }
+
+    /** Breaks the connection off without an answer. */
+    public void abort() {
+        callback.failed(new java.io.IOException("aborted"));
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/quetzalvane/adapters/http/HttpCalls.java
@@ -0,0 +1,121 @@
+package org.quetzalvane.adapters.http;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.exc.QuetzalvaneException;
+
+/**
+ * HTTP calls with buffered answers. Thread-safe.
+ *
+ * <p>Futures fail with {@link ResultCode#ENDPOINT_UNREACHABLE} when no connection could be made, so that nothing was
+ * sent, and with {@link ResultCode#OUTCOME_UNKNOWN} when the exchange broke off later. An HTTP error status is an
+ * answer, not a failure.
+ */
+public final class HttpCalls implements AutoCloseable {
+    private static final int MAX_ANSWER_BYTES = 16 << 20;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+    private static final int MAX_CONNECTIONS = 256;
+
+    private final HttpClient client;
+
+    /**
+     * An answer. Immutable.
+     *
+     * @param status HTTP status
+     * @param body the body; must not be modified
+     */
+    public record Answer(int status, byte[] body) {
+
+        public boolean isOk() {
+            return status / 100 == 2;
+        }
+    }
+
+    private HttpCalls(HttpClient client) {
+        this.client = client;
+    }
+
+    /** Starts a client of its own. */
+    public static HttpCalls start() {
+        HttpClient client = new HttpClient();
+        client.setConnectTimeout(CONNECT_TIMEOUT.toMillis());
+        client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
+        client.setMaxRequestsQueuedPerDestination(MAX_CONNECTIONS * 16);
+        client.setFollowRedirects(false);
+        try {
+            client.start();
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+        return new HttpCalls(client);
+    }
+
+    public HttpClient client() {
+        return client;
+    }
+
+    public CompletableFuture<Answer> get(String url, Duration timeout) {
+        return call("GET", url, Map.of(), null, timeout);
+    }
+
+    /** Sends a request; a null body sends none. */
+    public CompletableFuture<Answer> call(
+            String method, String url, Map<String, String> headers, byte[] body, Duration timeout) {
+        Request request = request(method, url, headers, body).timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        request.send(new BufferingResponseListener(MAX_ANSWER_BYTES) {
+            @Override
+            public void onComplete(Result result) {
+                if (result.isFailed()) {
+                    answer.completeExceptionally(failure(result.getFailure()));
+                } else {
+                    byte[] content = getContent() == null ? new byte[0] : getContent();
+                    answer.complete(new Answer(result.getResponse().getStatus(), content));
+                }
+            }
+        });
+        return answer;
+    }
+
+    /** Prepares a request without sending it. */
+    public Request request(String method, String url, Map<String, String> headers, byte[] body) {
+        Request request = client.newRequest(url).method(method);
+        request.headers(h -> headers.forEach(h::put));
+        if (body != null) {
+            request.body(new BytesRequestContent("application/json", body));
+        }
+        return request;
+    }
+
+    /** Translates a failure of the client into one of this project's. */
+    public static QuetzalvaneException failure(Throwable failure) {
+        boolean unsent = failure instanceof ConnectException
+                || failure instanceof java.net.SocketTimeoutException && isConnect(failure);
+        ResultCode code = unsent ? ResultCode.ENDPOINT_UNREACHABLE : ResultCode.OUTCOME_UNKNOWN;
+        return new QuetzalvaneException(code, failure.toString(), failure);
+    }
+
+    @Override
+    public void close() throws IOException {
+        try {
+            client.stop();
+        } catch (Exception e) {
+            throw new IOException(e);
+        }
+    }
+
+    private static boolean isConnect(Throwable failure) {
+        return String.valueOf(failure.getMessage()).contains("onnect");
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/quetzalvane/adapters/http/Json.java
@@ -0,0 +1,63 @@
+package org.quetzalvane.adapters.http;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.exc.QuetzalvaneException;
+
+/** The JSON mapper shared by all HTTP adapters. Stateless and thread-safe. */
+public final class Json {
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+
+    private Json() {}
+
+    public static ObjectNode object() {
+        return MAPPER.createObjectNode();
+    }
+
+    public static JsonNode tree(Object value) {
+        return MAPPER.valueToTree(value);
+    }
+
+    /** Encodes a value as UTF-8. */
+    public static byte[] bytes(Object value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Encodes a value as text. */
+    public static String text(Object value) {
+        try {
+            return MAPPER.writeValueAsString(value);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Parses an object; fails with {@link ResultCode#MALFORMED_REQUEST}. */
+    public static JsonNode parse(byte[] data) {
+        return parse(data, JsonNode.class);
+    }
+
+    /** Parses a value of a type; fails with {@link ResultCode#MALFORMED_REQUEST}. */
+    public static <T> T parse(byte[] data, Class<T> type) {
+        try {
+            T value = MAPPER.readValue(data, type);
+            if (value == null || value instanceof JsonNode && !((JsonNode) value).isObject()) {
+                throw new QuetzalvaneException(ResultCode.MALFORMED_REQUEST, "a JSON object is expected");
+            }
+            return value;
+        } catch (IOException e) {
+            throw new QuetzalvaneException(ResultCode.MALFORMED_REQUEST, "not valid JSON", e);
+        }
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/quetzalvane/adapters/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP server and client helpers over Jetty. */
+package org.quetzalvane.adapters.http;
--- /dev/null
+++ b/adapters/src/main/java/org/quetzalvane/adapters/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered events as structured log lines. */
+package org.quetzalvane.adapters.logging;
--- /dev/null
+++ b/adapters/src/main/java/org/quetzalvane/adapters/metrics/MetricStats.java
@@ -0,0 +1,62 @@
+package org.quetzalvane.adapters.metrics;
+
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.load.DispatchStats;
+
+/**
+ * The measures of dispatch as Dropwizard metrics. Thread-safe.
+ *
+ * <p>Batch efficiency is the quotient of {@code batch.used} and {@code batch.offered}, both in slot-microseconds.
+ */
+public final class MetricStats implements DispatchStats {
+    private final MetricRegistry registry;
+    private final Histogram loadStallMillis;
+    private final Histogram queueMillis;
+    private final Histogram loadMillis;
+    private final Counter failedLoads;
+    private final Counter batchUsed;
+    private final Counter batchOffered;
+
+    /** Registers its metrics. */
+    public MetricStats(MetricRegistry registry) {
+        this.registry = registry;
+        this.loadStallMillis = registry.histogram("load.stall.millis");
+        this.queueMillis = registry.histogram("queue.millis");
+        this.loadMillis = registry.histogram("load.millis");
+        this.failedLoads = registry.counter("load.failed");
+        this.batchUsed = registry.counter("batch.used");
+        this.batchOffered = registry.counter("batch.offered");
+    }
+
+    @Override
+    public void dispatched(long queuedNanos, long loadStallNanos) {
+        queueMillis.update(TimeUnit.NANOSECONDS.toMillis(queuedNanos));
+        loadStallMillis.update(TimeUnit.NANOSECONDS.toMillis(loadStallNanos));
+    }
+
+    @Override
+    public void refused(ResultCode code) {
+        registry.counter("refused." + code.number()).inc();
+    }
+
+    @Override
+    public void batch(int running, int batchSize, long nanos) {
+        long micros = TimeUnit.NANOSECONDS.toMicros(nanos);
+        batchUsed.inc(running * micros);
+        batchOffered.inc(batchSize * micros);
+    }
+
+    @Override
+    public void loaded(boolean successful, long nanos) {
+        if (successful) {
+            loadMillis.update(TimeUnit.NANOSECONDS.toMillis(nanos));
+        } else {
+            failedLoads.inc();
+        }
+    }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/quetzalvane/adapters/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Dropwizard metrics. */
+package org.quetzalvane.adapters.metrics;
--- /dev/null
+++ b/adapters/src/main/java/org/quetzalvane/adapters/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between nodes as MessagePack frames over TCP. */
+package org.quetzalvane.adapters.peer;
--- /dev/null
+++ b/adapters/src/main/java/org/quetzalvane/adapters/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's log service and host list over HTTP. */
+package org.quetzalvane.adapters.platform;
--- /dev/null
+++ b/adapters/src/main/java/org/quetzalvane/adapters/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings in TOML. */
+package org.quetzalvane.adapters.settings;
--- /dev/null
+++ b/adapters/src/test/java/org/quetzalvane/adapters/peer/TcpPeerPortTest.java
@@ -0,0 +1,76 @@
+package org.quetzalvane.adapters.peer;
+
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.peer.PeerMessage;
+import org.quetzalvane.core.time.SystemScheduler;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/** Peer messages over TCP. */
+class TcpPeerPortTest {
+    private static final String ADDRESS = "127.77.1.1:7003";
+    private final SystemScheduler scheduler = new SystemScheduler(1);
+    private TcpPeerPort server;
+
+    @BeforeEach
+    void listen() throws IOException {
+        server = TcpPeerPort.builder("c", "secret", scheduler)
+                .handler((m, reply) -> {
+                    reply.part(new PeerMessage.RecordsWanted(1));
+                    reply.part(new PeerMessage.RecordsWanted(2));
+                    reply.end(m);
+                })
+                .listen(ADDRESS);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        server.close();
+        scheduler.close();
+    }
+
+    @Test
+    void answersInPartsAndAnEnd() throws IOException {
+        try (TcpPeerPort client = TcpPeerPort.builder("c", "secret", scheduler).callOnly()) {
+            List<PeerMessage> parts = new ArrayList<>();
+            PeerMessage sent = new PeerMessage.RecordsWanted(7);
+            assertThat(client.call(ADDRESS, sent, parts::add).join()).isEqualTo(sent);
+            assertThat(parts).containsExactly(new PeerMessage.RecordsWanted(1), new PeerMessage.RecordsWanted(2));
+        }
+    }
+
+    @Test
+    void rejectsAnotherSecretAndAnotherCluster() throws IOException {
+        for (String[] wrong : new String[][] {{"c", "other"}, {"d", "secret"}}) {
+            try (TcpPeerPort client =
+                    TcpPeerPort.builder(wrong[0], wrong[1], scheduler).callOnly()) {
+                assertThatThrownBy(() -> client.call(ADDRESS, new PeerMessage.RecordsWanted(7))
+                                .join())
+                        .hasRootCauseInstanceOf(Exception.class)
+                        .cause()
+                        .hasFieldOrPropertyWithValue("code", ResultCode.PEER_UNAVAILABLE);
+            }
+        }
+    }
+
+    @Test
+    void survivesFramesOfWrongLength() throws IOException {
+        try (Socket socket = new Socket("127.77.1.1", 7003)) {
+            new DataOutputStream(socket.getOutputStream()).writeInt(Integer.MAX_VALUE);
+            while (socket.getInputStream().read() >= 0) {
+                continue;
+            }
+        }
+        answersInPartsAndAnEnd();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/quetzalvane/cli/CommonOptions.java
@@ -0,0 +1,21 @@
+package org.quetzalvane.cli;
+
+import com.beust.jcommander.Parameter;
+
+/** Options that every subcommand has. Not thread-safe. */
+abstract class CommonOptions implements Command {
+
+    @Parameter(names = "--help", description = "Show this help", help = true)
+    private boolean help;
+
+    @Parameter(names = "--json", description = "Print one JSON object a line")
+    private boolean json;
+
+    boolean help() {
+        return help;
+    }
+
+    boolean json() {
+        return json;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/quetzalvane/cli/PublishCommand.java
@@ -0,0 +1,159 @@
+package org.quetzalvane.cli;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletionException;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.quetzalvane.adapters.http.Json;
+import org.quetzalvane.adapters.platform.HttpLogPort;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.config.RecordCodec;
+import org.quetzalvane.core.exc.QuetzalvaneException;
+import org.quetzalvane.core.time.SystemScheduler;
+
+/**
+ * Publishes configuration records, one JSON object a line, and waits until every node reports them in force.
+ *
+ * <p>A record without an id gets a fresh one, and the append is repeated under the same id when its answer is lost,
+ * which the fold makes harmless. Not thread-safe.
+ */
+@Parameters(commandDescription = "Publish configuration records and wait until they are in force")
+final class PublishCommand extends CommonOptions {
+    private static final String STREAM = "config";
+    private static final int APPEND_TRIES = 5;
+    private static final Duration PAUSE = Duration.ofMillis(100);
+
+    @Parameter(description = "FILE (- for standard input)", required = true)
+    private String file;
+
+    @Parameter(names = "--log", description = "Base URL of the log service", required = true)
+    private String log;
+
+    @Parameter(names = "--nodes", description = "Operators' addresses of the nodes, ip:port, separated by commas")
+    private List<String> nodes = new ArrayList<>();
+
+    @Parameter(names = "--wait-seconds", description = "How long to wait for the nodes")
+    private int waitSeconds = 30;
+
+    @Override
+    public int run() throws Exception {
+        try (NodeClient client = new NodeClient(nodes);
+                SystemScheduler scheduler = new SystemScheduler(1)) {
+            HttpLogPort port = new HttpLogPort(client.calls(), log);
+            boolean ok = true;
+            for (String line : lines()) {
+                ObjectNode record = (ObjectNode) Json.parse(line.getBytes(StandardCharsets.UTF_8));
+                ok &= publish(port, client, scheduler, record);
+            }
+            return ok ? 0 : 1;
+        }
+    }
+
+    private boolean publish(HttpLogPort port, NodeClient client, SystemScheduler scheduler, ObjectNode record)
+            throws InterruptedException {
+        if (!record.has("id")) {
+            record.put("id", UUID.randomUUID().toString());
+        }
+        byte[] data = Json.bytes(record);
+        RecordCodec.decode(data);
+        append(port, data);
+        String id = record.path("id").asText();
+        long end = scheduler.nanoTime() + Duration.ofSeconds(waitSeconds).toNanos();
+        Confirmation c = Confirmation.of(client.askAll("/outcome?id=" + id));
+        while (!c.complete() && scheduler.nanoTime() - end < 0) {
+            pause(scheduler);
+            c = Confirmation.of(client.askAll("/outcome?id=" + id));
+        }
+        print(record, c);
+        return c.accepted();
+    }
+
+    private void append(HttpLogPort port, byte[] data) {
+        for (int i = 1; ; i++) {
+            try {
+                port.append(STREAM, data).join();
+                return;
+            } catch (CompletionException e) {
+                if (i == APPEND_TRIES) {
+                    throw new QuetzalvaneException(ResultCode.LOG_UNAVAILABLE, String.valueOf(e.getMessage()), e);
+                }
+            }
+        }
+    }
+
+    private static void pause(SystemScheduler scheduler) throws InterruptedException {
+        java.util.concurrent.CountDownLatch latch = new java.util.concurrent.CountDownLatch(1);
+        scheduler.schedule(PAUSE, latch::countDown);
+        latch.await();
+    }
+
+    private void print(ObjectNode record, Confirmation c) {
+        if (json()) {
+            System.out.println(Json.text(c.toJson().put("id", record.path("id").asText())));
+            return;
+        }
+        String what = record.path(record.has("kind") ? "kind" : "type").asText() + "/"
+                + record.path("name").asText();
+        System.out.println(what + ": " + c);
+    }
+
+    private List<String> lines() throws IOException {
+        byte[] bytes = file.equals("-") ? System.in.readAllBytes() : Files.readAllBytes(Path.of(file));
+        return new String(bytes, StandardCharsets.UTF_8)
+                .lines()
+                .filter(l -> !l.isBlank() && !l.startsWith("#"))
+                .toList();
+    }
+
+    /** What the nodes say of one record. Immutable. */
+    private record Confirmation(int known, int asked, Optional<JsonNode> outcome) {
+
+        static Confirmation of(java.util.Map<String, Optional<JsonNode>> answers) {
+            List<JsonNode> known = answers.values().stream()
+                    .flatMap(Optional::stream)
+                    .filter(a -> a.path("known").asBoolean())
+                    .toList();
+            return new Confirmation(known.size(), answers.size(), known.stream().findFirst());
+        }
+
+        boolean complete() {
+            return known == asked;
+        }
+
+        boolean accepted() {
+            int code = outcome.map(o -> o.path("code").asInt()).orElse(ResultCode.RECORD_ACCEPTED.number());
+            return complete() && code == ResultCode.RECORD_ACCEPTED.number();
+        }
+
+        ObjectNode toJson() {
+            ObjectNode n = Json.object().put("known", known).put("asked", asked).put("accepted", accepted());
+            outcome.ifPresent(o -> n.set("outcome", o));
+            return n;
+        }
+
+        @Override
+        public String toString() {
+            String where = known + " of " + asked + " nodes";
+            if (outcome.isEmpty()) {
+                return asked == 0 ? "appended" : "appended, in force on " + where;
+            }
+            JsonNode o = outcome.get();
+            return accepted()
+                    ? "in force on " + where + ", revision "
+                            + o.path("revision").asLong()
+                    : o.path("code").asInt() + " " + o.path("name").asText() + " "
+                            + o.path("message").asText() + " (" + where + ")";
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/quetzalvane/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line tool. */
+package org.quetzalvane.cli;
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/ResultCode.java
@@ -0,0 +1,100 @@
+package org.quetzalvane.core;
+
+/**
+ * Numbered outcomes of requests, orders and configuration records.
+ *
+ * <p>The number is stable across releases and is what callers and operators match on. Numbers are grouped by
+ * hundreds: 0 success, 1xx caller errors, 2xx refusals that left the request not run, 3xx outcomes after dispatch,
+ * 4xx configuration records, 5xx platform and peers, 6xx settings and wire errors.
+ *
+ * <p>Immutable and thread-safe.
+ */
+public enum ResultCode {
+    OK(0, 200, false, "The request finished whole."),
+
+    MALFORMED_REQUEST(101, 400, false, "The request could not be parsed or lacks a required field."),
+    UNAUTHENTICATED(102, 401, false, "The caller's token is missing or unknown."),
+    ACCESS_DENIED(103, 403, false, "No access rule lets this caller use the adapter, version or service."),
+    UNKNOWN_ADAPTER(104, 404, false, "The adapter does not exist in the configuration in force."),
+    UNKNOWN_VERSION(105, 404, false, "The adapter exists but the named version does not."),
+    UNKNOWN_SERVICE(106, 404, false, "The service does not exist in the configuration in force."),
+    REQUEST_TOO_LARGE(107, 413, false, "The request body exceeds the configured limit."),
+    REQUEST_TOO_SLOW(108, 408, false, "The request body did not arrive within the read timeout."),
+    KEY_REQUIRED(109, 400, false, "A non-idempotent call carries no idempotency key issued by a node."),
+    UNKNOWN_PATH(110, 404, false, "The path or method is not served here."),
+
+    OVERLOADED(201, 503, true, "The queue is full for this caller or priority. The request was not run."),
+    DEADLINE_UNREACHABLE(202, 503, true, "The deadline cannot be met. The request was not run."),
+    NO_ENGINE(203, 503, true, "No engine serves the adapter's base model. The request was not run."),
+    NOT_OWNER(204, 421, true, "Another node owns the endpoint; ask the named address. The request was not run."),
+    DRAINING(205, 503, true, "The node is leaving and takes no new work. The request was not run."),
+    LOAD_FAILED(206, 503, true, "The adapter could not be loaded in time. The request was not run."),
+    NOT_READY(207, 503, true, "The node has not reached the configuration in force. The request was not run."),
+    LEASE_LAPSED(208, 503, true, "The node holds no valid lease on the engine. The request was not run."),
+    ENDPOINT_REJECTED(209, 503, true, "The endpoint proved that it did not run the attempt. The request was not run."),
+    ENDPOINT_UNREACHABLE(210, 503, true, "No connection to the endpoint could be made. The request was not run."),
+    HELD_ELSEWHERE(211, 409, true, "The idempotency key belongs to another live node; ask the named address."),
+    CANCELLED_IN_QUEUE(212, 499, false, "The caller went away before dispatch. The request was not run."),
+
+    OUTCOME_UNKNOWN(301, 502, false, "The request was dispatched and its outcome is unknown."),
+    STREAM_BROKEN(302, 502, false, "The answer broke off before its end mark; what was sent is not whole."),
+    WRONG_ECHO(303, 502, false, "The endpoint answered with another adapter, version or attempt than was asked."),
+    NEVER_WILL_RUN(304, 409, false, "The key's holder is gone: its outcome is unknown and it will never run again."),
+    CALLER_GONE(305, 499, false, "The caller went away during the answer; the attempt was cancelled."),
+    ENDPOINT_FAILED(306, 502, false, "The endpoint reported a failure after it began the attempt."),
+    PROGRESS_TIMEOUT(307, 504, false, "The endpoint made no progress within the timeout after dispatch."),
+
+    RECORD_ACCEPTED(400, 200, false, "The configuration record is in force."),
+    RECORD_REPEATED(401, 200, false, "A record with this id was folded before; it changes nothing."),
+    REVISION_CONFLICT(402, 409, false, "The expected revision does not match; another operator changed the object."),
+    UNKNOWN_SCHEMA(403, 400, false, "The record's schema version is not supported."),
+    RECORD_MALFORMED(404, 400, false, "The record cannot be decoded."),
+    RECORD_INVALID(405, 400, false, "The record breaks a rule, such as naming an object that does not exist."),
+    NOT_IN_FORCE(406, 504, true, "The record was appended but not every node reported it in force in time."),
+
+    LOG_UNAVAILABLE(501, 503, true, "The log service cannot be reached or refused the append."),
+    LOG_EXPIRED(502, 410, false, "The requested offset has expired from the log."),
+    FENCED(503, 409, false, "The endpoint refused an order that carries an old fencing number."),
+    PEER_UNAVAILABLE(504, 503, true, "The peer node cannot be reached."),
+    LOAD_REFUSED(505, 503, true, "The engine could not load the adapter."),
+
+    SETTINGS_INVALID(601, 500, false, "The settings file has faults."),
+    FRAME_INVALID(602, 400, false, "A frame between nodes has a wrong length or cannot be decoded."),
+    PEER_REJECTED(603, 403, false, "A peer showed another cluster name or a wrong secret."),
+    INTERNAL(699, 500, false, "An unexpected failure inside the node.");
+
+    private final int number;
+    private final int httpStatus;
+    private final boolean retryable;
+    private final String meaning;
+
+    ResultCode(int number, int httpStatus, boolean retryable, String meaning) {
+        this.number = number;
+        this.httpStatus = httpStatus;
+        this.retryable = retryable;
+        this.meaning = meaning;
+    }
+
+    public int number() {
+        return number;
+    }
+
+    /** The HTTP status that carries this code towards callers. */
+    public int httpStatus() {
+        return httpStatus;
+    }
+
+    /** Whether the same request may succeed later; such refusals carry a retry time. */
+    public boolean retryable() {
+        return retryable;
+    }
+
+    public String meaning() {
+        return meaning;
+    }
+
+    /** Whether this code states that the request was certainly not run. */
+    public boolean provesNotRun() {
+        return number >= 100 && number < 300;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/config/ConfigState.java
@@ -0,0 +1,114 @@
+package org.quetzalvane.core.config;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+import org.quetzalvane.core.model.AccessRule;
+import org.quetzalvane.core.model.Adapter;
+import org.quetzalvane.core.model.AdapterVersion;
+import org.quetzalvane.core.model.Caller;
+import org.quetzalvane.core.model.ConfigObject;
+import org.quetzalvane.core.model.Engine;
+import org.quetzalvane.core.model.LoadLimits;
+import org.quetzalvane.core.model.PublishedVersion;
+import org.quetzalvane.core.model.Service;
+
+/**
+ * The configuration objects in force, with lookups for the request path.
+ *
+ * <p>Not thread-safe by itself; {@link ConfigTable} guards it.
+ */
+public final class ConfigState {
+    private final Map<ConfigKey, Entry> entries =
+            new TreeMap<>(java.util.Comparator.comparing(ConfigKey::kind).thenComparing(ConfigKey::name));
+    private final Map<String, Caller> callersByToken = new HashMap<>();
+
+    /**
+     * An object in force with its revision. Immutable.
+     *
+     * @param revision revision of the object
+     * @param value the value
+     */
+    public record Entry(long revision, ConfigObject value) {}
+
+    public Optional<Entry> find(ConfigKey key) {
+        return Optional.ofNullable(entries.get(key));
+    }
+
+    /** The revision of an object; 0 when it does not exist. */
+    public long revision(ConfigKey key) {
+        Entry e = entries.get(key);
+        return e == null ? 0 : e.revision();
+    }
+
+    public Collection<Entry> all() {
+        return List.copyOf(entries.values());
+    }
+
+    public Optional<Adapter> adapter(String name) {
+        return get(ConfigObject.Kind.ADAPTER, name, Adapter.class);
+    }
+
+    public Optional<PublishedVersion> version(AdapterVersion v) {
+        return get(ConfigObject.Kind.VERSION, v.toString(), PublishedVersion.class);
+    }
+
+    public Optional<Service> service(String name) {
+        return get(ConfigObject.Kind.SERVICE, name, Service.class);
+    }
+
+    public Optional<LoadLimits> loadLimits(String region) {
+        return get(ConfigObject.Kind.LOAD_LIMITS, region, LoadLimits.class);
+    }
+
+    public Optional<Caller> callerByToken(String tokenSha256) {
+        return Optional.ofNullable(callersByToken.get(tokenSha256));
+    }
+
+    public List<Engine> engines() {
+        return list(ConfigObject.Kind.ENGINE, Engine.class);
+    }
+
+    public boolean allowsAdapter(String caller, AdapterVersion v) {
+        return rules().stream().anyMatch(r -> r.allowsAdapter(caller, v));
+    }
+
+    public boolean allowsService(String caller, String service) {
+        return rules().stream().anyMatch(r -> r.allowsService(caller, service));
+    }
+
+    void put(ConfigKey key, long revision, ConfigObject value) {
+        remove(key);
+        entries.put(key, new Entry(revision, value));
+        if (value instanceof Caller) {
+            callersByToken.put(((Caller) value).tokenSha256(), (Caller) value);
+        }
+    }
+
+    void remove(ConfigKey key) {
+        Entry old = entries.remove(key);
+        if (old != null && old.value() instanceof Caller) {
+            callersByToken.remove(((Caller) old.value()).tokenSha256());
+        }
+    }
+
+    private List<AccessRule> rules() {
+        return list(ConfigObject.Kind.ACCESS_RULE, AccessRule.class);
+    }
+
+    private <T extends ConfigObject> Optional<T> get(ConfigObject.Kind kind, String name, Class<T> type) {
+        return find(new ConfigKey(kind, name)).map(e -> type.cast(e.value()));
+    }
+
+    private <T extends ConfigObject> List<T> list(ConfigObject.Kind kind, Class<T> type) {
+        return entries.entrySet().stream()
+                .filter(e -> e.getKey().kind() == kind)
+                .map(e -> type.cast(e.getValue().value()))
+                .collect(Collectors.toList());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/config/package-info.java
@@ -0,0 +1,2 @@
+/** The deterministic fold of configuration records into the state that is in force. */
+package org.quetzalvane.core.config;
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -0,0 +1,69 @@
+package org.quetzalvane.core.event;
+
+/**
+ * Numbered events of the time line and the log.
+ *
+ * <p>Numbers are stable across releases: 1xxx process, 2xxx configuration and log, 3xxx membership and ownership,
+ * 4xxx loads and slots, 5xxx requests. Immutable and thread-safe.
+ */
+public enum EventCode {
+    NODE_STARTED(1001, "A node process started."),
+    NODE_READY(1002, "The node has caught up with the configuration and serves."),
+    NODE_DRAINING(1003, "The node takes no new work and hands its engines over."),
+    NODE_STOPPED(1004, "The node stopped with nothing left running."),
+    TASK_FAILED(1005, "A background task failed; it will be run again."),
+    BAD_INPUT(1006, "Input from outside was refused with a numbered error."),
+
+    CONFIG_APPLIED(2001, "A configuration record is in force on this node."),
+    CONFIG_REFUSED(2002, "A configuration record was refused by the fold."),
+    LOG_DOWN(2003, "The log service cannot be reached."),
+    LOG_UP(2004, "The log service is reachable again."),
+    LOG_GAP(2005, "Records expired before this node read them."),
+    SNAPSHOT_WRITTEN(2006, "A snapshot was appended to the log."),
+    SNAPSHOT_RESTORED(2007, "State was restored from a snapshot."),
+
+    MEMBER_JOINED(3001, "An entry host became live."),
+    MEMBER_LEAVING(3002, "An entry host is leaving."),
+    MEMBER_LOST(3003, "An entry host is considered gone."),
+    LEASE_RENEWED(3004, "The node read back its own lease renewal as valid."),
+    LEASE_LOST(3005, "The node's lease lapsed; it dispatches nothing until renewed."),
+    ENGINE_CLAIMED(3006, "A claim of an engine won."),
+    ENGINE_RELEASED(3007, "An engine was released by its owner."),
+    CLAIM_LOST(3008, "A claim lost against an earlier one or a renewal."),
+    ORDER_FENCED(3009, "An engine refused an order with an old fencing number."),
+
+    LOAD_STARTED(4001, "An adapter load was ordered."),
+    LOAD_FINISHED(4002, "An adapter became resident."),
+    LOAD_FAILED(4003, "An adapter load failed."),
+    EVICTED(4004, "An adapter was evicted from its slot."),
+    ENGINE_RESTARTED(4005, "An engine came back as a new instance; its residency was asked again."),
+    ORDER_IN_DOUBT(
+            4006, "The answer to an order was lost; the slot counts as taken until the engine's list settles it."),
+
+    REQUEST_QUEUED(5001, "A request was queued."),
+    REQUEST_DISPATCHED(5002, "A request was sent to an endpoint."),
+    REQUEST_STREAMING(5003, "The first part of an answer arrived."),
+    REQUEST_DONE(5004, "A request finished whole."),
+    REQUEST_REFUSED(5005, "A request was refused and not run."),
+    REQUEST_FAILED(5006, "A dispatched request failed or its outcome is unknown."),
+    REQUEST_CANCELLED(5007, "The caller went away."),
+    REQUEST_RETRIED(5008, "An idempotent request is tried again."),
+    REQUEST_FORWARDED(5009, "A request was forwarded to the owner of its endpoint."),
+    LATE_ANSWER_DROPPED(5010, "An answer of an attempt that is no longer current was dropped.");
+
+    private final int number;
+    private final String meaning;
+
+    EventCode(int number, String meaning) {
+        this.number = number;
+        this.meaning = meaning;
+    }
+
+    public int number() {
+        return number;
+    }
+
+    public String meaning() {
+        return meaning;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/exc/EndpointException.java
@@ -0,0 +1,23 @@
+package org.quetzalvane.core.exc;
+
+import org.quetzalvane.core.ResultCode;
+
+/**
+ * A failed order or attempt at an endpoint.
+ *
+ * <p>{@link #provedNotRun()} is true only when the endpoint said so or no byte was written to it. Immutable.
+ */
+public class EndpointException extends QuetzalvaneException {
+    private static final long serialVersionUID = 1L;
+
+    private final boolean provedNotRun;
+
+    public EndpointException(ResultCode code, String message, boolean provedNotRun) {
+        super(code, message);
+        this.provedNotRun = provedNotRun;
+    }
+
+    public boolean provedNotRun() {
+        return provedNotRun;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/exc/package-info.java
@@ -0,0 +1,2 @@
+/** The exception root and its typed children. */
+package org.quetzalvane.core.exc;
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/load/DispatchConfig.java
@@ -0,0 +1,67 @@
+package org.quetzalvane.core.load;
+
+import java.time.Duration;
+
+/**
+ * Settings of dispatch at one engine. Immutable; {@code withX} returns a changed copy.
+ *
+ * @param maxQueued requests that may wait at one engine
+ * @param maxQueuedPerCaller requests of one caller that may wait at one engine
+ * @param progressTimeout longest silence of a running answer
+ * @param maxRequest longest permitted running time of a request
+ * @param reportInterval pause between questions for the engine's own report
+ * @param loadBackoff pause after a failed load of an adapter
+ * @param loads which load goes first
+ * @param evictions which adapter gives way
+ */
+public record DispatchConfig(
+        int maxQueued,
+        int maxQueuedPerCaller,
+        Duration progressTimeout,
+        Duration maxRequest,
+        Duration reportInterval,
+        Duration loadBackoff,
+        LoadPolicy loads,
+        EvictionPolicy evictions) {
+
+    /** Defaults. */
+    public static DispatchConfig defaults() {
+        return new DispatchConfig(
+                1000,
+                200,
+                Duration.ofSeconds(5),
+                Duration.ofMinutes(5),
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(2),
+                LoadPolicy.firstCome(),
+                EvictionPolicy.leastRecentlyUsed());
+    }
+
+    /** Replaces both policies. */
+    public DispatchConfig withPolicies(LoadPolicy newLoads, EvictionPolicy newEvictions) {
+        return new DispatchConfig(
+                maxQueued,
+                maxQueuedPerCaller,
+                progressTimeout,
+                maxRequest,
+                reportInterval,
+                loadBackoff,
+                newLoads,
+                newEvictions);
+    }
+
+    public DispatchConfig withReportInterval(Duration interval) {
+        return new DispatchConfig(
+                maxQueued, maxQueuedPerCaller, progressTimeout, maxRequest, interval, loadBackoff, loads, evictions);
+    }
+
+    public DispatchConfig withQueues(int total, int perCaller) {
+        return new DispatchConfig(
+                total, perCaller, progressTimeout, maxRequest, reportInterval, loadBackoff, loads, evictions);
+    }
+
+    public DispatchConfig withTimeouts(Duration progress, Duration request) {
+        return new DispatchConfig(
+                maxQueued, maxQueuedPerCaller, progress, request, reportInterval, loadBackoff, loads, evictions);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/load/EngineDispatcher.java
@@ -0,0 +1,559 @@
+package org.quetzalvane.core.load;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.ReentrantLock;
+
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.event.EventCode;
+import org.quetzalvane.core.event.EventLog;
+import org.quetzalvane.core.exc.EndpointException;
+import org.quetzalvane.core.exc.QuetzalvaneException;
+import org.quetzalvane.core.model.AdapterVersion;
+import org.quetzalvane.core.model.Engine;
+import org.quetzalvane.core.port.AttemptRequest;
+import org.quetzalvane.core.port.EnginePort;
+import org.quetzalvane.core.port.EngineReport;
+import org.quetzalvane.core.request.InferenceRequest;
+import org.quetzalvane.core.request.Refusal;
+import org.quetzalvane.core.request.Ticket;
+import org.quetzalvane.core.time.Scheduler;
+
+/**
+ * The owner's side of one engine: queues requests, orders loads and evictions, and dispatches.
+ *
+ * <p>Invariants: nothing is written to the engine without a valid permit; a request is dispatched only to a resident
+ * slot holding exactly its adapter version; a slot with users is never unloaded; at most {@code batchSize} attempts
+ * run; every ticket gets one final answer.
+ *
+ * <p>Thread-safe. One lock guards the tables; in the lock order it comes after the configuration's and before those of
+ * the load budget and the event log. Calls to ports and sinks are made after it is released.
+ */
+public final class EngineDispatcher {
+    private static final Duration TICK = Duration.ofMillis(50);
+    private static final int MAX_ATTEMPTS = 2;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final Engine engine;
+    private final long fencing;
+    private final EnginePort port;
+    private final Permit permit;
+    private final LoadBudget budget;
+    private final DispatchConfig config;
+    private final DispatchContext.WeightsLookup weights;
+    private final Scheduler scheduler;
+    private final EventLog events;
+    private final DispatchStats stats;
+
+    private final ReentrantLock lock = new ReentrantLock();
+    private final SlotTable slots;
+    private final Map<AdapterVersion, Deque<Waiting>> waiting = new LinkedHashMap<>();
+    private final Map<String, RunningAttempt> running = new HashMap<>();
+    private final Map<AdapterVersion, Long> backoffUntilNanos = new HashMap<>();
+    private final CompletableFuture<Void> drained = new CompletableFuture<>();
+    private final List<Scheduler.Timer> timers = new ArrayList<>();
+    private int queued;
+    private long attempts;
+    private long batchSinceNanos;
+    private Refusal closed;
+
+    private static final class Waiting {
+        private final Ticket ticket;
+        private final long sinceNanos;
+        private int attempts;
+
+        Waiting(Ticket ticket, long sinceNanos) {
+            this.ticket = ticket;
+            this.sinceNanos = sinceNanos;
+        }
+    }
+
+    /** Builds the dispatcher of an engine just gained; nothing happens before {@link #start()}. */
+    public EngineDispatcher(EngineLease lease, DispatchContext context, DispatchConfig config) {
+        this.engine = lease.engine();
+        this.fencing = lease.fencing();
+        this.permit = lease.permit();
+        this.port = context.port();
+        this.budget = context.budget();
+        this.weights = context.weights();
+        this.scheduler = context.scheduler();
+        this.events = context.events();
+        this.stats = context.stats();
+        this.config = config;
+        long now = scheduler.nanoTime();
+        this.slots = new SlotTable(engine.slots(), now, config.maxRequest().toNanos(), budget);
+        this.batchSinceNanos = now;
+    }
+
+    // Life cycle
+
+    /** Shuts older owners out and asks the engine what is resident; dispatch begins with its first report. */
+    public void start() {
+        if (engine.checksFencing()) {
+            port.fence(engine, fencing).whenComplete((ok, failure) -> askReport());
+        } else {
+            askReport();
+        }
+        timers.add(scheduler.repeat(config.reportInterval(), this::askReport));
+        timers.add(scheduler.repeat(TICK, this::tick));
+    }
+
+    /**
+     * Takes no new requests and refuses those that wait; running ones go on.
+     *
+     * @return completes when nothing runs any more
+     */
+    public CompletableFuture<Void> close(Refusal reason) {
+        List<Ticket> refused = new ArrayList<>();
+        lock.lock();
+        try {
+            closed = reason;
+            waiting.values().forEach(q -> q.forEach(w -> refused.add(w.ticket)));
+            waiting.clear();
+            queued = 0;
+            completeIfDrained();
+        } finally {
+            lock.unlock();
+        }
+        refused.forEach(t -> refuse(t, reason));
+        return drained;
+    }
+
+    // Public API
+
+    public Engine engine() {
+        return engine;
+    }
+
+    /** Queues a request; it is answered at once with a refusal when it cannot be taken. */
+    public void submit(Ticket ticket) {
+        Refusal refusal;
+        lock.lock();
+        try {
+            refusal = closed != null ? closed : admission(ticket);
+            if (refusal == null) {
+                enqueue(new Waiting(ticket, scheduler.nanoTime()), false);
+            }
+        } finally {
+            lock.unlock();
+        }
+        if (refusal != null) {
+            refuse(ticket, refusal);
+            return;
+        }
+        events.record(EventCode.REQUEST_QUEUED, ticket.request().id(), engine.name());
+        pump();
+    }
+
+    /** The caller went away: drops the request from the queue or cancels it at the engine. */
+    public void cancel(Ticket ticket) {
+        ticket.callerWentAway();
+        RunningAttempt attempt;
+        boolean removed;
+        lock.lock();
+        try {
+            removed = removeWaiting(ticket);
+            attempt = running.values().stream()
+                    .filter(a -> a.ticket() == ticket)
+                    .findFirst()
+                    .orElse(null);
+        } finally {
+            lock.unlock();
+        }
+        if (removed) {
+            events.record(EventCode.REQUEST_CANCELLED, ticket.request().id(), "in queue");
+            refuse(ticket, Refusal.of(ResultCode.CANCELLED_IN_QUEUE, "the caller went away"));
+        } else if (attempt != null) {
+            events.record(EventCode.REQUEST_CANCELLED, ticket.request().id(), "running");
+            attempt.abandon(ResultCode.CALLER_GONE, "the caller went away");
+        }
+    }
+
+    /** Requests waiting and running now. */
+    public int load() {
+        lock.lock();
+        try {
+            return queued + running.size();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Adapter versions that can serve at once. */
+    public List<AdapterVersion> resident() {
+        lock.lock();
+        try {
+            return slots.all().stream()
+                    .filter(s -> s.state() == Slot.State.RESIDENT)
+                    .map(Slot::version)
+                    .sorted()
+                    .toList();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    // Answers of running attempts
+
+    long now() {
+        return scheduler.nanoTime();
+    }
+
+    void ended(RunningAttempt attempt) {
+        lock.lock();
+        try {
+            if (running.remove(attempt.id()) != null) {
+                accountBatch(running.size() + 1);
+                attempt.slot().unuse(scheduler.nanoTime());
+            }
+            completeIfDrained();
+        } finally {
+            lock.unlock();
+        }
+        scheduler.schedule(Duration.ZERO, this::pump);
+    }
+
+    void done(RunningAttempt attempt) {
+        events.record(EventCode.REQUEST_DONE, attempt.ticket().request().id(), attempt.id());
+    }
+
+    void late(RunningAttempt attempt) {
+        events.record(EventCode.LATE_ANSWER_DROPPED, attempt.ticket().request().id(), attempt.id());
+    }
+
+    void attemptFailed(RunningAttempt attempt, EndpointException failure) {
+        Ticket t = attempt.ticket();
+        if (!failure.provedNotRun()) {
+            boolean streaming = t.state() == Ticket.State.STREAMING;
+            ResultCode code = streaming ? ResultCode.STREAM_BROKEN : failure.code();
+            abandoned(attempt, code.provesNotRun() ? ResultCode.OUTCOME_UNKNOWN : code, failure.getMessage());
+            return;
+        }
+        askReport();
+        if (!retry(t, failure)) {
+            refuse(t, Refusal.retry(ResultCode.ENDPOINT_REJECTED, failure.getMessage(), 1000));
+        }
+    }
+
+    void abandoned(RunningAttempt attempt, ResultCode code, String message) {
+        Ticket t = attempt.ticket();
+        events.record(EventCode.REQUEST_FAILED, t.request().id(), code.number() + " " + message);
+        t.fail(code, message);
+    }
+
+    private boolean retry(Ticket t, EndpointException failure) {
+        lock.lock();
+        try {
+            slots.find(t.request().version())
+                    .filter(s -> s.users() == 0 && failure.code() == ResultCode.ENDPOINT_REJECTED)
+                    .ifPresent(slots::vacate);
+            if (closed != null || !t.requeue()) {
+                return false;
+            }
+            Waiting w = new Waiting(t, scheduler.nanoTime());
+            w.attempts = MAX_ATTEMPTS;
+            enqueue(w, true);
+        } finally {
+            lock.unlock();
+        }
+        events.record(EventCode.REQUEST_RETRIED, t.request().id(), failure.getMessage());
+        return true;
+    }
+
+    // Queue
+
+    private Refusal admission(Ticket ticket) {
+        if (!permit.valid()) {
+            return Refusal.retry(ResultCode.LEASE_LAPSED, "no valid lease on " + engine.name(), 1000);
+        }
+        if (queued >= config.maxQueued()) {
+            return Refusal.retry(ResultCode.OVERLOADED, "the queue is full", 1000);
+        }
+        String caller = ticket.request().caller();
+        long own = waiting.values().stream()
+                .flatMap(Deque::stream)
+                .filter(w -> w.ticket.request().caller().equals(caller))
+                .count();
+        return own >= config.maxQueuedPerCaller()
+                ? Refusal.retry(ResultCode.OVERLOADED, "the caller's share of the queue is full", 1000)
+                : null;
+    }
+
+    private void enqueue(Waiting w, boolean first) {
+        Deque<Waiting> q = waiting.computeIfAbsent(w.ticket.request().version(), v -> new ArrayDeque<>());
+        if (first) {
+            q.addFirst(w);
+        } else {
+            q.addLast(w);
+        }
+        queued++;
+    }
+
+    private boolean removeWaiting(Ticket ticket) {
+        Deque<Waiting> q = waiting.get(ticket.request().version());
+        boolean removed = q != null && q.removeIf(w -> w.ticket == ticket);
+        if (removed) {
+            queued--;
+            dropIfEmpty(ticket.request().version());
+        }
+        return removed;
+    }
+
+    private void dropIfEmpty(AdapterVersion v) {
+        Deque<Waiting> q = waiting.get(v);
+        if (q != null && q.isEmpty()) {
+            waiting.remove(v);
+        }
+    }
+
+    // Decisions
+
+    private void tick() {
+        List<RunningAttempt> silent = new ArrayList<>();
+        List<Ticket> late = new ArrayList<>();
+        List<Ticket> unowned = new ArrayList<>();
+        lock.lock();
+        try {
+            long now = scheduler.nanoTime();
+            long limit = config.progressTimeout().toNanos();
+            running.values().stream()
+                    .filter(a -> now - a.progressNanos() > limit)
+                    .forEach(silent::add);
+            boolean valid = permit.valid();
+            for (Deque<Waiting> q : waiting.values()) {
+                for (Waiting w : q) {
+                    if (w.ticket.request().deadlineNanos() - now <= 0) {
+                        late.add(w.ticket);
+                    } else if (!valid) {
+                        unowned.add(w.ticket);
+                    }
+                }
+            }
+            late.forEach(this::removeWaiting);
+            unowned.forEach(this::removeWaiting);
+        } finally {
+            lock.unlock();
+        }
+        silent.forEach(a -> a.abandon(ResultCode.PROGRESS_TIMEOUT, "no progress within the timeout"));
+        late.forEach(t -> refuse(t, Refusal.retry(ResultCode.DEADLINE_UNREACHABLE, "the deadline passed", 1000)));
+        unowned.forEach(t -> refuse(t, Refusal.retry(ResultCode.LEASE_LAPSED, "the lease lapsed", 1000)));
+        pump();
+    }
+
+    private void pump() {
+        List<Runnable> effects = new ArrayList<>();
+        lock.lock();
+        try {
+            if (slots.known() && permit.valid()) {
+                dispatchResident(effects);
+                startLoads(effects);
+            }
+        } finally {
+            lock.unlock();
+        }
+        effects.forEach(Runnable::run);
+    }
+
+    private void dispatchResident(List<Runnable> effects) {
+        for (AdapterVersion v : new ArrayList<>(waiting.keySet())) {
+            Deque<Waiting> q = waiting.get(v);
+            while (running.size() < engine.batchSize() && !q.isEmpty() && slots.resident(v)) {
+                Waiting w = q.pollFirst();
+                queued--;
+                if (w.ticket.dispatch()) {
+                    effects.add(begin(w, slots.find(v).orElseThrow()));
+                }
+            }
+            dropIfEmpty(v);
+        }
+    }
+
+    private Runnable begin(Waiting w, Slot slot) {
+        long now = scheduler.nanoTime();
+        InferenceRequest r = w.ticket.request();
+        attempts++;
+        RunningAttempt a = new RunningAttempt(r.id() + "." + attempts, w.ticket, slot, this, now);
+        accountBatch(running.size());
+        running.put(a.id(), a);
+        slot.use(now);
+        stats.dispatched(now - r.arrivalNanos(), Math.max(0, slot.changedNanos() - w.sinceNanos));
+        return () -> send(a, r);
+    }
+
+    private void send(RunningAttempt a, InferenceRequest r) {
+        if (!permit.valid()) {
+            a.failed(new EndpointException(ResultCode.LEASE_LAPSED, "the lease lapsed before dispatch", true));
+            return;
+        }
+        events.record(EventCode.REQUEST_DISPATCHED, r.id(), a.id() + " to " + engine.name() + " " + r.version());
+        AttemptRequest request = new AttemptRequest(a.id(), r.version(), r.prompt(), r.maxTokens(), r.priority(), 0);
+        a.cancellation(port.run(engine, request, a));
+        if (!permit.valid()) {
+            a.abandon(ResultCode.OUTCOME_UNKNOWN, "the lease lapsed during dispatch");
+        }
+    }
+
+    private void startLoads(List<Runnable> effects) {
+        long now = scheduler.nanoTime();
+        for (Optional<LoadPolicy.Group> g = nextGroup(now); g.isPresent(); g = nextGroup(now)) {
+            if (!slots.hasFree()) {
+                evictOne(effects, now);
+                return;
+            }
+            if (!budget.tryAcquire()) {
+                return;
+            }
+            AdapterVersion v = g.get().version();
+            Slot s = slots.startLoad(v, now);
+            effects.add(() -> load(s, v, now));
+        }
+    }
+
+    private Optional<LoadPolicy.Group> nextGroup(long now) {
+        List<LoadPolicy.Group> groups = new ArrayList<>();
+        waiting.forEach((v, q) -> {
+            boolean backedOff = backoffUntilNanos.getOrDefault(v, now) - now > 0;
+            if (!backedOff && slots.find(v).isEmpty()) {
+                groups.add(new LoadPolicy.Group(v, q.stream().map(w -> w.ticket).toList()));
+            }
+        });
+        return groups.isEmpty() ? Optional.empty() : config.loads().next(groups, now);
+    }
+
+    private void evictOne(List<Runnable> effects, long now) {
+        boolean unloading = slots.all().stream().anyMatch(s -> s.state() == Slot.State.UNLOADING);
+        if (unloading || budget.nanosUntilFree() > 0) {
+            return;
+        }
+        config.evictions().victim(slots.evictable(waiting::containsKey)).ifPresent(s -> {
+            s.state(Slot.State.UNLOADING, now);
+            effects.add(() -> unload(s));
+        });
+    }
+
+    // Orders
+
+    private void load(Slot s, AdapterVersion v, long startNanos) {
+        Optional<String> ref = weights.weights(v);
+        if (ref.isEmpty() || !permit.valid()) {
+            loadEnded(s, startNanos, new EndpointException(ResultCode.LOAD_REFUSED, "not published", true));
+            return;
+        }
+        events.record(EventCode.LOAD_STARTED, v.toString(), engine.name() + " fencing " + fencing);
+        port.load(engine, v, ref.get(), fencing).whenComplete((ok, failure) -> loadEnded(s, startNanos, failure));
+    }
+
+    private void loadEnded(Slot s, long startNanos, Throwable failure) {
+        long now = scheduler.nanoTime();
+        AdapterVersion v = s.version();
+        lock.lock();
+        try {
+            if (failure == null) {
+                slots.loaded(s, now);
+                backoffUntilNanos.remove(v);
+            } else if (provedNotRun(failure)) {
+                slots.vacate(s);
+                backoffUntilNanos.put(v, now + config.loadBackoff().toNanos());
+            } else {
+                slots.inDoubt(s, now);
+            }
+        } finally {
+            lock.unlock();
+        }
+        stats.loaded(failure == null, now - startNanos);
+        orderEnded(failure == null ? EventCode.LOAD_FINISHED : EventCode.LOAD_FAILED, v, failure);
+    }
+
+    private void unload(Slot s) {
+        port.unload(engine, s.version(), fencing).whenComplete((ok, failure) -> {
+            lock.lock();
+            try {
+                if (failure == null) {
+                    slots.vacate(s);
+                } else if (provedNotRun(failure)) {
+                    s.state(Slot.State.RESIDENT, scheduler.nanoTime());
+                } else {
+                    slots.inDoubt(s, scheduler.nanoTime());
+                }
+            } finally {
+                lock.unlock();
+            }
+            orderEnded(EventCode.EVICTED, s.version(), failure);
+        });
+    }
+
+    private void orderEnded(EventCode code, AdapterVersion v, Throwable failure) {
+        if (failure == null) {
+            events.record(code, v.toString(), engine.name());
+        } else {
+            ResultCode why = QuetzalvaneException.codeOf(failure);
+            EventCode what = why == ResultCode.FENCED
+                    ? EventCode.ORDER_FENCED
+                    : provedNotRun(failure) ? EventCode.LOAD_FAILED : EventCode.ORDER_IN_DOUBT;
+            events.record(what, v.toString(), engine.name() + " " + why.number() + " " + failure.getMessage());
+            askReport();
+        }
+        pump();
+    }
+
+    private void askReport() {
+        long asked = scheduler.nanoTime();
+        port.report(engine).whenComplete((report, failure) -> {
+            if (failure == null) {
+                reported(report, asked - report.ageMillis() * NANOS_PER_MILLI);
+            }
+        });
+    }
+
+    private void reported(EngineReport report, long takenNanos) {
+        boolean restarted;
+        lock.lock();
+        try {
+            restarted = slots.reconcile(report, takenNanos, scheduler.nanoTime());
+        } finally {
+            lock.unlock();
+        }
+        if (restarted) {
+            events.record(EventCode.ENGINE_RESTARTED, engine.name(), report.instance());
+        }
+        pump();
+    }
+
+    // Helpers
+
+    private static boolean provedNotRun(Throwable failure) {
+        Throwable cause = failure instanceof EndpointException ? failure : failure.getCause();
+        return cause instanceof EndpointException && ((EndpointException) cause).provedNotRun();
+    }
+
+    private void accountBatch(int wereRunning) {
+        long now = scheduler.nanoTime();
+        if (wereRunning > 0) {
+            stats.batch(wereRunning, engine.batchSize(), now - batchSinceNanos);
+        }
+        batchSinceNanos = now;
+    }
+
+    private void completeIfDrained() {
+        if (closed != null && running.isEmpty() && !drained.isDone()) {
+            timers.forEach(Scheduler.Timer::cancel);
+            scheduler.schedule(Duration.ZERO, () -> drained.complete(null));
+        }
+    }
+
+    private void refuse(Ticket t, Refusal refusal) {
+        if (t.refuse(refusal)) {
+            stats.refused(refusal.code());
+            events.record(
+                    EventCode.REQUEST_REFUSED, t.request().id(), refusal.code().number() + " " + refusal.message());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/load/EngineLease.java
@@ -0,0 +1,12 @@
+package org.quetzalvane.core.load;
+
+import org.quetzalvane.core.model.Engine;
+
+/**
+ * An engine this node has gained. Immutable.
+ *
+ * @param engine the engine
+ * @param fencing number that every order carries
+ * @param permit whether dispatch and orders are permitted at this moment
+ */
+public record EngineLease(Engine engine, long fencing, Permit permit) {}
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/model/AdapterVersion.java
@@ -0,0 +1,21 @@
+package org.quetzalvane.core.model;
+
+/**
+ * The exact adapter and version a request names. Immutable.
+ *
+ * @param adapter name of the adapter
+ * @param version the adapter version
+ */
+public record AdapterVersion(String adapter, int version) implements Comparable<AdapterVersion> {
+
+    @Override
+    public int compareTo(AdapterVersion other) {
+        int byName = adapter.compareTo(other.adapter);
+        return byName != 0 ? byName : Integer.compare(version, other.version);
+    }
+
+    @Override
+    public String toString() {
+        return adapter + "@" + version;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/ownership/ClaimCodec.java
@@ -0,0 +1,33 @@
+package org.quetzalvane.core.ownership;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.exc.RecordException;
+
+/** Encodes and decodes ownership records as JSON. Stateless and thread-safe. */
+public final class ClaimCodec {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private ClaimCodec() {}
+
+    /** Encodes a record as JSON. */
+    public static byte[] encode(ClaimRecord record) {
+        try {
+            return JSON.writerFor(ClaimRecord.class).writeValueAsBytes(record);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Decodes a record; fails with {@link RecordException}. */
+    public static ClaimRecord decode(byte[] data) {
+        try {
+            return JSON.readValue(data, ClaimRecord.class);
+        } catch (IOException e) {
+            throw new RecordException(ResultCode.RECORD_MALFORMED, "not an ownership record");
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/ownership/OwnershipConfig.java
@@ -0,0 +1,39 @@
+package org.quetzalvane.core.ownership;
+
+import java.time.Duration;
+
+/**
+ * Timing of leases and claims. Immutable; {@code withX} returns a changed copy.
+ *
+ * @param stream name of the region's ownership stream on the log
+ * @param lease how long a renewal holds
+ * @param renewInterval pause between renewals, well below the lease
+ * @param claimInterval pause between looks for engines to claim
+ * @param margin added by a claimant to a foreign lease, for differing clock rates
+ */
+public record OwnershipConfig(
+        String stream, Duration lease, Duration renewInterval, Duration claimInterval, Duration margin) {
+
+    /** Defaults for a region. */
+    public static OwnershipConfig of(String region) {
+        return new OwnershipConfig(
+                "ownership-" + region,
+                Duration.ofSeconds(20),
+                Duration.ofSeconds(7),
+                Duration.ofMillis(500),
+                Duration.ofMillis(500));
+    }
+
+    /** Sets the lease and derives the renewal interval, a third of it. */
+    public OwnershipConfig withLease(Duration newLease) {
+        return new OwnershipConfig(stream, newLease, newLease.dividedBy(3), claimInterval, margin);
+    }
+
+    public OwnershipConfig withClaimInterval(Duration interval) {
+        return new OwnershipConfig(stream, lease, renewInterval, interval, margin);
+    }
+
+    public OwnershipConfig withMargin(Duration newMargin) {
+        return new OwnershipConfig(stream, lease, renewInterval, claimInterval, newMargin);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/package-info.java
@@ -0,0 +1,2 @@
+/** Result codes and identifiers shared by every layer. */
+package org.quetzalvane.core;
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Typed messages between nodes. */
+package org.quetzalvane.core.peer;
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/request/Refusal.java
@@ -0,0 +1,32 @@
+package org.quetzalvane.core.request;
+
+import org.quetzalvane.core.ResultCode;
+
+/**
+ * A truthful statement that a request was not run. Immutable.
+ *
+ * @param code the reason; {@link ResultCode#provesNotRun()} holds
+ * @param message explanation for people
+ * @param retryAfterMillis when to come back, in milliseconds; 0 when repeating the same request is pointless
+ * @param where address to ask instead, or empty
+ */
+public record Refusal(ResultCode code, String message, long retryAfterMillis, String where) {
+
+    public Refusal {
+        if (!code.provesNotRun()) {
+            throw new IllegalArgumentException(code + " does not prove that the request was not run");
+        }
+    }
+
+    public static Refusal of(ResultCode code, String message) {
+        return new Refusal(code, message, 0, "");
+    }
+
+    public static Refusal retry(ResultCode code, String message, long retryAfterMillis) {
+        return new Refusal(code, message, retryAfterMillis, "");
+    }
+
+    public Refusal withWhere(String address) {
+        return new Refusal(code, message, retryAfterMillis, address);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/routing/Access.java
@@ -0,0 +1,81 @@
+package org.quetzalvane.core.routing;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Optional;
+
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.config.ConfigState;
+import org.quetzalvane.core.config.ConfigTable;
+import org.quetzalvane.core.exc.RefusedException;
+import org.quetzalvane.core.model.AdapterVersion;
+import org.quetzalvane.core.model.Caller;
+import org.quetzalvane.core.request.Refusal;
+
+/**
+ * Who may use what, by the configuration in force. Stateless over the table; thread-safe.
+ *
+ * <p>Methods fail with {@link RefusedException}, which names the numbered reason.
+ */
+public final class Access {
+    private final ConfigTable config;
+
+    public Access(ConfigTable config) {
+        this.config = config;
+    }
+
+    /** The caller that a bearer token belongs to. */
+    public Caller authenticate(String token) {
+        Optional<Caller> caller =
+                token == null || token.isEmpty() ? Optional.empty() : config.read(s -> s.callerByToken(sha256(token)));
+        return caller.orElseThrow(() -> refused(ResultCode.UNAUTHENTICATED, "the token is missing or unknown"));
+    }
+
+    /** Checks that the adapter version exists and that the caller may use it. */
+    public void checkAdapter(Caller caller, AdapterVersion v) {
+        Optional<Refusal> refusal = config.read(s -> adapterRefusal(s, caller, v));
+        refusal.ifPresent(r -> {
+            throw new RefusedException(r);
+        });
+    }
+
+    /** Checks that the service exists and that the caller may use it. */
+    public void checkService(Caller caller, String service) {
+        boolean known = config.read(s -> s.service(service).isPresent());
+        boolean allowed = config.read(s -> s.allowsService(caller.name(), service));
+        if (!allowed) {
+            throw refused(ResultCode.ACCESS_DENIED, caller.name() + " may not use service " + service);
+        }
+        if (!known) {
+            throw refused(ResultCode.UNKNOWN_SERVICE, "service " + service + " does not exist");
+        }
+    }
+
+    /** SHA-256 of a token in lower-case hexadecimal, as caller records hold it. */
+    public static String sha256(String token) {
+        try {
+            MessageDigest d = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(d.digest(token.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static Optional<Refusal> adapterRefusal(ConfigState s, Caller caller, AdapterVersion v) {
+        if (!s.allowsAdapter(caller.name(), v)) {
+            return Optional.of(Refusal.of(ResultCode.ACCESS_DENIED, caller.name() + " may not use " + v));
+        }
+        if (s.adapter(v.adapter()).isEmpty()) {
+            return Optional.of(Refusal.of(ResultCode.UNKNOWN_ADAPTER, "adapter " + v.adapter() + " does not exist"));
+        }
+        return s.version(v).isEmpty()
+                ? Optional.of(Refusal.of(ResultCode.UNKNOWN_VERSION, "version " + v + " does not exist"))
+                : Optional.empty();
+    }
+
+    private static RefusedException refused(ResultCode code, String message) {
+        return new RefusedException(Refusal.of(code, message));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/routing/Route.java
@@ -0,0 +1,12 @@
+package org.quetzalvane.core.routing;
+
+import org.quetzalvane.core.cluster.NodeInfo;
+import org.quetzalvane.core.model.Engine;
+
+/**
+ * Where a request for an adapter version goes. Immutable.
+ *
+ * @param engine the engine that is to serve it
+ * @param owner the node that owns the engine
+ */
+public record Route(Engine engine, NodeInfo owner) {}
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Authorisation and placement: which node and endpoint serve a request. */
+package org.quetzalvane.core.routing;
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/time/Scheduler.java
@@ -0,0 +1,31 @@
+package org.quetzalvane.core.time;
+
+import java.time.Duration;
+
+/**
+ * Clock and timers of a process. All code that waits or measures takes one of these.
+ *
+ * <p>Implementations are thread-safe. Tasks run on a thread of the implementation and must not block.
+ */
+public interface Scheduler {
+
+    /** Monotonic time in nanoseconds; only differences are meaningful. */
+    long nanoTime();
+
+    /** Wall clock time in milliseconds since the epoch. */
+    long wallMillis();
+
+    /** Runs a task once after a delay; a delay of zero or less runs it as soon as possible. */
+    Timer schedule(Duration delay, Runnable task);
+
+    /** Runs a task with a fixed pause between runs until the timer is cancelled. */
+    default Timer repeat(Duration period, Runnable task) {
+        return RepeatingTimer.start(this, period, task);
+    }
+
+    /** A scheduled task that can be cancelled; cancelling twice is harmless. */
+    @FunctionalInterface
+    interface Timer {
+        void cancel();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/quetzalvane/node/CallerApi.java
@@ -0,0 +1,256 @@
+package org.quetzalvane.node;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.quetzalvane.adapters.http.ErrorBody;
+import org.quetzalvane.adapters.http.Exchange;
+import org.quetzalvane.adapters.http.HttpService;
+import org.quetzalvane.adapters.http.Json;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.cluster.NodeInfo;
+import org.quetzalvane.core.exc.QuetzalvaneException;
+import org.quetzalvane.core.exc.RefusedException;
+import org.quetzalvane.core.load.EngineDispatcher;
+import org.quetzalvane.core.model.AdapterVersion;
+import org.quetzalvane.core.model.Caller;
+import org.quetzalvane.core.model.Service;
+import org.quetzalvane.core.port.ServicePort;
+import org.quetzalvane.core.request.IdempotencyTable;
+import org.quetzalvane.core.request.InferenceRequest;
+import org.quetzalvane.core.request.Refusal;
+import org.quetzalvane.core.request.Ticket;
+import org.quetzalvane.core.routing.Access;
+import org.quetzalvane.core.routing.Route;
+
+/** What callers use: address answers, completions and service calls. Thread-safe. */
+final class CallerApi {
+    private static final int OK = 200;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
+    private static final long MAX_TIMEOUT_MILLIS = 300_000;
+    private static final int DEFAULT_MAX_TOKENS = 256;
+    private static final long RETRY_MILLIS = 500;
+    private static final String SERVICES = "/v1/services/";
+
+    private final NodeRuntime node;
+    private final Access access;
+    private final IdempotencyTable keys;
+    private final ServicePort services;
+    private final AtomicLong sequence = new AtomicLong();
+
+    CallerApi(NodeRuntime node, Access access, IdempotencyTable keys, ServicePort services) {
+        this.node = node;
+        this.access = access;
+        this.keys = keys;
+        this.services = services;
+    }
+
+    HttpService.Builder routes(HttpService.Builder b) {
+        return b.route("GET", "/v1/resolve", guarded(this::resolve))
+                .route("POST", "/v1/completions", guarded(this::complete))
+                .route("POST", SERVICES, guarded(this::callService));
+    }
+
+    // Address answers
+
+    private void resolve(Exchange e) {
+        requireReady();
+        Caller caller = access.authenticate(e.bearerToken());
+        String service = e.query("service", "");
+        ObjectNode answer = Json.object();
+        if (service.isEmpty()) {
+            AdapterVersion v = new AdapterVersion(e.query("adapter", ""), number(e.query("version", "")));
+            access.checkAdapter(caller, v);
+            Route route = route(v);
+            answer.put("node", route.owner().node());
+            answer.put("address", route.owner().callerAddress());
+        } else {
+            access.checkService(caller, service);
+            answer.put("node", node.context().self().node());
+            answer.put("address", node.context().self().callerAddress());
+            answer.put("idempotency_key", keys.issue(caller.name()));
+        }
+        answer.put("lifetime_ms", node.settings().timing().answerMillis());
+        answer.put("config_offset", node.config().appliedOffset());
+        e.reply(OK, answer);
+    }
+
+    private Route route(AdapterVersion v) {
+        return node.placement()
+                .route(v)
+                .orElseThrow(() -> new RefusedException(
+                        Refusal.retry(ResultCode.NO_ENGINE, "no engine can take " + v + " now", RETRY_MILLIS)));
+    }
+
+    // Completions
+
+    private void complete(Exchange e) {
+        requireReady();
+        Caller caller = access.authenticate(e.bearerToken());
+        e.body().whenComplete((body, failure) -> {
+            try {
+                if (failure != null) {
+                    throw failure instanceof QuetzalvaneException
+                            ? (QuetzalvaneException) failure
+                            : new QuetzalvaneException(ResultCode.INTERNAL, failure.toString(), failure);
+                }
+                submit(e, caller, Json.parse(body));
+            } catch (RefusedException r) {
+                replyRefusal(e, r.refusal());
+            } catch (RuntimeException r) {
+                HttpService.replyFailure(e, r);
+            }
+        });
+    }
+
+    private void submit(Exchange e, Caller caller, JsonNode body) {
+        AdapterVersion v = new AdapterVersion(
+                text(body, "adapter"), number(body.path("version").asText()));
+        access.checkAdapter(caller, v);
+        Route route = route(v);
+        EngineDispatcher dispatcher = node.dispatchers()
+                .find(route.engine().name())
+                .orElseThrow(() -> new RefusedException(notOwner(route.owner())));
+        boolean stream = body.path("stream").asBoolean(false);
+        InferenceRequest request = request(caller, v, body);
+        CompletionSink sink = stream ? CompletionSink.streaming(e, request) : CompletionSink.whole(e, request);
+        Ticket ticket = new Ticket(request, sink);
+        sink.onGone(() -> dispatcher.cancel(ticket));
+        dispatcher.submit(ticket);
+    }
+
+    private Refusal notOwner(NodeInfo owner) {
+        String message = "the engine is owned by " + owner.node();
+        return Refusal.retry(ResultCode.NOT_OWNER, message, 0).withWhere(owner.callerAddress());
+    }
+
+    private InferenceRequest request(Caller caller, AdapterVersion v, JsonNode body) {
+        long now = node.context().scheduler().nanoTime();
+        long timeout = Math.min(MAX_TIMEOUT_MILLIS, body.path("timeout_ms").asLong(DEFAULT_TIMEOUT_MILLIS));
+        return new InferenceRequest(
+                node.context().self().node() + "-" + sequence.incrementAndGet(),
+                caller.name(),
+                v,
+                text(body, "prompt"),
+                body.path("max_tokens").asInt(DEFAULT_MAX_TOKENS),
+                body.path("priority").asInt(0),
+                now,
+                now + timeout * NANOS_PER_MILLI,
+                body.path("idempotent").asBoolean(true));
+    }
+
+    // Service calls
+
+    private void callService(Exchange e) {
+        requireReady();
+        Caller caller = access.authenticate(e.bearerToken());
+        String name = e.path().substring(SERVICES.length());
+        access.checkService(caller, name);
+        e.body().whenComplete((body, failure) -> {
+            if (failure != null) {
+                HttpService.replyFailure(e, failure);
+                return;
+            }
+            dispatchCall(e, caller, name, new String(body, StandardCharsets.UTF_8))
+                    .whenComplete((answer, failed) -> {
+                        if (failed == null) {
+                            e.reply(
+                                    answer.status(),
+                                    "application/json",
+                                    answer.body().getBytes(StandardCharsets.UTF_8));
+                        } else {
+                            replyThrowable(e, failed);
+                        }
+                    });
+        });
+    }
+
+    private CompletableFuture<ServicePort.ServiceAnswer> dispatchCall(
+            Exchange e, Caller caller, String name, String body) {
+        Service service = node.config().read(s -> s.service(name)).orElseThrow();
+        boolean idempotent = !"false".equals(e.header("Idempotent"));
+        String attempt = node.context().self().node() + "-s" + sequence.incrementAndGet();
+        ServicePort.ServiceCall call =
+                new ServicePort.ServiceCall(attempt, caller.name(), idempotent, body, DEFAULT_TIMEOUT_MILLIS);
+        if (idempotent) {
+            return services.call(service, call);
+        }
+        String key = e.header("Idempotency-Key");
+        if (key == null || !keys.isOwn(key)) {
+            return CompletableFuture.failedFuture(new RefusedException(foreignKey(key)));
+        }
+        return keys.runOnce(key, caller.name(), () -> services.call(service, call));
+    }
+
+    private Refusal foreignKey(String key) {
+        if (key == null) {
+            return Refusal.of(ResultCode.KEY_REQUIRED, "ask for an address first; the answer carries a key");
+        }
+        NodeInfo holder = IdempotencyTable.issuer(key)
+                .flatMap(n -> node.membership().find(n))
+                .filter(n -> n.incarnation() == IdempotencyTable.incarnation(key))
+                .orElseThrow(() -> new QuetzalvaneException(
+                        ResultCode.NEVER_WILL_RUN, "the holder of the key is gone; it will never run"));
+        return Refusal.retry(ResultCode.HELD_ELSEWHERE, "the key is held by " + holder.node(), 0)
+                .withWhere(holder.callerAddress());
+    }
+
+    // Helpers
+
+    private HttpService.Route guarded(HttpService.Route route) {
+        return e -> {
+            try {
+                route.handle(e);
+            } catch (RefusedException r) {
+                replyRefusal(e, r.refusal());
+            }
+        };
+    }
+
+    private void requireReady() {
+        if (!node.ready() && !node.draining()) {
+            throw new RefusedException(
+                    Refusal.retry(ResultCode.NOT_READY, "the configuration is still being read", RETRY_MILLIS));
+        }
+    }
+
+    private static void replyThrowable(Exchange e, Throwable failure) {
+        Throwable cause = failure instanceof RefusedException ? failure : failure.getCause();
+        if (cause instanceof RefusedException) {
+            replyRefusal(e, ((RefusedException) cause).refusal());
+        } else {
+            HttpService.replyFailure(e, failure);
+        }
+    }
+
+    static void replyRefusal(Exchange e, Refusal r) {
+        if (r.code() == ResultCode.UNAUTHENTICATED) {
+            e.withHeader("WWW-Authenticate", "Bearer");
+        }
+        if (r.retryAfterMillis() > 0) {
+            long seconds = (r.retryAfterMillis() + 999) / 1000;
+            e.withHeader("Retry-After", Long.toString(seconds));
+        }
+        e.reply(r.code().httpStatus(), ErrorBody.of(r));
+    }
+
+    private static String text(JsonNode body, String field) {
+        String value = body.path(field).asText("");
+        if (value.isEmpty()) {
+            throw new QuetzalvaneException(ResultCode.MALFORMED_REQUEST, field + " is missing");
+        }
+        return value;
+    }
+
+    private static int number(String text) {
+        try {
+            return Integer.parseInt(text);
+        } catch (NumberFormatException e) {
+            throw new QuetzalvaneException(ResultCode.MALFORMED_REQUEST, "version must be a whole number");
+        }
+    }
+}
--- /dev/null
+++ b/proofs/src/test/java/org/quetzalvane/proofs/ModuleRulesTest.java
@@ -0,0 +1,66 @@
+package org.quetzalvane.proofs;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+/** Direction of dependence between the modules. */
+class ModuleRulesTest {
+    private static final JavaClasses CLASSES = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("org.quetzalvane");
+
+    @Test
+    void coreDependsOnNoAdapterAndDoesNoIo() {
+        noClasses()
+                .that()
+                .resideInAPackage("org.quetzalvane.core..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "org.quetzalvane.adapters..",
+                        "org.quetzalvane.node..",
+                        "org.quetzalvane.cli..",
+                        "org.quetzalvane.standins..",
+                        "org.eclipse.jetty..",
+                        "java.net..",
+                        "java.nio.channels..")
+                .check(CLASSES);
+    }
+
+    @Test
+    void adaptersDependOnCoreOnly() {
+        noClasses()
+                .that()
+                .resideInAPackage("org.quetzalvane.adapters..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("org.quetzalvane.node..", "org.quetzalvane.cli..", "org.quetzalvane.standins..")
+                .check(CLASSES);
+    }
+
+    @Test
+    void shippedProgramsDoNotKnowTheStandIns() {
+        noClasses()
+                .that()
+                .resideInAnyPackage("org.quetzalvane.node..", "org.quetzalvane.cli..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("org.quetzalvane.standins..")
+                .check(CLASSES);
+    }
+
+    @Test
+    void nodesStartNoProcess() {
+        noClasses()
+                .that()
+                .resideInAnyPackage("org.quetzalvane.core..", "org.quetzalvane.adapters..", "org.quetzalvane.node..")
+                .should()
+                .dependOnClassesThat()
+                .belongToAnyOf(ProcessBuilder.class)
+                .check(CLASSES);
+    }
+}
--- /dev/null
+++ b/proofs/src/test/java/org/quetzalvane/proofs/WholePathTest.java
@@ -0,0 +1,82 @@
+package org.quetzalvane.proofs;
+
+import java.io.IOException;
+import java.time.Duration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.standins.harness.Await;
+import org.quetzalvane.standins.harness.CallerClient;
+import org.quetzalvane.standins.harness.LocalCluster;
+import org.quetzalvane.standins.harness.Records;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** The whole path over separate processes: publish, resolve, load, stream, refuse, fail over. */
+class WholePathTest {
+    private static final String TOKEN = "t";
+    private static final Duration LIMIT = Duration.ofSeconds(20);
+    private static LocalCluster cluster;
+
+    @BeforeAll
+    static void start() throws IOException {
+        cluster = LocalCluster.builder().nodes(3).engines(2).start();
+        cluster.publishEndpoints();
+        cluster.publish(
+                Records.caller("angler", TOKEN),
+                Records.rule("r1", "angler", "adapter:*"),
+                Records.rule("r2", "angler", "service:booking"),
+                Records.adapter("a1", LocalCluster.BASE_MODEL),
+                Records.version("a1", 1),
+                Records.version("a1", 2));
+        cluster.awaitOwners();
+    }
+
+    @AfterAll
+    static void stop() {
+        cluster.close();
+    }
+
+    @Test
+    void streamsFromExactlyTheVersionNamed() {
+        CallerClient.Result r = cluster.caller(TOKEN).complete("a1", 2, "p", 5);
+        assertThat(r.isWhole()).as("%s", r).isTrue();
+        assertThat(r.text().split(" ")).hasSize(5).allMatch(t -> t.startsWith("a1@2#"));
+    }
+
+    @Test
+    void refusesWhatIsNotAllowed() {
+        assertThat(cluster.caller("x").resolve("a1", 1).code()).isEqualTo(ResultCode.UNAUTHENTICATED.number());
+        assertThat(cluster.caller(TOKEN).resolve("a1", 3).code()).isEqualTo(ResultCode.UNKNOWN_VERSION.number());
+        assertThat(cluster.caller(TOKEN).resolve("a9", 1).code()).isEqualTo(ResultCode.UNKNOWN_ADAPTER.number());
+        assertThat(cluster.caller(TOKEN).resolveService("other").code()).isEqualTo(ResultCode.ACCESS_DENIED.number());
+    }
+
+    @Test
+    void runsNonIdempotentCallOnceUnderItsKey() {
+        CallerClient caller = cluster.caller(TOKEN);
+        JsonNode where = caller.resolveService("booking").body();
+        String address = where.path("address").asText();
+        String key = where.path("idempotency_key").asText();
+        CallerClient.Result first = caller.callAt(address, "booking", key, "{\"hut\":1}");
+        CallerClient.Result again = caller.callAt(address, "booking", key, "{\"hut\":1}");
+        assertThat(first.isWhole()).isTrue();
+        assertThat(again.body()).isEqualTo(first.body());
+        assertThat(cluster.get(cluster.serviceUrl() + "/control/ran").path("ran"))
+                .hasSize(1);
+    }
+
+    @Test
+    void servesOnAfterTheOwnerIsKilled() throws IOException {
+        CallerClient.Result where = cluster.caller(TOKEN).resolve("a1", 1);
+        String owner = where.body().path("node").asText();
+        cluster.child(owner).kill();
+        CallerClient caller = cluster.caller(TOKEN);
+        Await.until("failover", LIMIT, () -> caller.complete("a1", 1, "p", 3).isWhole());
+        cluster.startNode(owner);
+        cluster.awaitReady(owner);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/quetzalvane/standins/HostListStandIn.java
@@ -0,0 +1,65 @@
+package org.quetzalvane.standins;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.quetzalvane.adapters.http.Exchange;
+import org.quetzalvane.adapters.http.HttpService;
+import org.quetzalvane.adapters.http.Json;
+import org.quetzalvane.core.time.Scheduler;
+
+/**
+ * The platform's host list.
+ *
+ * <p>{@code POST /control/host {"host":..,"state":"live|leaving|gone"}} changes it; the change shows after
+ * {@code lag_ms}. Thread-safe.
+ */
+final class HostListStandIn {
+    private static final String LAG_MILLIS = "lag_ms";
+    private static final String GONE = "gone";
+
+    private final Scheduler scheduler;
+    private final Faults faults = new Faults();
+    private final Map<String, String> states = new ConcurrentSkipListMap<>();
+
+    HostListStandIn(Scheduler scheduler) {
+        this.scheduler = scheduler;
+    }
+
+    HttpService.Builder routes(HttpService.Builder b) {
+        return faults.routes(b).route("POST", "/control/host", this::set).route("GET", "/hosts", this::list);
+    }
+
+    private void set(Exchange e) {
+        e.body().thenAccept(body -> {
+            JsonNode n = Json.parse(body);
+            Duration lag = Duration.ofMillis(faults.value(LAG_MILLIS));
+            scheduler.schedule(
+                    lag, () -> show(n.path("host").asText(), n.path("state").asText()));
+            e.reply(200, n);
+        });
+    }
+
+    private void show(String host, String state) {
+        if (state.equals(GONE)) {
+            states.remove(host);
+        } else {
+            states.put(host, state);
+        }
+    }
+
+    private void list(Exchange e) {
+        if (faults.dropped(e)) {
+            return;
+        }
+        ObjectNode answer = Json.object();
+        ArrayNode hosts = answer.putArray("hosts");
+        states.forEach((host, state) -> hosts.addObject().put("host", host).put("state", state));
+        Duration delay = Duration.ofMillis(faults.value(Faults.SLOW_MILLIS));
+        scheduler.schedule(delay, () -> e.reply(200, answer));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/quetzalvane/standins/LogStandIn.java
@@ -0,0 +1,92 @@
+package org.quetzalvane.standins;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.quetzalvane.adapters.http.Exchange;
+import org.quetzalvane.adapters.http.HttpService;
+import org.quetzalvane.adapters.http.Json;
+import org.quetzalvane.core.time.Scheduler;
+
+/**
+ * The platform's log service: append-only streams in memory.
+ *
+ * <p>{@code POST /streams/S} appends the body and answers its offset; {@code GET /streams/S?from=&max=} reads. The
+ * fault {@code expire_before} drops all records below an offset, {@code deny_appends} refuses appends. Thread-safe.
+ */
+final class LogStandIn {
+    private static final String STREAMS = "/streams/";
+    private static final String EXPIRE_BEFORE = "expire_before";
+    private static final String DENY_APPENDS = "deny_appends";
+
+    private final Scheduler scheduler;
+    private final Faults faults = new Faults();
+    private final Map<String, List<byte[]>> streams = new ConcurrentHashMap<>();
+
+    LogStandIn(Scheduler scheduler) {
+        this.scheduler = scheduler;
+    }
+
+    HttpService.Builder routes(HttpService.Builder b) {
+        return faults.routes(b).route("POST", STREAMS, this::append).route("GET", STREAMS, this::read);
+    }
+
+    private void append(Exchange e) {
+        if (faults.dropped(e)) {
+            return;
+        }
+        if (faults.on(DENY_APPENDS)) {
+            e.reply(503, Json.object().put("message", "appends are denied"));
+            return;
+        }
+        e.body().thenAccept(body -> {
+            List<byte[]> stream = stream(e);
+            int offset;
+            synchronized (stream) {
+                offset = stream.size();
+                stream.add(body);
+            }
+            if (faults.take(Faults.LOSE_ANSWERS)) {
+                e.abort();
+                return;
+            }
+            later(() -> e.reply(200, Json.object().put("offset", offset)));
+        });
+    }
+
+    private void read(Exchange e) {
+        if (faults.dropped(e)) {
+            return;
+        }
+        int from = Integer.parseInt(e.query("from", "0"));
+        int max = Integer.parseInt(e.query("max", "1000"));
+        long first = faults.value(EXPIRE_BEFORE);
+        if (from < first) {
+            e.reply(410, Json.object().put("first", first));
+            return;
+        }
+        List<byte[]> stream = stream(e);
+        ObjectNode answer = Json.object();
+        ArrayNode records = answer.putArray("records");
+        synchronized (stream) {
+            answer.put("end", stream.size());
+            for (int i = from; i < Math.min(stream.size(), from + max); i++) {
+                records.addObject().put("offset", i).put("data", stream.get(i));
+            }
+        }
+        later(() -> e.reply(200, answer));
+    }
+
+    private void later(Runnable reply) {
+        scheduler.schedule(Duration.ofMillis(faults.value(Faults.SLOW_MILLIS)), reply);
+    }
+
+    private List<byte[]> stream(Exchange e) {
+        return streams.computeIfAbsent(e.path().substring(STREAMS.length()), s -> new ArrayList<>());
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/quetzalvane/standins/ServiceStandIn.java
@@ -0,0 +1,66 @@
+package org.quetzalvane.standins;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.quetzalvane.adapters.http.Exchange;
+import org.quetzalvane.adapters.http.HttpService;
+import org.quetzalvane.adapters.http.Json;
+import org.quetzalvane.core.time.Scheduler;
+
+/**
+ * A plain service that keeps a record of every call it ran, under {@code GET /control/ran}.
+ *
+ * <p>Besides the common faults, {@code wrong_echo} answers so many calls under another attempt id. Thread-safe.
+ */
+final class ServiceStandIn {
+    private static final String ATTEMPT_HEADER = "Attempt-Id";
+    private static final String WRONG_ECHO = "wrong_echo";
+
+    private final Scheduler scheduler;
+    private final Faults faults = new Faults();
+    private final List<ObjectNode> ran = new ArrayList<>();
+
+    ServiceStandIn(Scheduler scheduler) {
+        this.scheduler = scheduler;
+    }
+
+    HttpService.Builder routes(HttpService.Builder b) {
+        return faults.routes(b).route("POST", "/call", this::call).route("GET", "/control/ran", this::ran);
+    }
+
+    private void call(Exchange e) {
+        if (faults.dropped(e)) {
+            return;
+        }
+        String attempt = e.header(ATTEMPT_HEADER);
+        e.body().thenAccept(body -> {
+            String text = new String(body, StandardCharsets.UTF_8);
+            int number;
+            synchronized (this) {
+                ran.add(Json.object().put("attempt", attempt).put("body", text));
+                number = ran.size();
+            }
+            if (faults.take(Faults.LOSE_ANSWERS)) {
+                e.abort();
+                return;
+            }
+            e.withHeader(ATTEMPT_HEADER, faults.take(WRONG_ECHO) ? attempt + "x" : attempt);
+            Duration delay = Duration.ofMillis(faults.value(Faults.SLOW_MILLIS));
+            scheduler.schedule(
+                    delay,
+                    () -> e.reply(200, Json.object().put("number", number).put("echo", text)));
+        });
+    }
+
+    private synchronized void ran(Exchange e) {
+        ObjectNode answer = Json.object();
+        ArrayNode list = answer.putArray("ran");
+        ran.forEach(list::add);
+        e.reply(200, answer);
+    }
+}
