--- a/adapters/src/main/java/org/quetzalvane/adapters/settings/NodeSettings.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/settings/NodeSettings.java
@@ -1,13 +1,10 @@
 package org.quetzalvane.adapters.settings;
 
-import java.io.IOException;
 import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
 
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.PropertyNamingStrategies;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
-import org.quetzalvane.core.ResultCode;
-import org.quetzalvane.core.exc.QuetzalvaneException;
 import org.quetzalvane.core.model.DataCentre;
 
 /**
@@ -18,23 +15,43 @@
  * @param listen where it listens
  * @param platform where the platform's services are
  * @param timing intervals
+ * @param limits bounds on what it takes in
+ * @param policy weights of the decisions
  */
-public record NodeSettings(Node node, Cluster cluster, Listen listen, Platform platform, Timing timing) {
+public record NodeSettings(
+        Node node, Cluster cluster, Listen listen, Platform platform, Timing timing, Limits limits, Policy policy) {
+    private static final List<SettingKey> KEYS = List.of(
+            SettingKey.name("node.name"),
+            SettingKey.name("node.host"),
+            SettingKey.name("node.region"),
+            SettingKey.name("node.data_centre"),
+            SettingKey.name("cluster.name"),
+            SettingKey.secret("cluster.secret"),
+            SettingKey.address("listen.callers"),
+            SettingKey.address("listen.operators"),
+            SettingKey.address("listen.peers"),
+            SettingKey.url("platform.log"),
+            SettingKey.url("platform.hosts"),
+            SettingKey.whole("timing.lease_millis", 20_000, 500, 120_000),
+            SettingKey.whole("timing.poll_millis", 250, 20, 5_000),
+            SettingKey.whole("timing.answer_millis", 2_000, 100, 3_000),
+            SettingKey.whole("timing.drain_seconds", 300, 1, 3_600),
+            SettingKey.whole("limits.queue_per_engine", 1_000, 1, 100_000),
+            SettingKey.whole("limits.queue_per_caller", 200, 1, 100_000),
+            SettingKey.whole("limits.body_bytes", 1_048_576, 1_024, 67_108_864),
+            SettingKey.whole("limits.read_millis", 30_000, 100, 300_000),
+            SettingKey.whole("limits.progress_millis", 5_000, 100, 300_000),
+            SettingKey.whole("limits.request_seconds", 300, 1, 3_600),
+            SettingKey.decimal("policy.batch_weight", 0.5, 0, 1));
 
     /**
      * Who the node is. Immutable.
      *
      * @param name unique name
      * @param host entry host, as the host list names it
-     * @param region region it runs in
-     * @param dataCentre data centre it runs in
+     * @param place data centre it runs in
      */
-    public record Node(String name, String host, String region, String dataCentre) {
-
-        public DataCentre place() {
-            return new DataCentre(region, dataCentre);
-        }
-    }
+    public record Node(String name, String host, DataCentre place) {}
 
     /**
      * Which nodes it talks to. Immutable.
@@ -62,28 +79,82 @@
     public record Platform(String log, String hosts) {}
 
     /**
-     * Intervals in milliseconds. Immutable.
+     * Intervals. Immutable.
+     *
+     * @param lease how long a lease renewal holds
+     * @param poll pause between reads of the log and the host list
+     * @param answer lifetime of an address answer
+     * @param drain longest wait for running requests at a planned stop
+     */
+    public record Timing(Duration lease, Duration poll, Duration answer, Duration drain) {}
+
+    /**
+     * Bounds on what a node takes in. Immutable.
+     *
+     * @param queuePerEngine requests that may wait at one engine
+     * @param queuePerCaller requests of one caller that may wait at one engine
+     * @param bodyBytes longest request body, in bytes
+     * @param read longest pause while a request is read
+     * @param progress longest silence of a running answer
+     * @param request longest permitted running time of a request
+     */
+    public record Limits(
+            int queuePerEngine,
+            int queuePerCaller,
+            int bodyBytes,
+            Duration read,
+            Duration progress,
+            Duration request) {}
+
+    /**
+     * Weights of the decisions. Immutable.
      *
-     * @param leaseMillis how long a lease renewal holds
-     * @param pollMillis pause between reads of the log and the host list
-     * @param answerMillis lifetime of an address answer
+     * @param batchWeight weight of batch efficiency against load stalls, from 0 to 1
      */
-    public record Timing(long leaseMillis, long pollMillis, long answerMillis) {}
+    public record Policy(double batchWeight) {}
 
-    /** Reads a file; fails with {@link ResultCode#SETTINGS_INVALID}. */
+    /** Reads a file; fails with {@link org.quetzalvane.core.exc.SettingsException}, which lists every fault. */
     public static NodeSettings from(Path file) {
-        try {
-            return mapper().readValue(file.toFile(), NodeSettings.class);
-        } catch (IOException e) {
-            throw new QuetzalvaneException(ResultCode.SETTINGS_INVALID, file + ": " + e.getMessage(), e);
-        }
+        Map<String, String> v = new SettingsReader(KEYS).read(file);
+        return new NodeSettings(
+                new Node(
+                        v.get("node.name"),
+                        v.get("node.host"),
+                        new DataCentre(v.get("node.region"), v.get("node.data_centre"))),
+                new Cluster(v.get("cluster.name"), v.get("cluster.secret")),
+                new Listen(v.get("listen.callers"), v.get("listen.operators"), v.get("listen.peers")),
+                new Platform(v.get("platform.log"), v.get("platform.hosts")),
+                timing(v),
+                limits(v),
+                new Policy(Double.parseDouble(v.get("policy.batch_weight"))));
+    }
+
+    /** Every known key with its default and its allowed values, for documents. */
+    public static List<String> describeKeys() {
+        return KEYS.stream()
+                .map(k -> k.path() + " | " + (k.missing() == null ? "required" : k.missing()) + " | " + k.allowed())
+                .toList();
+    }
+
+    private static Timing timing(Map<String, String> v) {
+        return new Timing(
+                millis(v, "timing.lease_millis"),
+                millis(v, "timing.poll_millis"),
+                millis(v, "timing.answer_millis"),
+                Duration.ofSeconds(Long.parseLong(v.get("timing.drain_seconds"))));
+    }
+
+    private static Limits limits(Map<String, String> v) {
+        return new Limits(
+                Integer.parseInt(v.get("limits.queue_per_engine")),
+                Integer.parseInt(v.get("limits.queue_per_caller")),
+                Integer.parseInt(v.get("limits.body_bytes")),
+                millis(v, "limits.read_millis"),
+                millis(v, "limits.progress_millis"),
+                Duration.ofSeconds(Long.parseLong(v.get("limits.request_seconds"))));
     }
 
-    private static TomlMapper mapper() {
-        return TomlMapper.builder()
-                .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
-                .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-                .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
-                .build();
+    private static Duration millis(Map<String, String> v, String key) {
+        return Duration.ofMillis(Long.parseLong(v.get(key)));
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/node/NodeConfig.java
+++ b/core/src/main/java/org/quetzalvane/core/node/NodeConfig.java
@@ -43,6 +43,10 @@
         return new NodeConfig(ownership, dispatch, pause, answerLifetime, drainLimit);
     }
 
+    public NodeConfig withDrainLimit(Duration limit) {
+        return new NodeConfig(ownership, dispatch, poll, answerLifetime, limit);
+    }
+
     public NodeConfig withAnswerLifetime(Duration lifetime) {
         return new NodeConfig(ownership, dispatch, poll, lifetime, drainLimit);
     }
--- a/node/src/main/java/org/quetzalvane/node/NodeRuntime.java
+++ b/node/src/main/java/org/quetzalvane/node/NodeRuntime.java
@@ -1,7 +1,6 @@
 package org.quetzalvane.node;
 
 import java.io.IOException;
-import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 
 import com.codahale.metrics.MetricRegistry;
@@ -20,6 +19,7 @@
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.EventLog;
 import org.quetzalvane.core.event.HybridClock;
+import org.quetzalvane.core.load.DispatchConfig;
 import org.quetzalvane.core.node.Coordinator;
 import org.quetzalvane.core.node.NodeConfig;
 import org.quetzalvane.core.node.NodePorts;
@@ -70,7 +70,7 @@
         NodeContext context = new NodeContext(self, scheduler, events);
         coordinator = new Coordinator(context, nodeConfig(settings), ports, new MetricStats(metrics));
         handler.complete(coordinator.peerRouter());
-        callerServer = new CallerApi(coordinator).routes(HttpService.builder()).start(self.callerAddress());
+        callerServer = new CallerApi(coordinator).routes(server(settings)).start(self.callerAddress());
         operatorServer = new OperatorApi(coordinator, metrics)
                 .routes(HttpService.builder())
                 .start(listen.operators());
@@ -97,12 +97,22 @@
 
     private static NodeConfig nodeConfig(NodeSettings settings) {
         NodeSettings.Timing timing = settings.timing();
-        String region = settings.node().region();
-        OwnershipConfig ownership = OwnershipConfig.of(region).withLease(Duration.ofMillis(timing.leaseMillis()));
+        NodeSettings.Limits limits = settings.limits();
+        String region = settings.node().place().region();
+        DispatchConfig dispatch = DispatchConfig.defaults()
+                .withQueues(limits.queuePerEngine(), limits.queuePerCaller())
+                .withTimeouts(limits.progress(), limits.request());
         return NodeConfig.of(region)
-                .withOwnership(ownership)
-                .withPoll(Duration.ofMillis(timing.pollMillis()))
-                .withAnswerLifetime(Duration.ofMillis(timing.answerMillis()));
+                .withOwnership(OwnershipConfig.of(region).withLease(timing.lease()))
+                .withDispatch(dispatch)
+                .withPoll(timing.poll())
+                .withAnswerLifetime(timing.answer())
+                .withDrainLimit(timing.drain());
+    }
+
+    private static HttpService.Builder server(NodeSettings settings) {
+        NodeSettings.Limits limits = settings.limits();
+        return HttpService.builder().bodyLimitBytes(limits.bodyBytes()).idleTimeout(limits.read());
     }
 
     private void close() {
