Forward a request one hop to the owner of its engine

Cause: a stale address answer ended in a refusal. Any node now passes the request to the owner over the peer port with signs of life every 500 ms; a message certainly not sent is a refusal, a hop broken later is an unknown outcome. Proved by WholePathTest.anyNodeServesByOneHopToTheOwner over three node processes.

--- a/adapters/src/main/java/org/quetzalvane/adapters/peer/PeerConnection.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/peer/PeerConnection.java
@@ -32,6 +32,7 @@
     private final AtomicLong sequence = new AtomicLong();
     private final Map<Long, Call> calls = new ConcurrentHashMap<>();
     private volatile boolean closed;
+    private volatile long framesRead;
 
     private record Call(Consumer<PeerMessage> parts, CompletableFuture<PeerMessage> end) {}
 
@@ -54,7 +55,9 @@
     void readLoop() {
         try {
             while (!closed) {
-                receive(FrameCodec.decode(FrameCodec.read(in), Frame.class));
+                byte[] frame = FrameCodec.read(in);
+                framesRead++;
+                receive(FrameCodec.decode(frame, Frame.class));
             }
         } catch (IOException | QuetzalvaneException e) {
             closeWith(e);
@@ -67,12 +70,16 @@
         calls.put(id, call);
         send(new Frame(id, false, true, message));
         if (closed) {
-            calls.remove(id);
-            call.end.completeExceptionally(unavailable("the connection is closed"));
+            call.end.completeExceptionally(broken("the connection is closed"));
         }
         return call.end.whenComplete((m, f) -> calls.remove(id));
     }
 
+    /** Number of frames read so far; a count that stands still marks a silent connection. */
+    long framesRead() {
+        return framesRead;
+    }
+
     boolean isClosed() {
         return closed;
     }
@@ -125,7 +132,11 @@
             cause.addSuppressed(e);
         }
         onClose.accept(this);
-        calls.values().forEach(c -> c.end.completeExceptionally(unavailable(String.valueOf(cause.getMessage()))));
+        calls.values().forEach(c -> c.end.completeExceptionally(broken(String.valueOf(cause.getMessage()))));
+    }
+
+    private static QuetzalvaneException broken(String message) {
+        return new QuetzalvaneException(ResultCode.OUTCOME_UNKNOWN, message);
     }
 
     private static QuetzalvaneException unavailable(String message) {
--- a/adapters/src/main/java/org/quetzalvane/adapters/peer/TcpPeerPort.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/peer/TcpPeerPort.java
@@ -22,8 +22,8 @@
 /**
  * Peers over TCP, one connection to each, opened on demand.
  *
- * <p>A connection on which a call gets no answer within the timeout is closed, so that the next call opens a new one.
- * Thread-safe.
+ * <p>A call that hears nothing within the timeout fails; a connection that stayed silent as a whole for as long is
+ * closed, so that the next call opens a new one. Thread-safe.
  */
 public final class TcpPeerPort implements PeerPort, AutoCloseable {
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
@@ -118,13 +118,14 @@
 
     private void callOn(
             PeerConnection c, PeerMessage message, Consumer<PeerMessage> parts, CompletableFuture<PeerMessage> result) {
-        Scheduler.Timer timer = scheduler.schedule(callTimeout, () -> {
-            if (!result.isDone()) {
-                c.close();
-            }
-        });
-        c.call(message, parts).whenComplete((m, failure) -> {
-            timer.cancel();
+        PeerCallWatch watch = new PeerCallWatch(scheduler, callTimeout, c, result);
+        watch.arm();
+        Consumer<PeerMessage> watched = part -> {
+            watch.progress();
+            parts.accept(part);
+        };
+        c.call(message, watched).whenComplete((m, failure) -> {
+            watch.cancel();
             if (failure == null) {
                 result.complete(m);
             } else {
--- a/core/src/main/java/org/quetzalvane/core/node/Coordinator.java
+++ b/core/src/main/java/org/quetzalvane/core/node/Coordinator.java
@@ -58,6 +58,7 @@
     private final Ownership ownership;
     private final DispatcherRegistry dispatchers;
     private final Placement placement;
+    private final Forwarding forwarding;
     private final LogFollower configFollower;
     private final LogFollower claimFollower;
     private volatile boolean draining;
@@ -84,6 +85,8 @@
                 new LogFollower(ports.log(), CONFIG_STREAM, scheduler, settings.poll(), events, this::applyConfig);
         claimFollower = new LogFollower(
                 ports.log(), settings.ownership().stream(), scheduler, settings.poll(), events, ownership::apply);
+        forwarding = new Forwarding(context, ports.peers(), (request, sink) -> submit(request, sink, false));
+        forwarding.serveOn(peerRouter);
         peerRouter.serve(PeerMessage.Heartbeat.class, (m, reply) -> {
             events.clock().observe(m.time());
             reply.end(heartbeat());
@@ -142,9 +145,15 @@
     /**
      * Takes a request of an authenticated and authorised caller; the sink hears its one final answer.
      *
+     * <p>A request for an engine of another node is forwarded to it, once.
+     *
      * @return cancels the request when the caller goes away
      */
     public Runnable submit(InferenceRequest request, AnswerSink sink) {
+        return submit(request, sink, true);
+    }
+
+    private Runnable submit(InferenceRequest request, AnswerSink sink, boolean mayForward) {
         Route route;
         try {
             route = route(request.version());
@@ -153,15 +162,18 @@
             return () -> {};
         }
         EngineDispatcher dispatcher = dispatchers.find(route.engine().name()).orElse(null);
-        if (dispatcher == null) {
-            String message = "the engine is owned by " + route.owner().node();
-            sink.refused(Refusal.retry(ResultCode.NOT_OWNER, message, 0)
-                    .withWhere(route.owner().callerAddress()));
-            return () -> {};
+        if (dispatcher != null) {
+            Ticket ticket = new Ticket(request, sink);
+            dispatcher.submit(ticket);
+            return () -> dispatcher.cancel(ticket);
+        }
+        if (mayForward && !route.owner().node().equals(context.self().node())) {
+            return forwarding.forward(request, route.owner(), sink);
         }
-        Ticket ticket = new Ticket(request, sink);
-        dispatcher.submit(ticket);
-        return () -> dispatcher.cancel(ticket);
+        String message = "the engine is owned by " + route.owner().node();
+        sink.refused(Refusal.retry(ResultCode.NOT_OWNER, message, 0)
+                .withWhere(route.owner().callerAddress()));
+        return () -> {};
     }
 
     /** Whether the configuration known to the log has been applied and the node is not leaving. */
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/node/Forwarding.java
@@ -0,0 +1,161 @@
+package org.quetzalvane.core.node;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.cluster.NodeContext;
+import org.quetzalvane.core.cluster.NodeInfo;
+import org.quetzalvane.core.event.EventCode;
+import org.quetzalvane.core.exc.QuetzalvaneException;
+import org.quetzalvane.core.peer.PeerMessage;
+import org.quetzalvane.core.peer.PeerPort;
+import org.quetzalvane.core.peer.PeerRouter;
+import org.quetzalvane.core.request.AnswerSink;
+import org.quetzalvane.core.request.InferenceRequest;
+import org.quetzalvane.core.request.Refusal;
+import org.quetzalvane.core.time.Scheduler;
+
+/**
+ * The one hop by which a request reaches the owner of its engine when the caller came to another node.
+ *
+ * <p>Invariants: a forwarded request is never forwarded again; it is called not run only when the owner said so or the
+ * message was certainly not sent; a broken hop after that is an unknown outcome. While a request waits or runs, the
+ * owner sends signs of life, so that a silent hop is noticed. Thread-safe; holds no locks.
+ */
+final class Forwarding {
+    private static final Duration ALIVE_PERIOD = Duration.ofMillis(500);
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long RETRY_MILLIS = 500;
+
+    private final NodeContext context;
+    private final PeerPort peers;
+    private final LocalSubmit local;
+    private final Map<String, Runnable> served = new ConcurrentHashMap<>();
+
+    /** Takes a request on this node only; returns its cancellation. */
+    @FunctionalInterface
+    interface LocalSubmit {
+        Runnable submit(InferenceRequest request, AnswerSink sink);
+    }
+
+    Forwarding(NodeContext context, PeerPort peers, LocalSubmit local) {
+        this.context = context;
+        this.peers = peers;
+        this.local = local;
+    }
+
+    void serveOn(PeerRouter router) {
+        router.serve(PeerMessage.Forward.class, this::serve);
+        router.serve(PeerMessage.ForwardCancel.class, (m, reply) -> {
+            Runnable cancel = served.get(m.requestId());
+            if (cancel != null) {
+                cancel.run();
+            }
+            reply.end(m);
+        });
+    }
+
+    /** Sends a request to the owner of its engine and passes the answer on; returns its cancellation. */
+    Runnable forward(InferenceRequest request, NodeInfo owner, AnswerSink sink) {
+        context.events().record(EventCode.REQUEST_FORWARDED, request.id(), "to " + owner.node());
+        long remaining = (request.deadlineNanos() - context.scheduler().nanoTime()) / NANOS_PER_MILLI;
+        peers.call(owner.peerAddress(), new PeerMessage.Forward(request, remaining), part -> passPart(part, sink))
+                .whenComplete((end, failure) -> {
+                    if (failure != null) {
+                        passFailure(owner, QuetzalvaneException.codeOf(failure), failure, sink);
+                    } else {
+                        passEnd(end, sink);
+                    }
+                });
+        return () -> peers.call(owner.peerAddress(), new PeerMessage.ForwardCancel(request.id()));
+    }
+
+    private static void passPart(PeerMessage part, AnswerSink sink) {
+        if (part instanceof PeerMessage.ForwardPart) {
+            sink.part(((PeerMessage.ForwardPart) part).text());
+        }
+    }
+
+    private static void passEnd(PeerMessage message, AnswerSink sink) {
+        if (!(message instanceof PeerMessage.ForwardEnd)) {
+            sink.failed(ResultCode.OUTCOME_UNKNOWN, "the owner answered with something else");
+            return;
+        }
+        PeerMessage.ForwardEnd end = (PeerMessage.ForwardEnd) message;
+        if (end.code() == ResultCode.OK) {
+            sink.done(end.tokens());
+        } else if (end.code().provesNotRun()) {
+            sink.refused(new Refusal(end.code(), end.message(), end.retryAfterMillis(), end.where()));
+        } else {
+            sink.failed(end.code(), end.message());
+        }
+    }
+
+    private static void passFailure(NodeInfo owner, ResultCode code, Throwable failure, AnswerSink sink) {
+        if (code == ResultCode.PEER_UNAVAILABLE) {
+            String message = "the owner " + owner.node() + " cannot be reached";
+            sink.refused(Refusal.retry(ResultCode.NOT_OWNER, message, RETRY_MILLIS));
+        } else {
+            sink.failed(ResultCode.OUTCOME_UNKNOWN, "the hop broke: " + failure.getMessage());
+        }
+    }
+
+    private void serve(PeerMessage.Forward m, PeerPort.Reply reply) {
+        InferenceRequest sent = m.request();
+        long now = context.scheduler().nanoTime();
+        InferenceRequest request = sent.withTimes(now, now + m.remainingMillis() * NANOS_PER_MILLI);
+        Scheduler.Timer alive =
+                context.scheduler().repeat(ALIVE_PERIOD, () -> reply.part(new PeerMessage.ForwardAlive()));
+        ReplySink sink = new ReplySink(request.id(), reply, alive);
+        Runnable cancel = local.submit(request, sink);
+        if (!sink.over) {
+            served.put(request.id(), cancel);
+        }
+        if (sink.over) {
+            served.remove(request.id());
+        }
+    }
+
+    /** Sends the answer of a forwarded request back over the hop. */
+    private final class ReplySink implements AnswerSink {
+        private final String id;
+        private final PeerPort.Reply reply;
+        private final Scheduler.Timer alive;
+        private volatile boolean over;
+
+        ReplySink(String id, PeerPort.Reply reply, Scheduler.Timer alive) {
+            this.id = id;
+            this.reply = reply;
+            this.alive = alive;
+        }
+
+        @Override
+        public void part(String text) {
+            reply.part(new PeerMessage.ForwardPart(text));
+        }
+
+        @Override
+        public void done(int tokens) {
+            end(new PeerMessage.ForwardEnd(ResultCode.OK, "", tokens, 0, ""));
+        }
+
+        @Override
+        public void refused(Refusal r) {
+            end(new PeerMessage.ForwardEnd(r.code(), r.message(), 0, r.retryAfterMillis(), r.where()));
+        }
+
+        @Override
+        public void failed(ResultCode code, String message) {
+            end(new PeerMessage.ForwardEnd(code, message, 0, 0, ""));
+        }
+
+        private void end(PeerMessage.ForwardEnd end) {
+            over = true;
+            alive.cancel();
+            served.remove(id);
+            reply.end(end);
+        }
+    }
+}
--- a/core/src/main/java/org/quetzalvane/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/peer/PeerMessage.java
@@ -4,7 +4,9 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.cluster.NodeInfo;
+import org.quetzalvane.core.request.InferenceRequest;
 
 /** A message between two nodes. Implementations are immutable. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
@@ -12,6 +14,11 @@
     @JsonSubTypes.Type(value = PeerMessage.Heartbeat.class, name = "hb"),
     @JsonSubTypes.Type(value = PeerMessage.RecordsWanted.class, name = "rw"),
     @JsonSubTypes.Type(value = PeerMessage.Records.class, name = "rs"),
+    @JsonSubTypes.Type(value = PeerMessage.Forward.class, name = "fw"),
+    @JsonSubTypes.Type(value = PeerMessage.ForwardPart.class, name = "fp"),
+    @JsonSubTypes.Type(value = PeerMessage.ForwardAlive.class, name = "fa"),
+    @JsonSubTypes.Type(value = PeerMessage.ForwardEnd.class, name = "fe"),
+    @JsonSubTypes.Type(value = PeerMessage.ForwardCancel.class, name = "fc"),
     @JsonSubTypes.Type(value = PeerMessage.Failure.class, name = "err")
 })
 public sealed interface PeerMessage {
@@ -41,6 +48,43 @@
      */
     record Records(long from, List<byte[]> records) implements PeerMessage {}
 
+    /**
+     * Hands a request to the owner of its engine; parts and an end come back.
+     *
+     * @param request the request; its instants are replaced by the receiver
+     * @param remainingMillis time left until its deadline, in milliseconds
+     */
+    record Forward(InferenceRequest request, long remainingMillis) implements PeerMessage {}
+
+    /**
+     * A part of a forwarded request's answer.
+     *
+     * @param text the text
+     */
+    record ForwardPart(String text) implements PeerMessage {}
+
+    /** The forwarded request is still waited for or running. */
+    record ForwardAlive() implements PeerMessage {}
+
+    /**
+     * The final answer to a forwarded request.
+     *
+     * @param code the outcome
+     * @param message explanation, for outcomes other than success
+     * @param tokens tokens generated, on success
+     * @param retryAfterMillis when to come back, for refusals, in milliseconds
+     * @param where address to ask instead, for refusals, or empty
+     */
+    record ForwardEnd(ResultCode code, String message, int tokens, long retryAfterMillis, String where)
+            implements PeerMessage {}
+
+    /**
+     * The caller of a forwarded request went away.
+     *
+     * @param requestId the request
+     */
+    record ForwardCancel(String requestId) implements PeerMessage {}
+
     /**
      * The message could not be served.
      *
--- a/core/src/main/java/org/quetzalvane/core/peer/PeerPort.java
+++ b/core/src/main/java/org/quetzalvane/core/peer/PeerPort.java
@@ -6,8 +6,10 @@
 /**
  * Exchange of messages with other nodes. Implementations are thread-safe and do not block the caller.
  *
- * <p>Futures fail with {@link org.quetzalvane.core.exc.QuetzalvaneException} when the peer cannot be reached, the
- * connection breaks before the last message of the answer, or the peer answers with a failure.
+ * <p>Futures fail with {@link org.quetzalvane.core.exc.QuetzalvaneException}: with
+ * {@link org.quetzalvane.core.ResultCode#PEER_UNAVAILABLE} when the message certainly was not sent or the peer answered
+ * that it does not serve it, and with {@link org.quetzalvane.core.ResultCode#OUTCOME_UNKNOWN} when the connection broke
+ * or stayed silent before the last message of the answer.
  */
 public interface PeerPort {
 
--- a/core/src/main/java/org/quetzalvane/core/request/InferenceRequest.java
+++ b/core/src/main/java/org/quetzalvane/core/request/InferenceRequest.java
@@ -24,4 +24,10 @@
         int priority,
         long arrivalNanos,
         long deadlineNanos,
-        boolean idempotent) {}
+        boolean idempotent) {
+
+    /** A copy with other instants, for a node with another clock. */
+    public InferenceRequest withTimes(long arrival, long deadline) {
+        return new InferenceRequest(id, caller, version, prompt, maxTokens, priority, arrival, deadline, idempotent);
+    }
+}
--- a/proofs/src/test/java/org/quetzalvane/proofs/WholePathTest.java
+++ b/proofs/src/test/java/org/quetzalvane/proofs/WholePathTest.java
@@ -55,6 +55,15 @@
         assertThat(cluster.caller(TOKEN).resolveService("other").code()).isEqualTo(ResultCode.ACCESS_DENIED.number());
     }
 
+    @Test
+    void anyNodeServesByOneHopToTheOwner() {
+        for (String node : cluster.nodes()) {
+            CallerClient.Result r = cluster.caller(TOKEN).completeAt(cluster.callers(node), "a1", 1, "p", 4);
+            assertThat(r.isWhole()).as("%s: %s", node, r).isTrue();
+            assertThat(r.text().split(" ")).hasSize(4).allMatch(t -> t.startsWith("a1@1#"));
+        }
+    }
+
     @Test
     void runsNonIdempotentCallOnceUnderItsKey() {
         CallerClient caller = cluster.caller(TOKEN);
--- a/standins/src/main/java/org/quetzalvane/standins/replay/ReplayNode.java
+++ b/standins/src/main/java/org/quetzalvane/standins/replay/ReplayNode.java
@@ -1,8 +1,9 @@
 package org.quetzalvane.standins.replay;
 
-import java.util.List;
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.cluster.NodeContext;
@@ -22,6 +23,7 @@
 /** One node of a replay: a coordinator over fakes, behind a gate that can stop it. Used by one thread. */
 final class ReplayNode {
     private static final int EVENT_RING = 1000;
+    private static final Duration HOP = Duration.ofMillis(1);
 
     private final GatedScheduler gate;
     private final Coordinator coordinator;
@@ -72,31 +74,34 @@
         return gate;
     }
 
-    private static PeerPort peers(World world) {
+    private PeerPort peers(World world) {
         return (address, message, parts) -> {
             CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
-            world.time().schedule(java.time.Duration.ofMillis(1), () -> deliver(world, address, message, answer));
+            world.time().schedule(HOP, () -> deliver(world, address, message, parts, answer));
             return answer;
         };
     }
 
-    private static void deliver(
-            World world, String address, PeerMessage message, CompletableFuture<PeerMessage> answer) {
+    private void deliver(
+            World world,
+            String address,
+            PeerMessage message,
+            Consumer<PeerMessage> parts,
+            CompletableFuture<PeerMessage> answer) {
         ReplayNode target = world.nodes().get(address);
         if (target == null || !target.gate.isLive()) {
             answer.completeExceptionally(new QuetzalvaneException(ResultCode.PEER_UNAVAILABLE, address));
             return;
         }
-        List<PeerMessage> sink = new java.util.ArrayList<>();
         target.coordinator.peerRouter().handle(message, new PeerPort.Reply() {
             @Override
             public void part(PeerMessage m) {
-                sink.add(m);
+                world.time().schedule(HOP, () -> gate.run(() -> parts.accept(m)));
             }
 
             @Override
             public void end(PeerMessage m) {
-                answer.complete(m);
+                world.time().schedule(HOP, () -> gate.run(() -> answer.complete(m)));
             }
         });
     }
