Share the store's limits by a governor, refuse bad input, and stop without cutting off

Cause: equal shares leave 2 loads/s mostly unused, since nodes without waiting requests hold shares too. One node of the region holds the role role:load-governor, claimed like an engine, and gives out permits spaced by the store's rate to the most valuable wish; equal shares remain for the time in which there is certainly no governor.

BadInputTest failed for a negative max_tokens, which was passed on; bounds are checked now.

PlannedStopTest failed twice: the process ended with the code of the signal, and answers were cut off when the server closed at once after the drain. The node halts with 0 after its shutdown, the server lets requests in progress end, and late requests are passed on for one more lifetime of an answer.

--- a/adapters/src/main/java/org/quetzalvane/adapters/http/HttpService.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/http/HttpService.java
@@ -12,6 +12,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.server.handler.GracefulHandler;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.quetzalvane.core.ResultCode;
@@ -25,6 +26,7 @@
  */
 public final class HttpService implements AutoCloseable {
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
+    private static final Duration STOP_TIMEOUT = Duration.ofSeconds(10);
     private static final int MAX_HEADER_BYTES = 16 * 1024;
 
     private final Server server;
@@ -84,7 +86,8 @@
         connector.setPort(Integer.parseInt(address.substring(colon + 1)));
         connector.setIdleTimeout(b.idleTimeout.toMillis());
         server.addConnector(connector);
-        server.setHandler(new Dispatch(Map.copyOf(b.routes), b.bodyLimitBytes));
+        server.setHandler(new GracefulHandler(new Dispatch(Map.copyOf(b.routes), b.bodyLimitBytes)));
+        server.setStopTimeout(STOP_TIMEOUT.toMillis());
     }
 
     public static Builder builder() {
@@ -96,6 +99,7 @@
         return connector.getLocalPort();
     }
 
+    /** Takes no more connections, lets the requests in progress be answered to their end, and stops. */
     @Override
     public void close() throws IOException {
         try {
--- a/core/src/main/java/org/quetzalvane/core/load/DispatchConfig.java
+++ b/core/src/main/java/org/quetzalvane/core/load/DispatchConfig.java
@@ -13,6 +13,7 @@
  * @param loadBackoff pause after a failed load of an adapter
  * @param loads which load goes first
  * @param evictions which adapter gives way
+ * @param budget how the nodes share the weight store's limits
  */
 public record DispatchConfig(
         int maxQueued,
@@ -22,11 +23,20 @@
         Duration reportInterval,
         Duration loadBackoff,
         LoadPolicy loads,
-        EvictionPolicy evictions) {
+        EvictionPolicy evictions,
+        Budget budget) {
+
+    /** How the nodes of a region share the weight store's limits. */
+    public enum Budget {
+        /** Each live node has an equal part. */
+        EQUAL_SHARES,
+        /** One node gives out permits by value. */
+        GOVERNED
+    }
 
     /** Defaults. */
     public static DispatchConfig defaults() {
-        return baseline();
+        return baseline().withBudget(Budget.GOVERNED);
     }
 
     /** The first baseline: LRU eviction, first-come loads, waiting until the deadline. */
@@ -39,7 +49,8 @@
                 Duration.ofSeconds(1),
                 Duration.ofSeconds(2),
                 LoadPolicy.firstCome(),
-                EvictionPolicy.leastRecentlyUsed());
+                EvictionPolicy.leastRecentlyUsed(),
+                Budget.EQUAL_SHARES);
     }
 
     /** Replaces both policies. */
@@ -52,21 +63,55 @@
                 reportInterval,
                 loadBackoff,
                 newLoads,
-                newEvictions);
+                newEvictions,
+                budget);
+    }
+
+    /** Replaces how the weight store's limits are shared. */
+    public DispatchConfig withBudget(Budget newBudget) {
+        return new DispatchConfig(
+                maxQueued,
+                maxQueuedPerCaller,
+                progressTimeout,
+                maxRequest,
+                reportInterval,
+                loadBackoff,
+                loads,
+                evictions,
+                newBudget);
     }
 
+    /** Replaces the pause between questions for the engine's own report. */
     public DispatchConfig withReportInterval(Duration interval) {
         return new DispatchConfig(
-                maxQueued, maxQueuedPerCaller, progressTimeout, maxRequest, interval, loadBackoff, loads, evictions);
+                maxQueued,
+                maxQueuedPerCaller,
+                progressTimeout,
+                maxRequest,
+                interval,
+                loadBackoff,
+                loads,
+                evictions,
+                budget);
     }
 
+    /** Replaces the bounds of the queue. */
     public DispatchConfig withQueues(int total, int perCaller) {
         return new DispatchConfig(
-                total, perCaller, progressTimeout, maxRequest, reportInterval, loadBackoff, loads, evictions);
+                total, perCaller, progressTimeout, maxRequest, reportInterval, loadBackoff, loads, evictions, budget);
     }
 
+    /** Replaces the longest silence of an answer and the longest running time of a request. */
     public DispatchConfig withTimeouts(Duration progress, Duration request) {
         return new DispatchConfig(
-                maxQueued, maxQueuedPerCaller, progress, request, reportInterval, loadBackoff, loads, evictions);
+                maxQueued,
+                maxQueuedPerCaller,
+                progress,
+                request,
+                reportInterval,
+                loadBackoff,
+                loads,
+                evictions,
+                budget);
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/load/DispatcherRegistry.java
+++ b/core/src/main/java/org/quetzalvane/core/load/DispatcherRegistry.java
@@ -71,6 +71,11 @@
         return held.values().stream().map(h -> h.dispatcher).toList();
     }
 
+    /** Lets every dispatcher look for work, for instance after a load permit arrived. */
+    public void pumpAll() {
+        all().forEach(EngineDispatcher::pump);
+    }
+
     /** Refuses everything that waits and completes when nothing runs on any engine. */
     public CompletableFuture<Void> drain(Refusal reason) {
         Collection<CompletableFuture<Void>> drained = new ArrayList<>();
--- a/core/src/main/java/org/quetzalvane/core/load/EngineDispatcher.java
+++ b/core/src/main/java/org/quetzalvane/core/load/EngineDispatcher.java
@@ -348,7 +348,8 @@
         pump();
     }
 
-    private void pump() {
+    /** Dispatches and loads what can be now. */
+    public void pump() {
         List<Runnable> effects = new ArrayList<>();
         lock.lock();
         try {
@@ -404,16 +405,21 @@
     private void startLoads(List<Runnable> effects) {
         long now = scheduler.nanoTime();
         for (Optional<LoadPolicy.Group> g = nextGroup(now); g.isPresent(); g = nextGroup(now)) {
-            if (!slots.hasFree()) {
-                evictOne(effects, now);
-                return;
-            }
-            if (!budget.tryAcquire()) {
+            Optional<Slot> victim = slots.hasFree()
+                    ? Optional.empty()
+                    : config.evictions().victim(slots.evictable(waiting::containsKey));
+            boolean room = slots.hasFree() || victim.isPresent();
+            if (!room || !budget.tryAcquire(g.get().tickets().size())) {
                 return;
             }
             AdapterVersion v = g.get().version();
             Slot s = slots.startLoad(v, now);
-            effects.add(() -> load(s, v, now));
+            if (victim.isPresent()) {
+                victim.get().state(Slot.State.UNLOADING, now);
+                effects.add(() -> unload(victim.get(), () -> load(s, v, now)));
+            } else {
+                effects.add(() -> load(s, v, now));
+            }
         }
     }
 
@@ -428,17 +434,6 @@
         return groups.isEmpty() ? Optional.empty() : config.loads().next(groups, now);
     }
 
-    private void evictOne(List<Runnable> effects, long now) {
-        boolean unloading = slots.all().stream().anyMatch(s -> s.state() == Slot.State.UNLOADING);
-        if (unloading || budget.nanosUntilFree() > 0) {
-            return;
-        }
-        config.evictions().victim(slots.evictable(waiting::containsKey)).ifPresent(s -> {
-            s.state(Slot.State.UNLOADING, now);
-            effects.add(() -> unload(s));
-        });
-    }
-
     // Orders
 
     private void load(Slot s, AdapterVersion v, long startNanos) {
@@ -472,24 +467,34 @@
         orderEnded(failure == null ? EventCode.LOAD_FINISHED : EventCode.LOAD_FAILED, v, failure);
     }
 
-    private void unload(Slot s) {
+    private void unload(Slot s, Runnable whenFree) {
+        if (!permit.valid()) {
+            unloadEnded(s, new EndpointException(ResultCode.LEASE_LAPSED, "the lease lapsed", true));
+            whenFree.run();
+            return;
+        }
         port.unload(engine, s.version(), fencing).whenComplete((ok, failure) -> {
-            lock.lock();
-            try {
-                if (failure == null) {
-                    slots.vacate(s);
-                } else if (provedNotRun(failure)) {
-                    s.state(Slot.State.RESIDENT, scheduler.nanoTime());
-                } else {
-                    slots.inDoubt(s, scheduler.nanoTime());
-                }
-            } finally {
-                lock.unlock();
-            }
-            orderEnded(EventCode.EVICTED, s.version(), failure);
+            unloadEnded(s, failure);
+            whenFree.run();
         });
     }
 
+    private void unloadEnded(Slot s, Throwable failure) {
+        lock.lock();
+        try {
+            if (failure == null) {
+                slots.vacate(s);
+            } else if (provedNotRun(failure)) {
+                s.state(Slot.State.RESIDENT, scheduler.nanoTime());
+            } else {
+                slots.inDoubt(s, scheduler.nanoTime());
+            }
+        } finally {
+            lock.unlock();
+        }
+        orderEnded(EventCode.EVICTED, s.version(), failure);
+    }
+
     private void orderEnded(EventCode code, AdapterVersion v, Throwable failure) {
         if (failure == null) {
             events.record(code, v.toString(), engine.name());
--- a/core/src/main/java/org/quetzalvane/core/load/EqualShareBudget.java
+++ b/core/src/main/java/org/quetzalvane/core/load/EqualShareBudget.java
@@ -28,12 +28,14 @@
     }
 
     @Override
-    public synchronized boolean tryAcquire() {
-        if (nanosUntilFree() > 0) {
+    public synchronized boolean tryAcquire(double value) {
+        long now = scheduler.nanoTime();
+        int share = Math.max(1, limits.get().maxInFlight() / Math.max(1, nodes.getAsInt()));
+        if (nextStartNanos - now > 0 || inFlight >= share) {
             return false;
         }
-        double share = limits.get().loadsPerSecond() / Math.max(1, nodes.getAsInt());
-        nextStartNanos = scheduler.nanoTime() + (long) (NANOS_PER_SECOND / share);
+        double rate = limits.get().loadsPerSecond() / Math.max(1, nodes.getAsInt());
+        nextStartNanos = now + (long) (NANOS_PER_SECOND / rate);
         inFlight++;
         return true;
     }
@@ -42,11 +44,4 @@
     public synchronized void release() {
         inFlight--;
     }
-
-    @Override
-    public synchronized long nanosUntilFree() {
-        int share = Math.max(1, limits.get().maxInFlight() / Math.max(1, nodes.getAsInt()));
-        long wait = Math.max(0, nextStartNanos - scheduler.nanoTime());
-        return inFlight < share ? wait : Math.max(1, wait);
-    }
 }
--- a/core/src/main/java/org/quetzalvane/core/load/LoadBudget.java
+++ b/core/src/main/java/org/quetzalvane/core/load/LoadBudget.java
@@ -7,12 +7,16 @@
  */
 public interface LoadBudget {
 
-    /** Takes the permission for one load now, if there is one. */
-    boolean tryAcquire();
+    /**
+     * Takes the permission for one load now, if there is one, and otherwise asks for it.
+     *
+     * @param value how much the load is worth; the greatest goes first
+     */
+    boolean tryAcquire(double value);
 
-    /** Ends a load for which permission was taken. */
+    /** Ends a load for which permission was taken, or gives an unused permission back. */
     void release();
 
-    /** Nanoseconds until a permission may be free; 0 when one is free now. */
-    long nanosUntilFree();
+    /** Sets what runs, without locks held, when a permission has become available. */
+    default void onAvailable(Runnable action) {}
 }
--- a/core/src/main/java/org/quetzalvane/core/node/Coordinator.java
+++ b/core/src/main/java/org/quetzalvane/core/node/Coordinator.java
@@ -10,12 +10,15 @@
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.EventLog;
 import org.quetzalvane.core.exc.RefusedException;
+import org.quetzalvane.core.load.DispatchConfig;
 import org.quetzalvane.core.load.DispatchContext;
 import org.quetzalvane.core.load.DispatchStats;
 import org.quetzalvane.core.load.DispatcherRegistry;
 import org.quetzalvane.core.load.EngineDispatcher;
 import org.quetzalvane.core.load.EqualShareBudget;
+import org.quetzalvane.core.load.GovernedBudget;
 import org.quetzalvane.core.load.LoadBudget;
+import org.quetzalvane.core.load.LoadGovernor;
 import org.quetzalvane.core.log.LogFollower;
 import org.quetzalvane.core.model.AdapterVersion;
 import org.quetzalvane.core.model.LoadLimits;
@@ -71,9 +74,10 @@
         Scheduler scheduler = context.scheduler();
         EventLog events = context.events();
         membership = new Membership(events);
+        LoadBudget budget = loadBudget(scheduler);
         DispatchContext dispatch = new DispatchContext(
                 ports.engines(),
-                loadBudget(scheduler),
+                budget,
                 v -> config.read(s -> s.version(v)).map(PublishedVersion::weights),
                 scheduler,
                 events,
@@ -85,6 +89,13 @@
                 new LogFollower(ports.log(), CONFIG_STREAM, scheduler, settings.poll(), events, this::applyConfig);
         claimFollower = new LogFollower(
                 ports.log(), settings.ownership().stream(), scheduler, settings.poll(), events, ownership::apply);
+        budget.onAvailable(dispatchers::pumpAll);
+        LoadGovernor governor = new LoadGovernor(scheduler, this::loadLimits, GovernorLink.role(ownership));
+        peerRouter.serve(PeerMessage.LoadWanted.class, governor::wanted);
+        peerRouter.serve(PeerMessage.LoadEnded.class, (m, reply) -> {
+            governor.ended(m);
+            reply.end(m);
+        });
         forwarding = new Forwarding(context, ports.peers(), (request, sink) -> submit(request, sink, false));
         forwarding.serveOn(peerRouter);
         peerRouter.serve(PeerMessage.Heartbeat.class, (m, reply) -> {
@@ -111,7 +122,7 @@
 
     /**
      * Leaves gracefully: announces it, takes no new work once address answers have expired, serves out what runs and
-     * hands the engines over.
+     * hands the engines over; for one more lifetime of an answer it passes late requests on to the successors.
      *
      * @return completes when nothing runs and the engines are released, or after the drain limit
      */
@@ -126,7 +137,8 @@
         scheduler.schedule(settings.answerLifetime(), () -> dispatchers
                 .drain(reason)
                 .thenCompose(x -> ownership.release(ownership.held()))
-                .whenComplete((x, failure) -> over.complete(null)));
+                .whenComplete(
+                        (x, failure) -> scheduler.schedule(settings.answerLifetime(), () -> over.complete(null))));
         scheduler.schedule(settings.drainLimit(), () -> over.complete(null));
         return over.thenRun(() ->
                 context.events().record(EventCode.NODE_STOPPED, context.self().node(), ""));
@@ -229,11 +241,18 @@
     }
 
     private LoadBudget loadBudget(Scheduler scheduler) {
+        LoadBudget equalShare = new EqualShareBudget(scheduler, this::loadLimits, () -> membership
+                .candidates(scheduler.nanoTime(), n -> true)
+                .size());
+        if (settings.dispatch().budget() == DispatchConfig.Budget.EQUAL_SHARES) {
+            return equalShare;
+        }
+        return new GovernedBudget(context.self().node(), scheduler, new GovernorLink(this), equalShare);
+    }
+
+    private LoadLimits loadLimits() {
         String region = context.self().dataCentre().region();
-        return new EqualShareBudget(
-                scheduler,
-                () -> config.read(s -> s.loadLimits(region)).orElse(NO_LIMITS),
-                () -> membership.candidates(scheduler.nanoTime(), n -> true).size());
+        return config.read(s -> s.loadLimits(region)).orElse(NO_LIMITS);
     }
 
     private PeerMessage.Heartbeat heartbeat() {
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/node/GovernorLink.java
@@ -0,0 +1,76 @@
+package org.quetzalvane.core.node;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.cluster.NodeInfo;
+import org.quetzalvane.core.exc.QuetzalvaneException;
+import org.quetzalvane.core.load.GovernedBudget;
+import org.quetzalvane.core.load.LoadGovernor;
+import org.quetzalvane.core.ownership.Ownership;
+import org.quetzalvane.core.ownership.OwnershipConfig;
+import org.quetzalvane.core.peer.PeerMessage;
+import org.quetzalvane.core.peer.PeerPort;
+
+/** The way from a node's budget to the region's governor, which may be the node itself. Thread-safe; holds no state. */
+final class GovernorLink implements GovernedBudget.Governor {
+    private final Coordinator node;
+
+    GovernorLink(Coordinator node) {
+        this.node = node;
+    }
+
+    static LoadGovernor.Role role(Ownership ownership) {
+        return new LoadGovernor.Role() {
+            @Override
+            public boolean mayAct() {
+                return ownership.mayDispatch(OwnershipConfig.LOAD_GOVERNOR);
+            }
+
+            @Override
+            public long fencing() {
+                return ownership.fencing(OwnershipConfig.LOAD_GOVERNOR).orElse(-1L);
+            }
+        };
+    }
+
+    @Override
+    public boolean absent() {
+        return node.ownership().lapsed(OwnershipConfig.LOAD_GOVERNOR);
+    }
+
+    @Override
+    public CompletableFuture<PeerMessage> ask(PeerMessage.LoadWanted wanted) {
+        return send(wanted);
+    }
+
+    @Override
+    public void ended(PeerMessage.LoadEnded ended) {
+        send(ended);
+    }
+
+    private CompletableFuture<PeerMessage> send(PeerMessage message) {
+        Optional<NodeInfo> governor = node.ownership().ownerOf(OwnershipConfig.LOAD_GOVERNOR);
+        if (governor.isEmpty()) {
+            return CompletableFuture.failedFuture(
+                    new QuetzalvaneException(ResultCode.PEER_UNAVAILABLE, "no governor is known"));
+        }
+        if (!governor.get().node().equals(node.context().self().node())) {
+            return node.ports().peers().call(governor.get().peerAddress(), message);
+        }
+        CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+        node.peerRouter().handle(message, new PeerPort.Reply() {
+            @Override
+            public void part(PeerMessage m) {
+                answer.completeExceptionally(new IllegalStateException("a permit has no parts"));
+            }
+
+            @Override
+            public void end(PeerMessage m) {
+                answer.complete(m);
+            }
+        });
+        return answer;
+    }
+}
--- a/core/src/main/java/org/quetzalvane/core/ownership/Ownership.java
+++ b/core/src/main/java/org/quetzalvane/core/ownership/Ownership.java
@@ -98,6 +98,9 @@
             renewed((ClaimRecord.Renewal) r, now);
         }
         changes.forEach(this::changed);
+        if (r instanceof ClaimRecord.Release) {
+            claimDue();
+        }
     }
 
     /** Whether this node may dispatch to and order an engine at this moment. */
@@ -110,6 +113,16 @@
         return table.holder(engine).flatMap(h -> membership.find(h.node()));
     }
 
+    /** The fencing number under which this node holds an engine or role. */
+    public Optional<Long> fencing(String name) {
+        return holds(name) ? table.holder(name).map(ClaimTable.Holding::fencing) : Optional.empty();
+    }
+
+    /** Whether the holder of an engine or role has certainly lost its lease, as this node reads it. */
+    public boolean lapsed(String name) {
+        return !holds(name) && isFree(name);
+    }
+
     public boolean holds(String engine) {
         return table.holder(engine)
                 .filter(h -> h.node().equals(self.node()) && h.incarnation() == self.incarnation())
@@ -188,9 +201,9 @@
             return;
         }
         List<ClaimRecord.EngineClaim> due = new ArrayList<>();
-        for (Engine e : objects.read(s -> s.engines())) {
-            if (e.dataCentre().region().equals(self.dataCentre().region()) && fallsToSelf(e) && isFree(e.name())) {
-                due.add(new ClaimRecord.EngineClaim(e.name(), table.supersedes(e.name())));
+        for (String name : wanted()) {
+            if (isFree(name)) {
+                due.add(new ClaimRecord.EngineClaim(name, table.supersedes(name)));
             }
         }
         if (!due.isEmpty()) {
@@ -198,14 +211,27 @@
         }
     }
 
-    private boolean fallsToSelf(Engine e) {
+    /** The engines and roles that fall to this node by rendezvous hashing. */
+    private List<String> wanted() {
         long now = scheduler.nanoTime();
-        List<NodeInfo> near = membership.candidates(now, n -> n.dataCentre().equals(e.dataCentre()));
-        List<NodeInfo> candidates = near.isEmpty()
-                ? membership.candidates(
-                        now, n -> n.dataCentre().region().equals(e.dataCentre().region()))
-                : near;
-        List<NodeInfo> ranked = Rendezvous.rank(e.name(), candidates, NodeInfo::node);
+        String region = self.dataCentre().region();
+        List<NodeInfo> inRegion =
+                membership.candidates(now, n -> n.dataCentre().region().equals(region));
+        List<String> wanted = new ArrayList<>();
+        for (Engine e : objects.read(s -> s.engines())) {
+            List<NodeInfo> near = inRegion.stream()
+                    .filter(n -> n.dataCentre().equals(e.dataCentre()))
+                    .toList();
+            if (e.dataCentre().region().equals(region) && fallsToSelf(e.name(), near.isEmpty() ? inRegion : near)) {
+                wanted.add(e.name());
+            }
+        }
+        config.roles().stream().filter(r -> fallsToSelf(r, inRegion)).forEach(wanted::add);
+        return wanted;
+    }
+
+    private boolean fallsToSelf(String name, List<NodeInfo> candidates) {
+        List<NodeInfo> ranked = Rendezvous.rank(name, candidates, NodeInfo::node);
         return !ranked.isEmpty() && ranked.get(0).node().equals(self.node());
     }
 
--- a/core/src/main/java/org/quetzalvane/core/ownership/OwnershipConfig.java
+++ b/core/src/main/java/org/quetzalvane/core/ownership/OwnershipConfig.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.core.ownership;
 
 import java.time.Duration;
+import java.util.List;
 
 /**
  * Timing of leases and claims. Immutable; {@code withX} returns a changed copy.
@@ -10,9 +11,17 @@
  * @param renewInterval pause between renewals, well below the lease
  * @param claimInterval pause between looks for engines to claim
  * @param margin added by a claimant to a foreign lease, for differing clock rates
+ * @param roles names of roles that one node of the region holds at a time, claimed like engines
  */
 public record OwnershipConfig(
-        String stream, Duration lease, Duration renewInterval, Duration claimInterval, Duration margin) {
+        String stream,
+        Duration lease,
+        Duration renewInterval,
+        Duration claimInterval,
+        Duration margin,
+        List<String> roles) {
+    /** Role of the node that gives out the region's load permits. */
+    public static final String LOAD_GOVERNOR = "role:load-governor";
 
     /** Defaults for a region. */
     public static OwnershipConfig of(String region) {
@@ -21,19 +30,20 @@
                 Duration.ofSeconds(20),
                 Duration.ofSeconds(7),
                 Duration.ofMillis(500),
-                Duration.ofMillis(500));
+                Duration.ofMillis(500),
+                List.of(LOAD_GOVERNOR));
     }
 
     /** Sets the lease and derives the renewal interval, a third of it. */
     public OwnershipConfig withLease(Duration newLease) {
-        return new OwnershipConfig(stream, newLease, newLease.dividedBy(3), claimInterval, margin);
+        return new OwnershipConfig(stream, newLease, newLease.dividedBy(3), claimInterval, margin, roles);
     }
 
     public OwnershipConfig withClaimInterval(Duration interval) {
-        return new OwnershipConfig(stream, lease, renewInterval, interval, margin);
+        return new OwnershipConfig(stream, lease, renewInterval, interval, margin, roles);
     }
 
     public OwnershipConfig withMargin(Duration newMargin) {
-        return new OwnershipConfig(stream, lease, renewInterval, claimInterval, newMargin);
+        return new OwnershipConfig(stream, lease, renewInterval, claimInterval, newMargin, roles);
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/peer/PeerMessage.java
@@ -19,6 +19,9 @@
     @JsonSubTypes.Type(value = PeerMessage.ForwardAlive.class, name = "fa"),
     @JsonSubTypes.Type(value = PeerMessage.ForwardEnd.class, name = "fe"),
     @JsonSubTypes.Type(value = PeerMessage.ForwardCancel.class, name = "fc"),
+    @JsonSubTypes.Type(value = PeerMessage.LoadWanted.class, name = "lw"),
+    @JsonSubTypes.Type(value = PeerMessage.LoadPermit.class, name = "lp"),
+    @JsonSubTypes.Type(value = PeerMessage.LoadEnded.class, name = "le"),
     @JsonSubTypes.Type(value = PeerMessage.Failure.class, name = "err")
 })
 public sealed interface PeerMessage {
@@ -85,6 +88,28 @@
      */
     record ForwardCancel(String requestId) implements PeerMessage {}
 
+    /**
+     * Asks the governor for the permit of one load.
+     *
+     * @param node who asks
+     * @param value how much the load is worth; the greatest goes first
+     */
+    record LoadWanted(String node, double value) implements PeerMessage {}
+
+    /**
+     * Answers {@link LoadWanted}.
+     *
+     * @param granted whether one load may start
+     */
+    record LoadPermit(boolean granted) implements PeerMessage {}
+
+    /**
+     * A load ended, or its permit was not used.
+     *
+     * @param node whose load it was
+     */
+    record LoadEnded(String node) implements PeerMessage {}
+
     /**
      * The message could not be served.
      *
--- a/node/src/main/java/org/quetzalvane/node/CallerApi.java
+++ b/node/src/main/java/org/quetzalvane/node/CallerApi.java
@@ -33,6 +33,8 @@
     private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
     private static final long MAX_TIMEOUT_MILLIS = 300_000;
     private static final int DEFAULT_MAX_TOKENS = 256;
+    private static final int MAX_TOKENS = 1_000_000;
+    private static final int MAX_PRIORITY = 9;
     private static final long RETRY_MILLIS = 500;
     private static final String SERVICES = "/v1/services/";
 
@@ -111,14 +113,14 @@
 
     private InferenceRequest request(Caller caller, AdapterVersion v, JsonNode body) {
         long now = node.context().scheduler().nanoTime();
-        long timeout = Math.min(MAX_TIMEOUT_MILLIS, body.path("timeout_ms").asLong(DEFAULT_TIMEOUT_MILLIS));
+        long timeout = whole(body, "timeout_ms", DEFAULT_TIMEOUT_MILLIS, 1, MAX_TIMEOUT_MILLIS);
         return new InferenceRequest(
                 node.context().self().node() + "-" + sequence.incrementAndGet(),
                 caller.name(),
                 v,
                 text(body, "prompt"),
-                body.path("max_tokens").asInt(DEFAULT_MAX_TOKENS),
-                body.path("priority").asInt(0),
+                (int) whole(body, "max_tokens", DEFAULT_MAX_TOKENS, 1, MAX_TOKENS),
+                (int) whole(body, "priority", 0, 0, MAX_PRIORITY),
                 now,
                 now + timeout * NANOS_PER_MILLI,
                 body.path("idempotent").asBoolean(true));
@@ -227,6 +229,19 @@
         return value;
     }
 
+    private static long whole(JsonNode body, String field, long missing, long min, long max) {
+        JsonNode value = body.path(field);
+        if (value.isMissingNode()) {
+            return missing;
+        }
+        boolean fits = value.canConvertToLong() && value.isIntegralNumber();
+        if (!fits || value.longValue() < min || value.longValue() > max) {
+            throw new QuetzalvaneException(
+                    ResultCode.MALFORMED_REQUEST, field + " must be a whole number from " + min + " to " + max);
+        }
+        return value.longValue();
+    }
+
     private static int number(String text) {
         try {
             return Integer.parseInt(text);
--- a/node/src/main/java/org/quetzalvane/node/NodeMain.java
+++ b/node/src/main/java/org/quetzalvane/node/NodeMain.java
@@ -46,6 +46,12 @@
         System.exit(main.run());
     }
 
+    /** Runs on SIGTERM; the exit code of a signal would be taken for a failure, so the process is halted with 0. */
+    private static void stop(NodeRuntime runtime) {
+        runtime.stopGracefully();
+        Runtime.getRuntime().halt(0);
+    }
+
     private int run() {
         NodeSettings read;
         try {
@@ -56,7 +62,7 @@
         }
         try {
             NodeRuntime runtime = NodeRuntime.start(read);
-            Runtime.getRuntime().addShutdownHook(new Thread(runtime::stopGracefully, "shutdown"));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(runtime), "shutdown"));
             runtime.stopped().join();
             return 0;
         } catch (Exception e) {
--- /dev/null
+++ b/proofs/src/test/java/org/quetzalvane/proofs/PlannedStopTest.java
@@ -0,0 +1,92 @@
+package org.quetzalvane.proofs;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.standins.harness.Await;
+import org.quetzalvane.standins.harness.CallerClient;
+import org.quetzalvane.standins.harness.LocalCluster;
+import org.quetzalvane.standins.harness.Records;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Planned stops over separate processes: every node is restarted under load and no request is cut off. */
+class PlannedStopTest {
+    private static final String TOKEN = "t";
+    private static final int CALLERS = 4;
+    private static final int TOKENS = 30;
+    private static LocalCluster cluster;
+
+    @BeforeAll
+    static void start() throws IOException {
+        cluster = LocalCluster.builder().nodes(3).engines(2).start();
+        cluster.publishEndpoints();
+        cluster.publish(
+                Records.caller("angler", TOKEN),
+                Records.rule("r1", "angler", "adapter:*"),
+                Records.adapter("a1", LocalCluster.BASE_MODEL),
+                Records.version("a1", 1),
+                Records.adapter("a2", LocalCluster.BASE_MODEL),
+                Records.version("a2", 1));
+        cluster.awaitOwners();
+    }
+
+    @AfterAll
+    static void stop() {
+        cluster.close();
+    }
+
+    @Test
+    void rollingRestartCutsOffNothing() throws IOException {
+        AtomicBoolean running = new AtomicBoolean(true);
+        ExecutorService threads = Executors.newFixedThreadPool(CALLERS);
+        List<CompletableFuture<List<CallerClient.Result>>> callers = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            String adapter = "a" + (1 + i % 2);
+            callers.add(CompletableFuture.supplyAsync(() -> callWhile(running, adapter), threads));
+        }
+        for (String node : cluster.nodes()) {
+            assertThat(cluster.child(node).terminate())
+                    .as("exit code of %s", node)
+                    .isZero();
+            cluster.startNode(node);
+            cluster.awaitReady(node);
+            cluster.awaitOwners();
+        }
+        running.set(false);
+        List<CallerClient.Result> all = new ArrayList<>();
+        callers.forEach(c -> all.addAll(c.join()));
+        threads.shutdown();
+        assertThat(all).hasSizeGreaterThan(CALLERS * 3);
+        assertThat(all).allMatch(PlannedStopTest::isWholeOrNotRun);
+        assertThat(all.stream().filter(CallerClient.Result::isWhole).count()).isGreaterThan(all.size() / 2);
+    }
+
+    private static boolean isWholeOrNotRun(CallerClient.Result r) {
+        boolean unsent = r.code() == ResultCode.ENDPOINT_UNREACHABLE.number();
+        return r.isWhole() || unsent || r.body().path("notRun").asBoolean();
+    }
+
+    private static List<CallerClient.Result> callWhile(AtomicBoolean running, String adapter) {
+        List<CallerClient.Result> results = new ArrayList<>();
+        CallerClient caller = cluster.caller(TOKEN);
+        while (running.get()) {
+            CallerClient.Result r = caller.complete(adapter, 1, "p", TOKENS);
+            results.add(r);
+            if (!r.isWhole()) {
+                Await.pause(Duration.ofMillis(100));
+            }
+        }
+        return results;
+    }
+}
--- a/standins/src/main/java/org/quetzalvane/standins/harness/LocalCluster.java
+++ b/standins/src/main/java/org/quetzalvane/standins/harness/LocalCluster.java
@@ -52,6 +52,7 @@
         private int slots = 2;
         private boolean checksFencing;
         private long leaseMillis = 2000;
+        private long readMillis = 30_000;
 
         public Builder nodes(int n) {
             nodes = n;
@@ -78,6 +79,11 @@
             return this;
         }
 
+        public Builder readMillis(long millis) {
+            readMillis = millis;
+            return this;
+        }
+
         /** Starts all processes and waits until every node is ready. */
         public LocalCluster start() throws IOException {
             LocalCluster cluster = new LocalCluster(this);
@@ -195,6 +201,13 @@
         calls.call("POST", url, Map.of(), Json.bytes(body), CALL_TIMEOUT).join();
     }
 
+    /** Appends raw data to a stream of the log. */
+    public void append(String stream, String data) {
+        byte[] bytes = data.getBytes(StandardCharsets.UTF_8);
+        calls.call("POST", logUrl() + "/streams/" + stream, Map.of(), bytes, CALL_TIMEOUT)
+                .join();
+    }
+
     /** Reads JSON from a stand-in or from a node's operators' port. */
     public JsonNode get(String url) {
         return Json.parse(calls.get(url, CALL_TIMEOUT).join().body());
@@ -340,6 +353,8 @@
                 "lease_millis = " + settings.leaseMillis,
                 "poll_millis = 100",
                 "answer_millis = 1000",
+                "[limits]",
+                "read_millis = " + settings.readMillis,
                 "");
         return Files.writeString(directory.resolve(node + ".toml"), toml);
     }
