Measure the decisions against the first baseline at three loads and under faults

quetzalvane measure calibrates the load at which the baseline needs 60%, all and twice of the store's rate, and prints both policies side by side.

--- a/cli/src/main/java/org/quetzalvane/cli/QuetzalvaneMain.java
+++ b/cli/src/main/java/org/quetzalvane/cli/QuetzalvaneMain.java
@@ -37,6 +37,7 @@
         commands.put("check-settings", new CheckSettingsCommand());
         commands.put("trace", new TraceCommand());
         commands.put("replay", new ReplayCommand());
+        commands.put("measure", new MeasureCommand());
         JCommander.Builder builder =
                 JCommander.newBuilder().programName("quetzalvane").addObject(main);
         commands.forEach(builder::addCommand);
--- a/standins/src/main/java/org/quetzalvane/standins/replay/TraceHeader.java
+++ b/standins/src/main/java/org/quetzalvane/standins/replay/TraceHeader.java
@@ -34,6 +34,25 @@
         long endMillis,
         Expect expect) {
 
+    /** A copy with another rate of the weight store. */
+    TraceHeader withLoadsPerSecond(double rate) {
+        return new TraceHeader(
+                name,
+                seed,
+                dataCentres,
+                nodes,
+                engines,
+                slots,
+                batchSize,
+                adapters,
+                rate,
+                maxInFlight,
+                loadMillis,
+                tokenMillis,
+                endMillis,
+                expect);
+    }
+
     /**
      * Stated outcomes. Immutable.
      *
