Load the adapter most waited for, evict the least popular, refuse what cannot be loaded soon

Cause: first-come loads serve one request per load while others pile up, LRU evicts popular adapters, and requests waited until their deadline before they were refused. Loads now go to the adapter with most waiting requests, eviction takes the lowest decayed popularity, and a request whose forecast wait exceeds a quarter of its time to the deadline is refused on arrival with when to come back. The queue became a class of its own.

--- a/core/src/main/java/org/quetzalvane/core/load/DispatchConfig.java
+++ b/core/src/main/java/org/quetzalvane/core/load/DispatchConfig.java
@@ -14,6 +14,8 @@
  * @param loads which load goes first
  * @param evictions which adapter gives way
  * @param budget how the nodes share the weight store's limits
+ * @param patience longest forecast wait for a load, as a part of the time to the deadline; a request that would wait
+ *     longer is refused at once; infinite to wait until the deadline
  */
 public record DispatchConfig(
         int maxQueued,
@@ -24,7 +26,10 @@
         Duration loadBackoff,
         LoadPolicy loads,
         EvictionPolicy evictions,
-        Budget budget) {
+        Budget budget,
+        double patience) {
+    private static final double DEFAULT_PATIENCE = 0.25;
+    private static final double UNTIL_DEADLINE = Double.POSITIVE_INFINITY;
 
     /** How the nodes of a region share the weight store's limits. */
     public enum Budget {
@@ -36,7 +41,10 @@
 
     /** Defaults. */
     public static DispatchConfig defaults() {
-        return baseline().withBudget(Budget.GOVERNED);
+        return baseline()
+                .withBudget(Budget.GOVERNED)
+                .withPolicies(LoadPolicy.mostWaiting(), EvictionPolicy.leastPopular())
+                .withPatience(DEFAULT_PATIENCE);
     }
 
     /** The first baseline: LRU eviction, first-come loads, waiting until the deadline. */
@@ -50,7 +58,8 @@
                 Duration.ofSeconds(2),
                 LoadPolicy.firstCome(),
                 EvictionPolicy.leastRecentlyUsed(),
-                Budget.EQUAL_SHARES);
+                Budget.EQUAL_SHARES,
+                UNTIL_DEADLINE);
     }
 
     /** Replaces both policies. */
@@ -64,7 +73,8 @@
                 loadBackoff,
                 newLoads,
                 newEvictions,
-                budget);
+                budget,
+                patience);
     }
 
     /** Replaces how the weight store's limits are shared. */
@@ -78,7 +88,23 @@
                 loadBackoff,
                 loads,
                 evictions,
-                newBudget);
+                newBudget,
+                patience);
+    }
+
+    /** Replaces the longest forecast wait. */
+    public DispatchConfig withPatience(double newPatience) {
+        return new DispatchConfig(
+                maxQueued,
+                maxQueuedPerCaller,
+                progressTimeout,
+                maxRequest,
+                reportInterval,
+                loadBackoff,
+                loads,
+                evictions,
+                budget,
+                newPatience);
     }
 
     /** Replaces the pause between questions for the engine's own report. */
@@ -92,13 +118,23 @@
                 loadBackoff,
                 loads,
                 evictions,
-                budget);
+                budget,
+                patience);
     }
 
     /** Replaces the bounds of the queue. */
     public DispatchConfig withQueues(int total, int perCaller) {
         return new DispatchConfig(
-                total, perCaller, progressTimeout, maxRequest, reportInterval, loadBackoff, loads, evictions, budget);
+                total,
+                perCaller,
+                progressTimeout,
+                maxRequest,
+                reportInterval,
+                loadBackoff,
+                loads,
+                evictions,
+                budget,
+                patience);
     }
 
     /** Replaces the longest silence of an answer and the longest running time of a request. */
@@ -112,6 +148,7 @@
                 loadBackoff,
                 loads,
                 evictions,
-                budget);
+                budget,
+                patience);
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/load/EngineDispatcher.java
+++ b/core/src/main/java/org/quetzalvane/core/load/EngineDispatcher.java
@@ -1,11 +1,9 @@
 package org.quetzalvane.core.load;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
+import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -39,8 +37,8 @@
  */
 public final class EngineDispatcher {
     private static final Duration TICK = Duration.ofMillis(50);
-    private static final int MAX_ATTEMPTS = 2;
     private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long MIN_RETRY_MILLIS = 500;
 
     private final Engine engine;
     private final long fencing;
@@ -55,27 +53,17 @@
 
     private final ReentrantLock lock = new ReentrantLock();
     private final SlotTable slots;
-    private final Map<AdapterVersion, Deque<Waiting>> waiting = new LinkedHashMap<>();
+    private final WaitQueue waiting = new WaitQueue();
     private final Map<String, RunningAttempt> running = new HashMap<>();
     private final Map<AdapterVersion, Long> backoffUntilNanos = new HashMap<>();
+    private final LoadForecast forecast = new LoadForecast();
+    private final Popularity popularity = new Popularity();
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
     private final List<Scheduler.Timer> timers = new ArrayList<>();
-    private int queued;
     private long attempts;
     private long batchSinceNanos;
     private Refusal closed;
 
-    private static final class Waiting {
-        private final Ticket ticket;
-        private final long sinceNanos;
-        private int attempts;
-
-        Waiting(Ticket ticket, long sinceNanos) {
-            this.ticket = ticket;
-            this.sinceNanos = sinceNanos;
-        }
-    }
-
     /** Builds the dispatcher of an engine just gained; nothing happens before {@link #start()}. */
     public EngineDispatcher(EngineLease lease, DispatchContext context, DispatchConfig config) {
         this.engine = lease.engine();
@@ -116,9 +104,7 @@
         lock.lock();
         try {
             closed = reason;
-            waiting.values().forEach(q -> q.forEach(w -> refused.add(w.ticket)));
-            waiting.clear();
-            queued = 0;
+            refused.addAll(waiting.removeIf(w -> true));
             completeIfDrained();
         } finally {
             lock.unlock();
@@ -140,7 +126,7 @@
         try {
             refusal = closed != null ? closed : admission(ticket);
             if (refusal == null) {
-                enqueue(new Waiting(ticket, scheduler.nanoTime()), false);
+                waiting.addLast(new WaitQueue.Waiting(ticket, scheduler.nanoTime()));
             }
         } finally {
             lock.unlock();
@@ -160,7 +146,7 @@
         boolean removed;
         lock.lock();
         try {
-            removed = removeWaiting(ticket);
+            removed = waiting.remove(ticket);
             attempt = running.values().stream()
                     .filter(a -> a.ticket() == ticket)
                     .findFirst()
@@ -181,7 +167,7 @@
     public int load() {
         lock.lock();
         try {
-            return queued + running.size();
+            return waiting.size() + running.size();
         } finally {
             lock.unlock();
         }
@@ -221,7 +207,13 @@
         scheduler.schedule(Duration.ZERO, this::pump);
     }
 
-    void done(RunningAttempt attempt) {
+    void done(RunningAttempt attempt, int tokens) {
+        lock.lock();
+        try {
+            forecast.answered(tokens, scheduler.nanoTime() - attempt.startNanos());
+        } finally {
+            lock.unlock();
+        }
         events.record(EventCode.REQUEST_DONE, attempt.ticket().request().id(), attempt.id());
     }
 
@@ -258,9 +250,7 @@
             if (closed != null || !t.requeue()) {
                 return false;
             }
-            Waiting w = new Waiting(t, scheduler.nanoTime());
-            w.attempts = MAX_ATTEMPTS;
-            enqueue(w, true);
+            waiting.addFirst(new WaitQueue.Waiting(t, scheduler.nanoTime()));
         } finally {
             lock.unlock();
         }
@@ -274,44 +264,36 @@
         if (!permit.valid()) {
             return Refusal.retry(ResultCode.LEASE_LAPSED, "no valid lease on " + engine.name(), 1000);
         }
-        if (queued >= config.maxQueued()) {
+        if (waiting.size() >= config.maxQueued()) {
             return Refusal.retry(ResultCode.OVERLOADED, "the queue is full", 1000);
         }
-        String caller = ticket.request().caller();
-        long own = waiting.values().stream()
-                .flatMap(Deque::stream)
-                .filter(w -> w.ticket.request().caller().equals(caller))
-                .count();
-        return own >= config.maxQueuedPerCaller()
+        return waiting.ofCaller(ticket.request().caller()) >= config.maxQueuedPerCaller()
                 ? Refusal.retry(ResultCode.OVERLOADED, "the caller's share of the queue is full", 1000)
-                : null;
+                : forecastRefusal(ticket.request());
     }
 
-    private void enqueue(Waiting w, boolean first) {
-        Deque<Waiting> q = waiting.computeIfAbsent(w.ticket.request().version(), v -> new ArrayDeque<>());
-        if (first) {
-            q.addFirst(w);
-        } else {
-            q.addLast(w);
+    private Refusal forecastRefusal(InferenceRequest r) {
+        popularity.requested(r.version(), scheduler.nanoTime());
+        if (config.patience() == Double.POSITIVE_INFINITY || slots.resident(r.version())) {
+            return null;
         }
-        queued++;
-    }
-
-    private boolean removeWaiting(Ticket ticket) {
-        Deque<Waiting> q = waiting.get(ticket.request().version());
-        boolean removed = q != null && q.removeIf(w -> w.ticket == ticket);
-        if (removed) {
-            queued--;
-            dropIfEmpty(ticket.request().version());
-        }
-        return removed;
+        long now = scheduler.nanoTime();
+        long left = r.deadlineNanos() - now;
+        long wait = forecast.untilLoaded(placeOf(r.version(), now));
+        boolean tooLong = wait > left * config.patience();
+        boolean hopeless = wait + forecast.untilAnswered(r.maxTokens()) > left;
+        return tooLong || hopeless
+                ? Refusal.retry(
+                        ResultCode.DEADLINE_UNREACHABLE,
+                        "the adapter cannot be loaded in time",
+                        Math.max(MIN_RETRY_MILLIS, wait / NANOS_PER_MILLI))
+                : null;
     }
 
-    private void dropIfEmpty(AdapterVersion v) {
-        Deque<Waiting> q = waiting.get(v);
-        if (q != null && q.isEmpty()) {
-            waiting.remove(v);
-        }
+    /** How many loads go before that of an adapter version if one more request waited for it. */
+    private int placeOf(AdapterVersion v, long now) {
+        int own = waiting.waitingFor(v) + 1;
+        return waiting.groupsOfSize(own, o -> !o.equals(v) && slots.find(o).isEmpty());
     }
 
     // Decisions
@@ -327,18 +309,10 @@
             running.values().stream()
                     .filter(a -> now - a.progressNanos() > limit)
                     .forEach(silent::add);
-            boolean valid = permit.valid();
-            for (Deque<Waiting> q : waiting.values()) {
-                for (Waiting w : q) {
-                    if (w.ticket.request().deadlineNanos() - now <= 0) {
-                        late.add(w.ticket);
-                    } else if (!valid) {
-                        unowned.add(w.ticket);
-                    }
-                }
+            late.addAll(waiting.removeIf(w -> w.ticket().request().deadlineNanos() - now <= 0));
+            if (!permit.valid()) {
+                unowned.addAll(waiting.removeIf(w -> true));
             }
-            late.forEach(this::removeWaiting);
-            unowned.forEach(this::removeWaiting);
         } finally {
             lock.unlock();
         }
@@ -364,28 +338,25 @@
     }
 
     private void dispatchResident(List<Runnable> effects) {
-        for (AdapterVersion v : new ArrayList<>(waiting.keySet())) {
-            Deque<Waiting> q = waiting.get(v);
-            while (running.size() < engine.batchSize() && !q.isEmpty() && slots.resident(v)) {
-                Waiting w = q.pollFirst();
-                queued--;
-                if (w.ticket.dispatch()) {
+        for (AdapterVersion v : new ArrayList<>(waiting.versions())) {
+            while (running.size() < engine.batchSize() && waiting.has(v) && slots.resident(v)) {
+                WaitQueue.Waiting w = waiting.poll(v);
+                if (w.ticket().dispatch()) {
                     effects.add(begin(w, slots.find(v).orElseThrow()));
                 }
             }
-            dropIfEmpty(v);
         }
     }
 
-    private Runnable begin(Waiting w, Slot slot) {
+    private Runnable begin(WaitQueue.Waiting w, Slot slot) {
         long now = scheduler.nanoTime();
-        InferenceRequest r = w.ticket.request();
+        InferenceRequest r = w.ticket().request();
         attempts++;
-        RunningAttempt a = new RunningAttempt(r.id() + "." + attempts, w.ticket, slot, this, now);
+        RunningAttempt a = new RunningAttempt(r.id() + "." + attempts, w.ticket(), slot, this, now);
         accountBatch(running.size());
         running.put(a.id(), a);
         slot.use(now);
-        stats.dispatched(now - r.arrivalNanos(), Math.max(0, slot.changedNanos() - w.sinceNanos));
+        stats.dispatched(now - r.arrivalNanos(), Math.max(0, slot.changedNanos() - w.sinceNanos()));
         return () -> send(a, r);
     }
 
@@ -407,12 +378,13 @@
         for (Optional<LoadPolicy.Group> g = nextGroup(now); g.isPresent(); g = nextGroup(now)) {
             Optional<Slot> victim = slots.hasFree()
                     ? Optional.empty()
-                    : config.evictions().victim(slots.evictable(waiting::containsKey));
+                    : config.evictions().victim(slots.evictable(waiting::has), v -> popularity.of(v, now));
             boolean room = slots.hasFree() || victim.isPresent();
-            if (!room || !budget.tryAcquire(g.get().tickets().size())) {
+            if (!room || !budget.tryAcquire(config.loads().value(g.get(), now))) {
                 return;
             }
             AdapterVersion v = g.get().version();
+            forecast.loadStarted(now);
             Slot s = slots.startLoad(v, now);
             if (victim.isPresent()) {
                 victim.get().state(Slot.State.UNLOADING, now);
@@ -424,14 +396,11 @@
     }
 
     private Optional<LoadPolicy.Group> nextGroup(long now) {
-        List<LoadPolicy.Group> groups = new ArrayList<>();
-        waiting.forEach((v, q) -> {
-            boolean backedOff = backoffUntilNanos.getOrDefault(v, now) - now > 0;
-            if (!backedOff && slots.find(v).isEmpty()) {
-                groups.add(new LoadPolicy.Group(v, q.stream().map(w -> w.ticket).toList()));
-            }
-        });
-        return groups.isEmpty() ? Optional.empty() : config.loads().next(groups, now);
+        List<LoadPolicy.Group> groups =
+                waiting.groups(v -> slots.find(v).isEmpty() && backoffUntilNanos.getOrDefault(v, now) - now <= 0);
+        forecast.waiting(!groups.isEmpty(), now);
+        return groups.stream()
+                .max(Comparator.comparingDouble(g -> config.loads().value(g, now)));
     }
 
     // Orders
@@ -453,6 +422,7 @@
         try {
             if (failure == null) {
                 slots.loaded(s, now);
+                forecast.loadEnded(now - startNanos);
                 backoffUntilNanos.remove(v);
             } else if (provedNotRun(failure)) {
                 slots.vacate(s);
--- a/core/src/main/java/org/quetzalvane/core/load/LoadPolicy.java
+++ b/core/src/main/java/org/quetzalvane/core/load/LoadPolicy.java
@@ -1,20 +1,19 @@
 package org.quetzalvane.core.load;
 
 import java.util.List;
-import java.util.Optional;
 
 import org.quetzalvane.core.model.AdapterVersion;
 import org.quetzalvane.core.request.Ticket;
 
-/** Chooses which waited-for adapter is loaded next. Implementations are thread-safe. */
+/** Values the load of a waited-for adapter; the greatest goes first. Implementations are thread-safe. */
 @FunctionalInterface
 public interface LoadPolicy {
 
-    /** The group whose adapter is to be loaded, among adapters that are not on the engine. */
-    Optional<Group> next(List<Group> waiting, long nowNanos);
+    /** Value of loading the group's adapter now. */
+    double value(Group group, long nowNanos);
 
     /**
-     * Requests that wait for one adapter, oldest first.
+     * Requests that wait for one adapter.
      *
      * @param version the adapter version
      * @param tickets the waiting requests, oldest first
@@ -23,8 +22,12 @@
 
     /** The adapter whose first request came first. */
     static LoadPolicy firstCome() {
-        return (waiting, now) -> waiting.stream()
-                .min(java.util.Comparator.comparingLong(
-                        g -> g.tickets().get(0).request().arrivalNanos()));
+        return (group, now) -> now - group.tickets().get(0).request().arrivalNanos();
+    }
+
+    /** The adapter for which most requests wait; among equals the one waited for longest. */
+    static LoadPolicy mostWaiting() {
+        LoadPolicy age = firstCome();
+        return (group, now) -> group.tickets().size() + age.value(group, now) / (1e12 + age.value(group, now));
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/load/RunningAttempt.java
+++ b/core/src/main/java/org/quetzalvane/core/load/RunningAttempt.java
@@ -21,6 +21,7 @@
     private boolean echoed;
     private boolean ended;
     private int nextPart;
+    private final long startNanos;
     private volatile long progressNanos;
     private volatile EnginePort.Cancellation cancellation = () -> {};
 
@@ -29,6 +30,7 @@
         this.ticket = ticket;
         this.slot = slot;
         this.dispatcher = dispatcher;
+        this.startNanos = nowNanos;
         this.progressNanos = nowNanos;
     }
 
@@ -44,6 +46,10 @@
         return slot;
     }
 
+    long startNanos() {
+        return startNanos;
+    }
+
     long progressNanos() {
         return progressNanos;
     }
@@ -104,7 +110,7 @@
         dispatcher.ended(this);
         if (whole) {
             ticket.done(tokens);
-            dispatcher.done(this);
+            dispatcher.done(this, tokens);
         } else {
             ticket.fail(ResultCode.WRONG_ECHO, "the answer ended without an echo");
         }
