Let nodes of two program versions talk

Cause: a frame with a field or message type that the receiver does not know failed to decode, which closed the connection, so a rolling upgrade would cut nodes off from each other. Unknown fields are passed over and an unknown type is answered with a failure.

--- a/adapters/src/main/java/org/quetzalvane/adapters/peer/FrameCodec.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/peer/FrameCodec.java
@@ -4,6 +4,7 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.quetzalvane.core.ResultCode;
@@ -12,13 +13,15 @@
 /**
  * Frames on a peer connection: a length of four bytes, then one MessagePack value.
  *
- * <p>A frame that is longer than the limit, has no length or cannot be decoded fails with
- * {@link ResultCode#FRAME_INVALID}; the connection is closed then. Stateless and thread-safe.
+ * <p>Fields and message types that this program version does not know are passed over, so that nodes of two
+ * versions can talk while they are replaced. A frame that is longer than the limit, has no length or cannot be decoded
+ * fails with {@link ResultCode#FRAME_INVALID}; the connection is closed then. Stateless and thread-safe.
  */
 final class FrameCodec {
     static final int MAX_FRAME_BYTES = 8 << 20;
 
-    private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
+    private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory())
+            .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
 
     private FrameCodec() {}
 
--- a/core/src/main/java/org/quetzalvane/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/peer/PeerMessage.java
@@ -9,7 +9,7 @@
 import org.quetzalvane.core.request.InferenceRequest;
 
 /** A message between two nodes. Implementations are immutable. */
-@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t", defaultImpl = PeerMessage.Unknown.class)
 @JsonSubTypes({
     @JsonSubTypes.Type(value = PeerMessage.Heartbeat.class, name = "hb"),
     @JsonSubTypes.Type(value = PeerMessage.RecordsWanted.class, name = "rw"),
@@ -26,6 +26,9 @@
 })
 public sealed interface PeerMessage {
 
+    /** A message of a type that this program version does not know; it is answered with a failure. */
+    record Unknown() implements PeerMessage {}
+
     /**
      * A sign of life; the answer is the receiver's own.
      *
