Make repeats of configuration records harmless for good

Cause: the fold remembered 4096 ids; a later repeat of a create brought a removed object back, and a repeat of a record refused as invalid was accepted once its reason was gone. Change: revisions never return. A record that matches uses the revision up; removed names go into a Bloom filter of bounded size with one shared revision. Ids now only answer questions of operators. publish reads its append back, repeats it under the same id, and counts a node once it has applied the offset. The log's stand-in takes faults per stream: lost answers had been used up by lease renewals of the nodes. After: RepeatedRecordsTest passes 400 tries with 2 ids remembered; ConfigurationTest passes.

--- a/cli/src/main/java/org/quetzalvane/cli/PublishCommand.java
+++ b/cli/src/main/java/org/quetzalvane/cli/PublishCommand.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
@@ -19,14 +20,14 @@
 import org.quetzalvane.adapters.platform.HttpLogPort;
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.config.RecordCodec;
-import org.quetzalvane.core.exc.QuetzalvaneException;
 import org.quetzalvane.core.time.SystemScheduler;
 
 /**
  * Publishes configuration records, one JSON object a line, and waits until every node reports them in force.
  *
- * <p>A record without an id gets a fresh one, and the append is repeated under the same id when its answer is lost,
- * which the fold makes harmless. Not thread-safe.
+ * <p>A record without an id gets a fresh one. The append is repeated under the same id when its answer is lost, which
+ * the fold makes harmless, and is read back from the log. A node counts when it knows the outcome or has applied the
+ * offset at which another one found it. Not thread-safe.
  */
 @Parameters(commandDescription = "Publish configuration records and wait until they are in force")
 final class PublishCommand extends CommonOptions {
@@ -67,7 +68,7 @@
         }
         byte[] data = Json.bytes(record);
         RecordCodec.decode(data);
-        append(port, data);
+        boolean appended = append(port, data);
         String id = record.path("id").asText();
         long end = scheduler.nanoTime() + Duration.ofSeconds(waitSeconds).toNanos();
         Confirmation c = Confirmation.of(client.askAll("/outcome?id=" + id));
@@ -76,20 +77,27 @@
             c = Confirmation.of(client.askAll("/outcome?id=" + id));
         }
         print(record, c);
-        return c.accepted();
+        return c.accepted() && (appended || c.outcome().isPresent());
     }
 
-    private void append(HttpLogPort port, byte[] data) {
-        for (int i = 1; ; i++) {
+    /** Appends until an answer came and the record reads back; false when only the nodes can tell its outcome. */
+    private static boolean append(HttpLogPort port, byte[] data) {
+        for (int i = 0; i < APPEND_TRIES; i++) {
             try {
-                port.append(STREAM, data).join();
-                return;
-            } catch (CompletionException e) {
-                if (i == APPEND_TRIES) {
-                    throw new QuetzalvaneException(ResultCode.LOG_UNAVAILABLE, String.valueOf(e.getMessage()), e);
+                long offset = port.append(STREAM, data).join();
+                if (readsBack(port, offset, data)) {
+                    return true;
                 }
+            } catch (CompletionException e) {
+                System.err.println("append not confirmed, it is repeated under the same id: " + e.getMessage());
             }
         }
+        return false;
+    }
+
+    private static boolean readsBack(HttpLogPort port, long offset, byte[] data) {
+        return port.read(STREAM, offset, 1).join().records().stream()
+                .anyMatch(r -> r.offset() == offset && Arrays.equals(r.data(), data));
     }
 
     private static void pause(SystemScheduler scheduler) throws InterruptedException {
@@ -120,11 +128,15 @@
     private record Confirmation(int known, int asked, Optional<JsonNode> outcome) {
 
         static Confirmation of(java.util.Map<String, Optional<JsonNode>> answers) {
-            List<JsonNode> known = answers.values().stream()
-                    .flatMap(Optional::stream)
-                    .filter(a -> a.path("known").asBoolean())
-                    .toList();
-            return new Confirmation(known.size(), answers.size(), known.stream().findFirst());
+            List<JsonNode> all =
+                    answers.values().stream().flatMap(Optional::stream).toList();
+            Optional<JsonNode> outcome =
+                    all.stream().filter(a -> a.path("known").asBoolean()).findFirst();
+            long offset = outcome.map(o -> o.path("offset").asLong()).orElse(Long.MAX_VALUE);
+            long applied = all.stream()
+                    .filter(a -> a.path("applied").asLong(-1) >= offset)
+                    .count();
+            return new Confirmation((int) applied, answers.size(), outcome);
         }
 
         boolean complete() {
@@ -153,7 +165,8 @@
                     ? "in force on " + where + ", revision "
                             + o.path("revision").asLong()
                     : o.path("code").asInt() + " " + o.path("name").asText() + " "
-                            + o.path("message").asText() + " (" + where + ")";
+                            + o.path("message").asText() + ", revision "
+                            + o.path("revision").asLong() + " (" + where + ")";
         }
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/config/ConfigState.java
+++ b/core/src/main/java/org/quetzalvane/core/config/ConfigState.java
@@ -27,6 +27,7 @@
     private final Map<ConfigKey, Entry> entries =
             new TreeMap<>(java.util.Comparator.comparing(ConfigKey::kind).thenComparing(ConfigKey::name));
     private final Map<String, Caller> callersByToken = new HashMap<>();
+    private final SpentNames spent = new SpentNames();
 
     /**
      * An object in force with its revision. Immutable.
@@ -40,10 +41,13 @@
         return Optional.ofNullable(entries.get(key));
     }
 
-    /** The revision of an object; 0 when it does not exist. */
+    /**
+     * The revision that a record must state to change an object. It never falls and never returns to an earlier value;
+     * 0 when no record ever changed the object.
+     */
     public long revision(ConfigKey key) {
         Entry e = entries.get(key);
-        return e == null ? 0 : e.revision();
+        return e == null ? spent.revision(key) : e.revision();
     }
 
     public Collection<Entry> all() {
@@ -83,14 +87,29 @@
     }
 
     void put(ConfigKey key, long revision, ConfigObject value) {
-        remove(key);
+        drop(key);
         entries.put(key, new Entry(revision, value));
         if (value instanceof Caller) {
             callersByToken.put(((Caller) value).tokenSha256(), (Caller) value);
         }
     }
 
-    void remove(ConfigKey key) {
+    void remove(ConfigKey key, long revision) {
+        drop(key);
+        spent.spend(key, revision);
+    }
+
+    /** Moves the revision of an object on and leaves its value, or its absence, as it is. */
+    void useUpRevision(ConfigKey key, long revision) {
+        Entry e = entries.get(key);
+        if (e == null) {
+            spent.spend(key, revision);
+        } else {
+            entries.put(key, new Entry(revision, e.value()));
+        }
+    }
+
+    private void drop(ConfigKey key) {
         Entry old = entries.remove(key);
         if (old != null && old.value() instanceof Caller) {
             callersByToken.remove(((Caller) old.value()).tokenSha256());
--- a/core/src/main/java/org/quetzalvane/core/config/ConfigTable.java
+++ b/core/src/main/java/org/quetzalvane/core/config/ConfigTable.java
@@ -20,7 +20,10 @@
  * Deterministic fold of the configuration stream.
  *
  * <p>Invariant: two tables that have applied the same offsets hold the same state and gave the same outcomes. Records
- * are applied in offset order; an offset at or below the applied one changes nothing.
+ * are applied in offset order; an offset at or below the applied one changes nothing. A record that matches the
+ * revision of its object uses that revision up, whether it is accepted or refused as invalid, and revisions never
+ * return; so a record decides something once, and no later repeat of its bytes changes the state, also when its id is
+ * no longer remembered.
  *
  * <p>Thread-safe; its read-write lock is the first in the lock order and no other lock is taken while it is held.
  */
@@ -31,8 +34,17 @@
     private final ConfigState state = new ConfigState();
     private final Map<String, FoldOutcome> byId = new HashMap<>();
     private final Deque<String> idOrder = new ArrayDeque<>();
+    private final int rememberedOutcomes;
     private long applied = -1;
 
+    public ConfigTable() {
+        this(REMEMBERED_OUTCOMES);
+    }
+
+    ConfigTable(int rememberedOutcomes) {
+        this.rememberedOutcomes = rememberedOutcomes;
+    }
+
     /** Applies the record at an offset and returns what became of it, or empty when the offset was applied before. */
     public Optional<FoldOutcome> apply(long offset, byte[] data) {
         lock.writeLock().lock();
@@ -96,10 +108,11 @@
         }
         Optional<String> fault = fault(r);
         if (fault.isPresent()) {
+            state.useUpRevision(r.key(), offset + 1);
             return outcome(offset, r, ResultCode.RECORD_INVALID, fault.get());
         }
         if (r.value() == null) {
-            state.remove(r.key());
+            state.remove(r.key(), offset + 1);
         } else {
             state.put(r.key(), offset + 1, r.value());
         }
@@ -147,7 +160,7 @@
         }
         byId.put(outcome.id(), outcome);
         idOrder.addLast(outcome.id());
-        if (idOrder.size() > REMEMBERED_OUTCOMES) {
+        if (idOrder.size() > rememberedOutcomes) {
             byId.remove(idOrder.removeFirst());
         }
     }
--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/config/RepeatedRecordsTest.java
@@ -0,0 +1,65 @@
+package org.quetzalvane.core.config;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.quetzalvane.core.ResultCode;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Publishers race, repeat and write either schema; a repeat changes nothing, however late it comes. */
+class RepeatedRecordsTest {
+    private static final int RECORDS = 120;
+    private static final int NAMES = 3;
+    private static final int REMEMBERED = 2;
+
+    @Property(seed = "20261203", tries = 400)
+    void repeatChangesNothingHoweverLate(@ForAll long scenario) {
+        Random random = new Random(scenario);
+        ConfigTable table = new ConfigTable(REMEMBERED);
+        ConfigTable other = new ConfigTable(REMEMBERED);
+        List<byte[]> log = new ArrayList<>();
+        Set<String> seen = new HashSet<>();
+        for (int offset = 0; offset < RECORDS; offset++) {
+            byte[] data = random.nextInt(3) == 0 && offset > 0
+                    ? log.get(random.nextInt(log.size()))
+                    : fresh(random, table, offset);
+            log.add(data);
+            List<ConfigState.Entry> before = List.copyOf(table.read(ConfigState::all));
+            FoldOutcome outcome = table.apply(offset, data).orElseThrow();
+            assertThat(other.apply(offset, data)).contains(outcome);
+            if (!seen.add(new String(data, StandardCharsets.UTF_8))) {
+                assertThat(outcome.code()).isNotEqualTo(ResultCode.RECORD_ACCEPTED);
+                assertThat(table.read(ConfigState::all)).isEqualTo(before);
+            }
+        }
+        assertThat(other.read(ConfigState::all)).isEqualTo(table.read(ConfigState::all));
+    }
+
+    /** A record by a publisher that read the revision now, guesses 0, or read it some records ago. */
+    private static byte[] fresh(Random random, ConfigTable table, int offset) {
+        String kind = random.nextInt(3) == 0 ? "base-model" : "adapter";
+        String name = "n" + random.nextInt(NAMES);
+        ConfigKey key = new ConfigKey(
+                kind.equals("adapter")
+                        ? org.quetzalvane.core.model.ConfigObject.Kind.ADAPTER
+                        : org.quetzalvane.core.model.ConfigObject.Kind.BASE_MODEL,
+                name);
+        long current = table.read(s -> s.revision(key));
+        long revision = random.nextInt(4) == 0 ? random.nextInt(offset + 1) : current;
+        boolean remove = random.nextInt(3) == 0;
+        String base = "n" + random.nextInt(NAMES);
+        String json = random.nextBoolean()
+                ? "{'schema':1,'id':'i" + offset + "','type':'" + kind + "','name':'" + name + "','rev':" + revision
+                        + (remove ? ",'deleted':true}" : ",'baseModel':'" + base + "'}")
+                : "{'schema':2,'id':'i" + offset + "','kind':'" + kind + "','name':'" + name + "','expectedRevision':"
+                        + revision + ",'value':" + (remove ? "null}" : "{'baseModel':'" + base + "'}}");
+        return json.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
+    }
+}
--- a/node/src/main/java/org/quetzalvane/node/OperatorApi.java
+++ b/node/src/main/java/org/quetzalvane/node/OperatorApi.java
@@ -67,11 +67,13 @@
     private void outcome(Exchange e) {
         FoldOutcome o = node.config().outcome(e.query("id", "")).orElse(null);
         if (o == null) {
-            e.reply(NOT_FOUND, Json.object().put("known", false));
+            long applied = node.config().appliedOffset();
+            e.reply(NOT_FOUND, Json.object().put("known", false).put("applied", applied));
             return;
         }
         ObjectNode body = Json.object();
         body.put("known", true);
+        body.put("applied", node.config().appliedOffset());
         body.put("offset", o.offset());
         body.put("code", o.code().number());
         body.put("name", o.code().name());
--- a/standins/src/main/java/org/quetzalvane/standins/LogStandIn.java
+++ b/standins/src/main/java/org/quetzalvane/standins/LogStandIn.java
@@ -17,7 +17,8 @@
  * The platform's log service: append-only streams in memory.
  *
  * <p>{@code POST /streams/S} appends the body and answers its offset; {@code GET /streams/S?from=&max=} reads. The
- * fault {@code expire_before} drops all records below an offset, {@code deny_appends} refuses appends. Thread-safe.
+ * fault {@code expire_before} drops all records below an offset, {@code deny_appends} refuses appends. These and
+ * {@code lose_answers} hit all streams, or one stream S when they are named with {@code .S} behind. Thread-safe.
  */
 final class LogStandIn {
     private static final String STREAMS = "/streams/";
@@ -40,7 +41,7 @@
         if (faults.dropped(e)) {
             return;
         }
-        if (faults.on(DENY_APPENDS)) {
+        if (faults.on(DENY_APPENDS) || faults.on(DENY_APPENDS + "." + name(e))) {
             e.reply(503, Json.object().put("message", "appends are denied"));
             return;
         }
@@ -51,7 +52,7 @@
                 offset = stream.size();
                 stream.add(body);
             }
-            if (faults.take(Faults.LOSE_ANSWERS)) {
+            if (faults.take(Faults.LOSE_ANSWERS) || faults.take(Faults.LOSE_ANSWERS + "." + name(e))) {
                 e.abort();
                 return;
             }
@@ -65,7 +66,7 @@
         }
         int from = Integer.parseInt(e.query("from", "0"));
         int max = Integer.parseInt(e.query("max", "1000"));
-        long first = faults.value(EXPIRE_BEFORE);
+        long first = Math.max(faults.value(EXPIRE_BEFORE), faults.value(EXPIRE_BEFORE + "." + name(e)));
         if (from < first) {
             e.reply(410, Json.object().put("first", first));
             return;
@@ -87,6 +88,10 @@
     }
 
     private List<byte[]> stream(Exchange e) {
-        return streams.computeIfAbsent(e.path().substring(STREAMS.length()), s -> new ArrayList<>());
+        return streams.computeIfAbsent(name(e), s -> new ArrayList<>());
+    }
+
+    private static String name(Exchange e) {
+        return e.path().substring(STREAMS.length());
     }
 }
