Pass configuration records among nodes and let callers show an offset

Cause: a change that one node had read reached no other one during an outage of the log, and a node that started in an outage knew nothing; a caller could be answered from older configuration than it had seen. Change: ConfigFeed owns the follower and a ring of 2 MiB of records as read from the log; ConfigPeers asks two random peers every 0.5 s while the log is down or the node is behind, and shows its offset to two peers every 5 s, so that a restarted node is found again. min_config_offset on resolve and completions: catch up for at most 2 s, else NOT_READY. Ruled out: gossip at the fast pace all the time (bytes), pushing records (the log delivers them in normal times). Partial: a node that no running node ever heard of finds no peers in an outage; and a peer whose ring no longer holds the offset cannot help yet.

--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/config/RecordRing.java
@@ -0,0 +1,58 @@
+package org.quetzalvane.core.config;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+
+/**
+ * The newest configuration records as they were read from the log, for nodes that cannot reach it.
+ *
+ * <p>Invariants: the records have consecutive offsets; their bytes stay within the limit, the oldest go first. Not
+ * thread-safe.
+ */
+public final class RecordRing {
+    private final long limitBytes;
+    private final Deque<byte[]> records = new ArrayDeque<>();
+    private long bytes;
+    private long next;
+
+    public RecordRing(long limitBytes) {
+        this.limitBytes = limitBytes;
+    }
+
+    /** Adds the record at an offset; the ring begins anew when the offset does not follow the last one. */
+    public void add(long offset, byte[] data) {
+        if (offset != next) {
+            records.clear();
+            bytes = 0;
+        }
+        records.addLast(data);
+        bytes += data.length;
+        next = offset + 1;
+        while (bytes > limitBytes) {
+            bytes -= records.removeFirst().length;
+        }
+    }
+
+    /** Consecutive records from an offset on, up to some bytes but at least one; empty when the offset is not held. */
+    public List<byte[]> from(long offset, long maxBytes) {
+        long first = next - records.size();
+        List<byte[]> found = new ArrayList<>();
+        if (offset < first || offset >= next) {
+            return found;
+        }
+        Iterator<byte[]> held = records.iterator();
+        for (long o = first; o < offset; o++) {
+            held.next();
+        }
+        long size = 0;
+        while (held.hasNext() && (size < maxBytes || found.isEmpty())) {
+            byte[] data = held.next();
+            found.add(data);
+            size += data.length;
+        }
+        return found;
+    }
+}
--- a/core/src/main/java/org/quetzalvane/core/node/Coordinator.java
+++ b/core/src/main/java/org/quetzalvane/core/node/Coordinator.java
@@ -1,12 +1,12 @@
 package org.quetzalvane.core.node;
 
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.cluster.Membership;
 import org.quetzalvane.core.cluster.NodeContext;
 import org.quetzalvane.core.config.ConfigTable;
-import org.quetzalvane.core.config.FoldOutcome;
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.EventLog;
 import org.quetzalvane.core.exc.RefusedException;
@@ -49,6 +49,7 @@
 
     private static final LoadLimits NO_LIMITS = new LoadLimits("none", 1, 1);
     private static final long RETRY_MILLIS = 500;
+    private static final Duration CATCH_UP_LIMIT = Duration.ofSeconds(2);
 
     private final NodeContext context;
     private final NodeConfig settings;
@@ -62,7 +63,8 @@
     private final DispatcherRegistry dispatchers;
     private final Placement placement;
     private final Forwarding forwarding;
-    private final LogFollower configFollower;
+    private final ConfigFeed configFeed;
+    private final ConfigPeers configPeers;
     private final LogFollower claimFollower;
     private volatile boolean draining;
 
@@ -85,8 +87,9 @@
         dispatchers = new DispatcherRegistry(dispatch, settings.dispatch(), e -> () -> mayDispatch(e));
         ownership = new Ownership(context, settings.ownership(), ports.log(), claims, membership, config, dispatchers);
         placement = new Placement(context.self().dataCentre().region(), config, membership, ownership);
-        configFollower =
-                new LogFollower(ports.log(), CONFIG_STREAM, scheduler, settings.poll(), events, this::applyConfig);
+        configFeed = new ConfigFeed(context, ports.log(), settings.poll(), config);
+        configPeers = new ConfigPeers(context, config, configFeed, membership, ports.peers(), this::heartbeat);
+        configPeers.serveOn(peerRouter);
         claimFollower = new LogFollower(
                 ports.log(), settings.ownership().stream(), scheduler, settings.poll(), events, ownership::apply);
         budget.onAvailable(dispatchers::pumpAll);
@@ -100,6 +103,7 @@
         forwarding.serveOn(peerRouter);
         peerRouter.serve(PeerMessage.Heartbeat.class, (m, reply) -> {
             events.clock().observe(m.time());
+            configPeers.seen(m.info(), m.configOffset());
             reply.end(heartbeat());
         });
     }
@@ -114,7 +118,8 @@
                         EventCode.NODE_STARTED,
                         self,
                         "incarnation " + context.self().incarnation());
-        configFollower.start(0);
+        configFeed.start();
+        configPeers.start();
         claimFollower.start(0);
         ownership.start();
         context.scheduler().repeat(settings.poll(), this::readHostList);
@@ -188,9 +193,17 @@
         return () -> {};
     }
 
+    /** Waits until a configuration offset that a caller has shown is applied; false when it is not in time. */
+    public CompletableFuture<Boolean> reachConfig(long offset) {
+        if (offset > config.appliedOffset()) {
+            configPeers.pull();
+        }
+        return configFeed.reach(offset, CATCH_UP_LIMIT);
+    }
+
     /** Whether the configuration known to the log has been applied and the node is not leaving. */
     public boolean ready() {
-        return configFollower.caughtUp() && claimFollower.caughtUp() && !draining;
+        return configFeed.started() && claimFollower.caughtUp() && !draining;
     }
 
     public boolean draining() {
@@ -263,16 +276,6 @@
                 context.events().clock().next());
     }
 
-    private void applyConfig(long offset, byte[] data) {
-        config.apply(offset, data).ifPresent(this::recordOutcome);
-    }
-
-    private void recordOutcome(FoldOutcome o) {
-        String subject = o.key() == null ? "offset " + o.offset() : o.key().toString();
-        EventCode code = o.accepted() ? EventCode.CONFIG_APPLIED : EventCode.CONFIG_REFUSED;
-        context.events().record(code, subject, "offset " + o.offset() + " " + o.code() + " " + o.message());
-    }
-
     private void readHostList() {
         ports.hosts().list().whenComplete((hosts, failure) -> {
             if (failure == null) {
--- a/node/src/main/java/org/quetzalvane/node/CallerApi.java
+++ b/node/src/main/java/org/quetzalvane/node/CallerApi.java
@@ -36,6 +36,7 @@
     private static final int MAX_TOKENS = 1_000_000;
     private static final int MAX_PRIORITY = 9;
     private static final long RETRY_MILLIS = 500;
+    private static final String MIN_OFFSET = "min_config_offset";
     private static final String SERVICES = "/v1/services/";
 
     private final Coordinator node;
@@ -60,6 +61,10 @@
 
     private void resolve(Exchange e) {
         requireReady();
+        afterOffset(e, e.query(MIN_OFFSET, ""), () -> answerAddress(e));
+    }
+
+    private void answerAddress(Exchange e) {
         Caller caller = access.authenticate(e.bearerToken());
         String service = e.query("service", "");
         ObjectNode answer = Json.object();
@@ -92,7 +97,8 @@
                             ? (QuetzalvaneException) failure
                             : new QuetzalvaneException(ResultCode.INTERNAL, failure.toString(), failure);
                 }
-                submit(e, caller, Json.parse(body));
+                JsonNode request = Json.parse(body);
+                afterOffset(e, request.path(MIN_OFFSET).asText(""), () -> submit(e, caller, request));
             } catch (RefusedException r) {
                 replyRefusal(e, r.refusal());
             } catch (RuntimeException r) {
@@ -184,6 +190,36 @@
 
     // Helpers
 
+    /** Runs an action once the configuration offset that the caller showed is applied here, or refuses. */
+    private void afterOffset(Exchange e, String shown, Runnable action) {
+        long offset = shown.isEmpty() ? -1 : offset(shown);
+        if (offset <= node.config().appliedOffset()) {
+            action.run();
+            return;
+        }
+        node.reachConfig(offset).thenAccept(reached -> {
+            try {
+                if (!reached) {
+                    String message = "configuration offset " + offset + " has not been read here yet";
+                    throw new RefusedException(Refusal.retry(ResultCode.NOT_READY, message, RETRY_MILLIS));
+                }
+                action.run();
+            } catch (RefusedException r) {
+                replyRefusal(e, r.refusal());
+            } catch (RuntimeException r) {
+                HttpService.replyFailure(e, r);
+            }
+        });
+    }
+
+    private static long offset(String text) {
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException e) {
+            throw new QuetzalvaneException(ResultCode.MALFORMED_REQUEST, MIN_OFFSET + " must be a whole number");
+        }
+    }
+
     private HttpService.Route guarded(HttpService.Route route) {
         return e -> {
             try {
--- a/proofs/src/test/java/org/quetzalvane/proofs/ConfigurationTest.java
+++ b/proofs/src/test/java/org/quetzalvane/proofs/ConfigurationTest.java
@@ -1,11 +1,23 @@
 package org.quetzalvane.proofs;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.stream.Collectors;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.quetzalvane.adapters.http.Json;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.standins.harness.Await;
 import org.quetzalvane.standins.harness.LocalCluster;
 import org.quetzalvane.standins.harness.Records;
 
@@ -13,6 +25,7 @@
 
 /** Configuration over separate processes: lost answers, outages of the log, races and both schemas. */
 class ConfigurationTest {
+    private static final Duration LIMIT = Duration.ofSeconds(30);
     private static LocalCluster cluster;
 
     @BeforeAll
@@ -37,6 +50,92 @@
                 .contains("adapter/lost: in force on 3 of 3 nodes");
     }
 
+    @Test
+    void changeReadByOneNodeSpreadsDuringAnOutage() throws IOException {
+        long end = logEnd();
+        cluster.child("n2").freeze();
+        cluster.child("n3").freeze();
+        cluster.append("config", Json.text(Records.adapter("outage", LocalCluster.BASE_MODEL)));
+        awaitOffset("n1", end);
+        cluster.fault(cluster.logUrl(), "down", 1);
+        cluster.child("n2").thaw();
+        cluster.child("n3").thaw();
+        awaitOffset("n2", end);
+        awaitOffset("n3", end);
+        cluster.fault(cluster.logUrl(), "down", 0);
+        cluster.nodes().forEach(cluster::awaitReady);
+    }
+
+    @Test
+    void nodeStartingFromNothingInAnOutageCatchesUpFromPeers() throws IOException {
+        long end = logEnd();
+        cluster.child("n3").kill();
+        cluster.fault(cluster.logUrl(), "down", 1);
+        cluster.startNode("n3");
+        awaitOffset("n3", end - 1);
+        cluster.fault(cluster.logUrl(), "down", 0);
+        cluster.awaitReady("n3");
+    }
+
+    @Test
+    void nodeBehindTheOffsetShownCatchesUpOrRefuses() throws IOException {
+        cluster.publish(Records.caller("c", "t"), Records.rule("r", "c", "service:*"));
+        long end = logEnd();
+        cluster.child("log").freeze();
+        JsonNode refused = resolveAtLeast(end);
+        cluster.child("log").thaw();
+        assertThat(refused.path("code").asInt()).isEqualTo(ResultCode.NOT_READY.number());
+        cluster.append("config", Json.text(Records.adapter("shown", LocalCluster.BASE_MODEL)));
+        assertThat(resolveAtLeast(end).path("config_offset").asLong()).isGreaterThanOrEqualTo(end);
+    }
+
+    @Test
+    void operatorsRacingInBothSchemasAgreeOnOneWinnerEverywhere() throws IOException {
+        ObjectNode newSchema = Records.adapter("raced", LocalCluster.BASE_MODEL);
+        ObjectNode oldSchema = Json.object()
+                .put("schema", 1)
+                .put("id", "old-operator")
+                .put("type", "adapter")
+                .put("name", "raced")
+                .put("rev", 0)
+                .put("baseModel", LocalCluster.BASE_MODEL);
+        CompletableFuture<Integer> old = CompletableFuture.supplyAsync(() -> publish(oldSchema));
+        int second = publish(newSchema);
+        assertThat(List.of(old.join(), second)).containsExactlyInAnyOrder(0, 1);
+        for (ObjectNode record : List.of(oldSchema, newSchema)) {
+            Set<ObjectNode> outcomes = cluster.nodes().stream()
+                    .map(n -> cluster.get("http://" + cluster.operators(n) + "/outcome?id="
+                            + record.path("id").asText()))
+                    .map(o -> ((ObjectNode) o).put("applied", 0))
+                    .collect(Collectors.toSet());
+            assertThat(outcomes).hasSize(1);
+        }
+    }
+
+    private static int publish(ObjectNode record) {
+        try {
+            return cluster.tryPublish(record);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static JsonNode resolveAtLeast(long offset) {
+        return cluster.caller("t").resolveService("booking", offset).body();
+    }
+
+    private static void awaitOffset(String node, long offset) {
+        Await.until(node + " applies " + offset, LIMIT, () -> appliedOffset(node) >= offset);
+    }
+
+    private static long appliedOffset(String node) {
+        try {
+            return cluster.nodeStatus(node).path("config_offset").asLong();
+        } catch (CompletionException e) {
+            return -1;
+        }
+    }
+
     private static long logEnd() {
         return cluster.get(cluster.logUrl() + "/streams/config?max=0")
                 .path("end")
--- a/standins/src/main/java/org/quetzalvane/standins/harness/CallerClient.java
+++ b/standins/src/main/java/org/quetzalvane/standins/harness/CallerClient.java
@@ -53,6 +53,11 @@
         return resolve("service=" + encode(service));
     }
 
+    /** Asks the nodes in turn for the address of a service under a configuration offset or a newer one. */
+    public Result resolveService(String service, long minConfigOffset) {
+        return resolve("service=" + encode(service) + "&min_config_offset=" + minConfigOffset);
+    }
+
     /** Resolves, connects and asks for a streamed completion. */
     public Result complete(String adapter, int version, String prompt, int tokens) {
         Result where = resolve(adapter, version);
