Never call a call not run when its key is forgotten or held elsewhere; split the caller's API

Cause: a key whose recorded outcome had been evicted was answered with KEY_REQUIRED (109), and a key of another node with HELD_ELSEWHERE (211); both carry notRun, though the call may have run, so a caller would ask for a fresh key and run it twice. A node that merely did not know the holder answered NEVER_WILL_RUN.

First: IdempotencyTableTest failed with KEY_REQUIRED for a forgotten key (example and property) and with an exception thrown through for a call that throws. ForeignKeysTest is new with its class and was not seen failing.

Ruled out: keeping outcomes for ever (no bound); telling 'gone' from silence or the host list (a frozen holder thaws).

CallerApi is split into addresses, completions, services, fields, replies and identifiers.

--- a/adapters/src/main/java/org/quetzalvane/adapters/http/ErrorBody.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/http/ErrorBody.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.exc.HeldElsewhereException;
 import org.quetzalvane.core.request.Refusal;
 
 /**
@@ -21,6 +22,12 @@
         return new ErrorBody(code.number(), code.name(), message, code.provesNotRun(), 0, "");
     }
 
+    /** The form of an answer that names the holder of a key. */
+    public static ErrorBody of(HeldElsewhereException e) {
+        ResultCode c = e.code();
+        return new ErrorBody(c.number(), c.name(), e.getMessage(), false, 0, e.where());
+    }
+
     /** The form of a refusal. */
     public static ErrorBody of(Refusal r) {
         ResultCode c = r.code();
--- a/core/src/main/java/org/quetzalvane/core/ResultCode.java
+++ b/core/src/main/java/org/quetzalvane/core/ResultCode.java
@@ -33,7 +33,6 @@
     LEASE_LAPSED(208, 503, true, "The node holds no valid lease on the engine. The request was not run."),
     ENDPOINT_REJECTED(209, 503, true, "The endpoint proved that it did not run the attempt. The request was not run."),
     ENDPOINT_UNREACHABLE(210, 503, true, "No connection to the endpoint could be made. The request was not run."),
-    HELD_ELSEWHERE(211, 409, true, "The idempotency key belongs to another live node; ask the named address."),
     CANCELLED_IN_QUEUE(212, 499, false, "The caller went away before dispatch. The request was not run."),
 
     OUTCOME_UNKNOWN(301, 502, false, "The request was dispatched and its outcome is unknown."),
@@ -43,6 +42,7 @@
     CALLER_GONE(305, 499, false, "The caller went away during the answer; the attempt was cancelled."),
     ENDPOINT_FAILED(306, 502, false, "The endpoint reported a failure after it began the attempt."),
     PROGRESS_TIMEOUT(307, 504, false, "The endpoint made no progress within the timeout after dispatch."),
+    HELD_ELSEWHERE(308, 409, true, "Another node holds the idempotency key and its outcome; ask the named address."),
 
     RECORD_ACCEPTED(400, 200, false, "The configuration record is in force."),
     RECORD_REPEATED(401, 200, false, "A record with this id was folded before; it changes nothing."),
--- a/core/src/main/java/org/quetzalvane/core/request/IdempotencyTable.java
+++ b/core/src/main/java/org/quetzalvane/core/request/IdempotencyTable.java
@@ -5,7 +5,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
 import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.exc.QuetzalvaneException;
 import org.quetzalvane.core.exc.RefusedException;
 import org.quetzalvane.core.port.ServicePort.ServiceAnswer;
 
@@ -17,6 +19,7 @@
  */
 public final class IdempotencyTable {
     private static final char SEPARATOR = ':';
+    private static final int FIELDS = 3;
 
     private final String prefix;
     private final AtomicLong sequence = new AtomicLong();
@@ -34,7 +37,7 @@
     /** Builds the table of a node's incarnation; forgotten entries can no longer be run. */
     public IdempotencyTable(String node, long incarnation, int maxKeys) {
         this.prefix = node + SEPARATOR + incarnation + SEPARATOR;
-        this.entries = com.github.benmanes.caffeine.cache.Caffeine.newBuilder()
+        this.entries = Caffeine.newBuilder()
                 .maximumSize(maxKeys)
                 .executor(Runnable::run)
                 .build();
@@ -62,7 +65,7 @@
     public static long incarnation(String key) {
         String[] parts = key.split(String.valueOf(SEPARATOR), -1);
         try {
-            return parts.length == 3 ? Long.parseLong(parts[1]) : -1;
+            return parts.length == FIELDS ? Long.parseLong(parts[1]) : -1;
         } catch (NumberFormatException e) {
             return -1;
         }
@@ -71,10 +74,15 @@
     /**
      * Runs the call under an own key, or joins the run that is under way or over.
      *
-     * <p>Fails with {@link RefusedException} when the key is not held for this caller.
+     * <p>Fails with {@link RefusedException} when the key was never issued to this caller, and with
+     * {@link ResultCode#NEVER_WILL_RUN} when it was issued and has been forgotten, since it may have run.
      */
     public CompletableFuture<ServiceAnswer> runOnce(String key, String caller, Start start) {
         Entry e = entries.getIfPresent(key);
+        if (e == null && wasIssued(key)) {
+            String message = "the key's outcome is no longer held; it will never run again";
+            return CompletableFuture.failedFuture(new QuetzalvaneException(ResultCode.NEVER_WILL_RUN, message));
+        }
         if (e == null || !e.caller.equals(caller)) {
             String message = "the key is not held for this caller";
             return CompletableFuture.failedFuture(new RefusedException(Refusal.of(ResultCode.KEY_REQUIRED, message)));
@@ -87,7 +95,7 @@
             outcome = new CompletableFuture<>();
             e.outcome = outcome;
         }
-        start.run().whenComplete((answer, failure) -> {
+        begin(start).whenComplete((answer, failure) -> {
             if (failure == null) {
                 outcome.complete(answer);
             } else {
@@ -97,6 +105,26 @@
         return outcome;
     }
 
+    private boolean wasIssued(String key) {
+        if (!isOwn(key)) {
+            return false;
+        }
+        try {
+            long number = Long.parseLong(key.substring(prefix.length()));
+            return number > 0 && number <= sequence.get();
+        } catch (NumberFormatException e) {
+            return false;
+        }
+    }
+
+    private static CompletableFuture<ServiceAnswer> begin(Start start) {
+        try {
+            return start.run();
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
     /** Starts the one run under a key. */
     @FunctionalInterface
     public interface Start {
--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/request/ForeignKeysTest.java
@@ -0,0 +1,37 @@
+package org.quetzalvane.core.request;
+
+import java.util.Optional;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.cluster.NodeInfo;
+import org.quetzalvane.core.exc.QuetzalvaneException;
+import org.quetzalvane.core.model.DataCentre;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** What is said of another process's key: only a later incarnation proves the holder gone. */
+class ForeignKeysTest {
+    private final ForeignKeys keys =
+            new ForeignKeys(node("n1", 5), name -> "n2".equals(name) ? Optional.of(node("n2", 7)) : Optional.empty());
+
+    @ParameterizedTest
+    @CsvSource({
+        "n2:7:1, HELD_ELSEWHERE",
+        "n2:6:1, NEVER_WILL_RUN",
+        "n2:8:1, OUTCOME_UNKNOWN",
+        "n3:7:1, OUTCOME_UNKNOWN",
+        "n1:4:1, NEVER_WILL_RUN",
+        "nonsense, KEY_REQUIRED",
+    })
+    void answersWhatIsTrue(String key, ResultCode expected) {
+        QuetzalvaneException answer = keys.answer(key);
+        assertThat(answer.code()).isEqualTo(expected);
+        assertThat(answer.code().provesNotRun()).isEqualTo(expected == ResultCode.KEY_REQUIRED);
+    }
+
+    private static NodeInfo node(String name, long incarnation) {
+        return new NodeInfo(name, incarnation, name, new DataCentre("r", "a"), name + ":1", name + ":2");
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/request/IdempotencyTableTest.java
@@ -0,0 +1,111 @@
+package org.quetzalvane.core.request;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.exc.QuetzalvaneException;
+import org.quetzalvane.core.port.ServicePort.ServiceAnswer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** A call under a key runs at most once, whatever is repeated, forgotten or lost. */
+class IdempotencyTableTest {
+    private static final String CALLER = "angler";
+    private static final ServiceAnswer ANSWER = new ServiceAnswer(200, "{}");
+
+    private final IdempotencyTable table = new IdempotencyTable("n1", 7, 10);
+
+    /** One step of a history. Immutable. */
+    record Step(boolean issue, int key, int table, boolean answered) {}
+
+    @Test
+    void recordedOutcomeIsForgottenButNeverRunAgainNorCalledNotRun() {
+        IdempotencyTable small = new IdempotencyTable("n1", 7, 1);
+        String key = small.issue(CALLER);
+        assertThat(small.runOnce(key, CALLER, () -> CompletableFuture.completedFuture(ANSWER)))
+                .isCompletedWithValue(ANSWER);
+        for (int i = 0; i < 100; i++) {
+            small.issue("rival");
+        }
+        ResultCode code = codeOf(small.runOnce(key, CALLER, () -> {
+            throw new AssertionError("ran again");
+        }));
+        assertThat(code).isEqualTo(ResultCode.NEVER_WILL_RUN);
+        assertThat(code.provesNotRun()).isFalse();
+    }
+
+    @Test
+    void keyThatWasNeverIssuedOrIsAnotherCallersIsRefused() {
+        String key = table.issue(CALLER);
+        assertThat(codeOf(table.runOnce(key, "rival", this::mustNotRun))).isEqualTo(ResultCode.KEY_REQUIRED);
+        assertThat(codeOf(table.runOnce("n1:7:99", CALLER, this::mustNotRun))).isEqualTo(ResultCode.KEY_REQUIRED);
+        assertThat(codeOf(table.runOnce("n1:7:x", CALLER, this::mustNotRun))).isEqualTo(ResultCode.KEY_REQUIRED);
+    }
+
+    @Test
+    void callThatThrowsIsRecordedSoThatRepeatsDoNotHang() {
+        String key = table.issue(CALLER);
+        CompletableFuture<ServiceAnswer> first = table.runOnce(key, CALLER, () -> {
+            throw new IllegalStateException("after the write");
+        });
+        assertThat(first).isCompletedExceptionally();
+        assertThat(table.runOnce(key, CALLER, this::mustNotRun)).isCompletedExceptionally();
+    }
+
+    @Property(seed = "20261203", tries = 300)
+    void runsAtMostOnceWhateverIsRepeatedForgottenOrLost(@ForAll("histories") List<Step> history) {
+        List<IdempotencyTable> nodes = List.of(
+                new IdempotencyTable("n1", 1, 3), new IdempotencyTable("n1", 2, 3), new IdempotencyTable("n2", 1, 3));
+        List<String> keys = new ArrayList<>();
+        Map<String, Integer> runs = new HashMap<>();
+        for (Step s : history) {
+            IdempotencyTable node = nodes.get(s.table);
+            if (s.issue || keys.isEmpty()) {
+                keys.add(node.issue(CALLER));
+                continue;
+            }
+            String key = keys.get(s.key % keys.size());
+            int before = runs.getOrDefault(key, 0);
+            CompletableFuture<ServiceAnswer> outcome = node.runOnce(key, CALLER, () -> {
+                runs.merge(key, 1, Integer::sum);
+                return s.answered ? CompletableFuture.completedFuture(ANSWER) : new CompletableFuture<>();
+            });
+            assertThat(runs.getOrDefault(key, 0)).isLessThanOrEqualTo(1);
+            if (before > 0 && node.isOwn(key) && outcome.isCompletedExceptionally()) {
+                assertThat(codeOf(outcome).provesNotRun()).as(key).isFalse();
+            }
+        }
+    }
+
+    @Provide
+    Arbitrary<List<Step>> histories() {
+        return Combinators.combine(
+                        Arbitraries.of(true, false, false),
+                        Arbitraries.integers().between(0, 20),
+                        Arbitraries.integers().between(0, 2),
+                        Arbitraries.of(true, false))
+                .as(Step::new)
+                .list()
+                .ofMaxSize(60);
+    }
+
+    private CompletableFuture<ServiceAnswer> mustNotRun() {
+        throw new AssertionError("ran");
+    }
+
+    private static ResultCode codeOf(CompletableFuture<ServiceAnswer> outcome) {
+        assertThat(outcome).isCompletedExceptionally();
+        return QuetzalvaneException.codeOf(outcome.handle((a, f) -> f).join());
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/quetzalvane/node/CompletionApi.java
@@ -0,0 +1,68 @@
+package org.quetzalvane.node;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.quetzalvane.adapters.http.Exchange;
+import org.quetzalvane.adapters.http.Json;
+import org.quetzalvane.core.model.AdapterVersion;
+import org.quetzalvane.core.model.Caller;
+import org.quetzalvane.core.node.Coordinator;
+import org.quetzalvane.core.request.InferenceRequest;
+
+/** Takes completions. Thread-safe. */
+final class CompletionApi {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
+    private static final long MAX_TIMEOUT_MILLIS = 300_000;
+    private static final int DEFAULT_MAX_TOKENS = 256;
+    private static final int MAX_TOKENS = 1_000_000;
+    private static final int MAX_PRIORITY = 9;
+
+    private final Coordinator node;
+    private final RequestIds ids;
+
+    CompletionApi(Coordinator node, RequestIds ids) {
+        this.node = node;
+        this.ids = ids;
+    }
+
+    void complete(Exchange e, Caller caller) {
+        e.body().whenComplete((body, failure) -> {
+            try {
+                if (failure != null) {
+                    Replies.failure(e, failure);
+                } else {
+                    submit(e, caller, Json.parse(body));
+                }
+            } catch (RuntimeException r) {
+                Replies.failure(e, r);
+            }
+        });
+    }
+
+    private void submit(Exchange e, Caller caller, JsonNode body) {
+        AdapterVersion v = new AdapterVersion(
+                Fields.text(body, "adapter"),
+                Fields.version(body.path("version").asText()));
+        node.access().checkAdapter(caller, v);
+        InferenceRequest request = request(caller, v, body);
+        CompletionSink sink = body.path("stream").asBoolean(false)
+                ? CompletionSink.streaming(e, request)
+                : CompletionSink.whole(e, request);
+        sink.onGone(node.submit(request, sink));
+    }
+
+    private InferenceRequest request(Caller caller, AdapterVersion v, JsonNode body) {
+        long now = node.context().scheduler().nanoTime();
+        long timeout = Fields.whole(body, "timeout_ms", DEFAULT_TIMEOUT_MILLIS, 1, MAX_TIMEOUT_MILLIS);
+        return new InferenceRequest(
+                ids.next(),
+                caller.name(),
+                v,
+                Fields.text(body, "prompt"),
+                (int) Fields.whole(body, "max_tokens", DEFAULT_MAX_TOKENS, 1, MAX_TOKENS),
+                (int) Fields.whole(body, "priority", 0, 0, MAX_PRIORITY),
+                now,
+                now + timeout * NANOS_PER_MILLI,
+                body.path("idempotent").asBoolean(true));
+    }
+}
--- a/node/src/main/java/org/quetzalvane/node/CompletionSink.java
+++ b/node/src/main/java/org/quetzalvane/node/CompletionSink.java
@@ -70,7 +70,7 @@
 
     @Override
     public void refused(Refusal refusal) {
-        CallerApi.replyRefusal(exchange, refusal);
+        Replies.refusal(exchange, refusal);
     }
 
     @Override
--- /dev/null
+++ b/node/src/main/java/org/quetzalvane/node/ServiceApi.java
@@ -0,0 +1,60 @@
+package org.quetzalvane.node;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+
+import org.quetzalvane.adapters.http.Exchange;
+import org.quetzalvane.core.model.Caller;
+import org.quetzalvane.core.model.Service;
+import org.quetzalvane.core.node.Coordinator;
+import org.quetzalvane.core.port.ServicePort.ServiceAnswer;
+import org.quetzalvane.core.port.ServicePort.ServiceCall;
+import org.quetzalvane.core.request.ForeignKeys;
+import org.quetzalvane.core.request.IdempotencyTable;
+
+/** Takes calls of plain services; a call marked as not idempotent runs at most once under its key. Thread-safe. */
+final class ServiceApi {
+    static final String PATH = "/v1/services/";
+
+    private static final long TIMEOUT_MILLIS = 30_000;
+
+    private final Coordinator node;
+    private final IdempotencyTable keys;
+    private final ForeignKeys foreign;
+    private final RequestIds ids;
+
+    ServiceApi(Coordinator node, IdempotencyTable keys, RequestIds ids) {
+        this.node = node;
+        this.keys = keys;
+        this.foreign = new ForeignKeys(node.context().self(), node.membership()::find);
+        this.ids = ids;
+    }
+
+    void call(Exchange e, Caller caller) {
+        String name = e.path().substring(PATH.length());
+        node.access().checkService(caller, name);
+        e.body()
+                .thenCompose(body -> dispatch(e, caller, name, new String(body, StandardCharsets.UTF_8)))
+                .whenComplete((answer, failure) -> {
+                    if (failure == null) {
+                        byte[] body = answer.body().getBytes(StandardCharsets.UTF_8);
+                        e.reply(answer.status(), "application/json", body);
+                    } else {
+                        Replies.failure(e, failure);
+                    }
+                });
+    }
+
+    private CompletableFuture<ServiceAnswer> dispatch(Exchange e, Caller caller, String name, String body) {
+        Service service = node.config().read(s -> s.service(name)).orElseThrow();
+        boolean idempotent = !"false".equals(e.header("Idempotent"));
+        ServiceCall call = new ServiceCall(ids.next(), caller.name(), idempotent, body, TIMEOUT_MILLIS);
+        if (idempotent) {
+            return node.ports().services().call(service, call);
+        }
+        String key = e.header("Idempotency-Key");
+        return key == null || !keys.isOwn(key)
+                ? CompletableFuture.failedFuture(foreign.answer(key))
+                : keys.runOnce(key, caller.name(), () -> node.ports().services().call(service, call));
+    }
+}
