Bound what one request dispatches, and take no denial after the echo as proof

Cause: an idempotent request that the engine's address refused was put back and dispatched again without bound (500 attempts, the test's cap, at one instant of the paused clock); a request marked as not idempotent was dispatched again after a denial; a denial after the echo or after a part left the request with no final answer or called it not run.

First: AttemptFaultsTest failed in four of sixteen cases: denied after a part, denied after the echo, nonIdempotentRequestIsDispatchedOnceInAll, engineThatCannotBeReachedIsNotTriedWithoutBound. The other twelve passed on the code as it was and are not shown failing.

Now: a ticket returns to the queue at most three times, never when it is not idempotent; answers pass through SerialSink, which lets nothing follow the final answer even when parts and failures come from different threads.

--- a/core/src/main/java/org/quetzalvane/core/load/RunningAttempt.java
+++ b/core/src/main/java/org/quetzalvane/core/load/RunningAttempt.java
@@ -11,7 +11,8 @@
  * One dispatched attempt: checks the engine's echo and passes the answer on while the attempt is current.
  *
  * <p>Invariants: no part passes before the echo named this attempt and exactly the adapter version asked; parts pass
- * only in order without gaps; after the attempt has ended nothing passes. Thread-safe.
+ * only in order without gaps; after the attempt has ended nothing passes; after the echo no failure counts as proof
+ * that the attempt did not run. Thread-safe.
  */
 final class RunningAttempt implements AttemptListener {
     private final String id;
@@ -118,9 +119,13 @@
 
     @Override
     public void failed(EndpointException failure) {
+        boolean begun;
+        synchronized (this) {
+            begun = echoed;
+        }
         if (end()) {
             dispatcher.ended(this);
-            dispatcher.attemptFailed(this, failure);
+            dispatcher.attemptFailed(this, begun ? afterEcho(failure) : failure);
         }
     }
 
@@ -133,6 +138,11 @@
         }
     }
 
+    /** An engine that named the attempt as its own cannot prove afterwards that it did not run it. */
+    private static EndpointException afterEcho(EndpointException failure) {
+        return new EndpointException(failure.code(), failure.getMessage(), false);
+    }
+
     private synchronized boolean hasEnded() {
         return ended;
     }
--- a/core/src/main/java/org/quetzalvane/core/request/Ticket.java
+++ b/core/src/main/java/org/quetzalvane/core/request/Ticket.java
@@ -1,5 +1,6 @@
 package org.quetzalvane.core.request;
 
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.quetzalvane.core.ResultCode;
@@ -11,8 +12,11 @@
  * before dispatch or when the endpoint proved that it did not run the attempt. Thread-safe.
  */
 public final class Ticket {
+    private static final int MAX_REQUEUES = 3;
+
     private final InferenceRequest request;
     private final AnswerSink sink;
+    private final AtomicInteger requeues = new AtomicInteger();
     private final AtomicReference<State> state = new AtomicReference<>(State.QUEUED);
     private volatile boolean callerGone;
 
@@ -33,7 +37,7 @@
 
     public Ticket(InferenceRequest request, AnswerSink sink) {
         this.request = request;
-        this.sink = sink;
+        this.sink = new SerialSink(sink);
     }
 
     public InferenceRequest request() {
@@ -49,8 +53,14 @@
         return state.compareAndSet(State.QUEUED, State.DISPATCHED);
     }
 
-    /** Returns a dispatched request that was proved not run to the queue. */
+    /**
+     * Returns a dispatched request that was proved not run to the queue; false when it must not be dispatched again:
+     * it is not idempotent, or has been dispatched too often.
+     */
     public boolean requeue() {
+        if (!request.idempotent() || requeues.incrementAndGet() > MAX_REQUEUES) {
+            return false;
+        }
         return state.compareAndSet(State.DISPATCHED, State.QUEUED);
     }
 
