Retry idempotent requests within a tenth of the traffic; notice callers that leave while they wait

Cause: nothing was tried on another engine; a caller that closed its connection before the first part was noticed only by the next write, so a queued or whole answer ran on for nobody; a cancellation could overtake the request it was meant for, since each message between nodes is sent from a thread of its own; an owner ran on when the connection to the node that forwarded was gone; closing the callers' server waited ten seconds for answers whatever the drain limit.

First: LongAnswerTest.callerThatLeavesWhileItWaitsIsNoticed waited 20 s in vain without the watch. The other cases of LongAnswerTest passed at once: Jetty does not cut off an answer that takes longer than the read timeout, so that suspect is ruled out.

Ruled out: interim responses as signs of life for whole answers (common clients take a 102 for the answer); resuming a stream at another engine (no engine says that it can), so nothing is tried again after a part was passed on.

--- a/adapters/src/main/java/org/quetzalvane/adapters/http/EventStream.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/http/EventStream.java
@@ -19,22 +19,33 @@
     private final Callback callback;
     private final int bufferLimitBytes;
     private final Runnable gone;
+    private final Runnable closing;
     private final Deque<byte[]> pending = new ArrayDeque<>();
     private int pendingBytes;
     private boolean writing;
     private boolean ending;
     private boolean over;
 
-    EventStream(Response response, Callback callback, int bufferLimitBytes, Runnable gone) {
+    EventStream(Response response, Callback callback, int bufferLimitBytes, Runnable gone, Runnable closing) {
         this.response = response;
         this.callback = callback;
         this.bufferLimitBytes = bufferLimitBytes;
         this.gone = gone;
+        this.closing = closing;
     }
 
     /** Sends one event with a JSON value. */
     public void send(Object value) {
-        byte[] frame = ("data: " + Json.text(value) + "\n\n").getBytes(StandardCharsets.UTF_8);
+        write("data: " + Json.text(value) + "\n\n");
+    }
+
+    /** Sends a comment, which readers of events skip: a sign of life. */
+    public void comment(String text) {
+        write(": " + text + "\n\n");
+    }
+
+    private void write(String text) {
+        byte[] frame = text.getBytes(StandardCharsets.UTF_8);
         boolean overrun;
         synchronized (this) {
             if (over || ending) {
@@ -67,6 +78,7 @@
             }
             over = true;
         }
+        closing.run();
         callback.failed(new java.io.IOException("aborted"));
     }
 
@@ -84,6 +96,9 @@
             writing = true;
             over = last;
         }
+        if (last) {
+            closing.run();
+        }
         response.write(last, chunk, last ? callback : Callback.from(this::written, this::broken));
     }
 
@@ -102,6 +117,7 @@
             over = true;
             pending.clear();
         }
+        closing.run();
         callback.failed(failure);
         gone.run();
     }
--- a/adapters/src/main/java/org/quetzalvane/adapters/http/Exchange.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/http/Exchange.java
@@ -8,6 +8,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Fields;
+import org.quetzalvane.core.time.Scheduler;
 
 /** One HTTP request with its response. Answered exactly once; thread-safe as far as Jetty's response is. */
 public final class Exchange {
@@ -17,6 +18,8 @@
     private final Response response;
     private final Callback callback;
     private final int bodyLimitBytes;
+    private boolean answered;
+    private GoneWatch watch;
 
     Exchange(Request request, Response response, Callback callback, int bodyLimitBytes) {
         this.request = request;
@@ -69,6 +72,7 @@
 
     /** Answers with bytes. */
     public void reply(int status, String type, byte[] body) {
+        answered();
         response.setStatus(status);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, type);
         response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
@@ -79,11 +83,40 @@
     public EventStream stream(int bufferLimitBytes, Runnable gone) {
         response.setStatus(200);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/event-stream");
-        return new EventStream(response, callback, bufferLimitBytes, gone);
+        return new EventStream(response, callback, bufferLimitBytes, gone, this::answered);
+    }
+
+    /**
+     * Runs an action once when the caller closes its connection before the answer has ended; call after the body was
+     * read and at most once.
+     */
+    public void whenGone(Scheduler scheduler, Runnable action) {
+        GoneWatch started = new GoneWatch(
+                request.getConnectionMetaData().getConnection().getEndPoint(), action, this::closeAfterAnswer);
+        synchronized (this) {
+            if (answered) {
+                return;
+            }
+            watch = started.start(scheduler);
+        }
     }
 
     /** Breaks the connection off without an answer. */
     public void abort() {
+        answered();
         callback.failed(new java.io.IOException("aborted"));
     }
+
+    private synchronized void answered() {
+        answered = true;
+        if (watch != null) {
+            watch.stop();
+        }
+    }
+
+    private void closeAfterAnswer() {
+        if (!response.isCommitted()) {
+            response.getHeaders().put(HttpHeader.CONNECTION, "close");
+        }
+    }
 }
--- a/adapters/src/main/java/org/quetzalvane/adapters/http/HttpService.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/http/HttpService.java
@@ -43,6 +43,7 @@
         private final Map<String, Route> routes = new LinkedHashMap<>();
         private int bodyLimitBytes = 1 << 20;
         private Duration idleTimeout = IDLE_TIMEOUT;
+        private Duration stopTimeout = STOP_TIMEOUT;
         private int maxThreads = 32;
 
         public Builder route(String method, String path, Route route) {
@@ -60,6 +61,12 @@
             return this;
         }
 
+        /** Longest wait, on closing, for requests in progress to be answered. */
+        public Builder stopTimeout(Duration timeout) {
+            stopTimeout = timeout;
+            return this;
+        }
+
         public Builder maxThreads(int threads) {
             maxThreads = threads;
             return this;
@@ -87,7 +94,7 @@
         connector.setIdleTimeout(b.idleTimeout.toMillis());
         server.addConnector(connector);
         server.setHandler(new GracefulHandler(new Dispatch(Map.copyOf(b.routes), b.bodyLimitBytes)));
-        server.setStopTimeout(STOP_TIMEOUT.toMillis());
+        server.setStopTimeout(b.stopTimeout.toMillis());
     }
 
     public static Builder builder() {
--- a/adapters/src/main/java/org/quetzalvane/adapters/peer/PeerConnection.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/peer/PeerConnection.java
@@ -59,7 +59,7 @@
                 framesRead++;
                 receive(FrameCodec.decode(frame, Frame.class));
             }
-        } catch (IOException | QuetzalvaneException e) {
+        } catch (IOException | RuntimeException e) {
             closeWith(e);
         }
     }
@@ -135,14 +135,14 @@
         calls.values().forEach(c -> c.end.completeExceptionally(broken(String.valueOf(cause.getMessage()))));
     }
 
-    private static QuetzalvaneException broken(String message) {
-        return new QuetzalvaneException(ResultCode.OUTCOME_UNKNOWN, message);
-    }
-
     private static QuetzalvaneException unavailable(String message) {
         return new QuetzalvaneException(ResultCode.PEER_UNAVAILABLE, message);
     }
 
+    private static QuetzalvaneException broken(String message) {
+        return new QuetzalvaneException(ResultCode.OUTCOME_UNKNOWN, message);
+    }
+
     private final class FrameReply implements PeerPort.Reply {
         private final long id;
 
@@ -150,6 +150,11 @@
             this.id = id;
         }
 
+        @Override
+        public boolean isOpen() {
+            return !closed;
+        }
+
         @Override
         public void part(PeerMessage message) {
             send(new Frame(id, true, false, message));
--- a/core/src/main/java/org/quetzalvane/core/node/Coordinator.java
+++ b/core/src/main/java/org/quetzalvane/core/node/Coordinator.java
@@ -1,5 +1,6 @@
 package org.quetzalvane.core.node;
 
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import org.quetzalvane.core.ResultCode;
@@ -62,6 +63,7 @@
     private final DispatcherRegistry dispatchers;
     private final Placement placement;
     private final Forwarding forwarding;
+    private final Retries retries;
     private final LogFollower configFollower;
     private final LogFollower claimFollower;
     private volatile boolean draining;
@@ -96,7 +98,10 @@
             governor.ended(m);
             reply.end(m);
         });
-        forwarding = new Forwarding(context, ports.peers(), (request, sink) -> submit(request, sink, false));
+        forwarding =
+                new Forwarding(context, ports.peers(), (request, avoid, sink) -> submit(request, avoid, sink, false)
+                        .cancel());
+        retries = new Retries(context, (request, avoid, sink) -> submit(request, avoid, sink, true));
         forwarding.serveOn(peerRouter);
         peerRouter.serve(PeerMessage.Heartbeat.class, (m, reply) -> {
             events.clock().observe(m.time());
@@ -148,44 +153,41 @@
 
     /** Chooses engine and node for an adapter version; fails with {@link RefusedException} when there is none now. */
     public Route route(AdapterVersion v) {
-        return placement
-                .route(v)
-                .orElseThrow(() -> new RefusedException(
-                        Refusal.retry(ResultCode.NO_ENGINE, "no engine can take " + v + " now", RETRY_MILLIS)));
+        return placement.route(v).orElseThrow(() -> new RefusedException(noEngine(v)));
     }
 
     /**
      * Takes a request of an authenticated and authorised caller; the sink hears its one final answer.
      *
-     * <p>A request for an engine of another node is forwarded to it, once.
+     * <p>A request for an engine of another node is forwarded to it, by one hop; an idempotent request that fails is
+     * tried again within a budget.
      *
      * @return cancels the request when the caller goes away
      */
     public Runnable submit(InferenceRequest request, AnswerSink sink) {
-        return submit(request, sink, true);
+        return retries.submit(request, sink);
     }
 
-    private Runnable submit(InferenceRequest request, AnswerSink sink, boolean mayForward) {
-        Route route;
-        try {
-            route = route(request.version());
-        } catch (RefusedException e) {
-            sink.refused(e.refusal());
-            return () -> {};
+    private Retries.Started submit(InferenceRequest request, Set<String> avoid, AnswerSink sink, boolean mayForward) {
+        Route route = placement.route(request.version(), avoid).orElse(null);
+        if (route == null) {
+            sink.refused(noEngine(request.version()));
+            return new Retries.Started("", () -> {});
         }
-        EngineDispatcher dispatcher = dispatchers.find(route.engine().name()).orElse(null);
+        String engine = route.engine().name();
+        EngineDispatcher dispatcher = dispatchers.find(engine).orElse(null);
         if (dispatcher != null) {
             Ticket ticket = new Ticket(request, sink);
             dispatcher.submit(ticket);
-            return () -> dispatcher.cancel(ticket);
+            return new Retries.Started(engine, () -> dispatcher.cancel(ticket));
         }
         if (mayForward && !route.owner().node().equals(context.self().node())) {
-            return forwarding.forward(request, route.owner(), sink);
+            return new Retries.Started(engine, forwarding.forward(request, route.owner(), avoid, sink));
         }
         String message = "the engine is owned by " + route.owner().node();
         sink.refused(Refusal.retry(ResultCode.NOT_OWNER, message, 0)
                 .withWhere(route.owner().callerAddress()));
-        return () -> {};
+        return new Retries.Started(engine, () -> {});
     }
 
     /** Whether the configuration known to the log has been applied and the node is not leaving. */
@@ -236,6 +238,10 @@
 
     // Helpers
 
+    private static Refusal noEngine(AdapterVersion v) {
+        return Refusal.retry(ResultCode.NO_ENGINE, "no engine can take " + v + " now", RETRY_MILLIS);
+    }
+
     private boolean mayDispatch(String engine) {
         return ownership.mayDispatch(engine);
     }
--- a/core/src/main/java/org/quetzalvane/core/node/Forwarding.java
+++ b/core/src/main/java/org/quetzalvane/core/node/Forwarding.java
@@ -2,8 +2,11 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.cluster.NodeContext;
 import org.quetzalvane.core.cluster.NodeInfo;
@@ -15,6 +18,7 @@
 import org.quetzalvane.core.request.AnswerSink;
 import org.quetzalvane.core.request.InferenceRequest;
 import org.quetzalvane.core.request.Refusal;
+import org.quetzalvane.core.request.SerialSink;
 import org.quetzalvane.core.time.Scheduler;
 
 /**
@@ -28,16 +32,21 @@
     private static final Duration ALIVE_PERIOD = Duration.ofMillis(500);
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long RETRY_MILLIS = 500;
+    private static final int CANCELLATIONS_KEPT = 1000;
 
     private final NodeContext context;
     private final PeerPort peers;
     private final LocalSubmit local;
     private final Map<String, Runnable> served = new ConcurrentHashMap<>();
+    private final Cache<String, Boolean> cancelled = Caffeine.newBuilder()
+            .maximumSize(CANCELLATIONS_KEPT)
+            .executor(Runnable::run)
+            .build();
 
     /** Takes a request on this node only; returns its cancellation. */
     @FunctionalInterface
     interface LocalSubmit {
-        Runnable submit(InferenceRequest request, AnswerSink sink);
+        Runnable submit(InferenceRequest request, Set<String> avoid, AnswerSink sink);
     }
 
     Forwarding(NodeContext context, PeerPort peers, LocalSubmit local) {
@@ -49,6 +58,7 @@
     void serveOn(PeerRouter router) {
         router.serve(PeerMessage.Forward.class, this::serve);
         router.serve(PeerMessage.ForwardCancel.class, (m, reply) -> {
+            cancelled.put(m.requestId(), true);
             Runnable cancel = served.get(m.requestId());
             if (cancel != null) {
                 cancel.run();
@@ -58,18 +68,27 @@
     }
 
     /** Sends a request to the owner of its engine and passes the answer on; returns its cancellation. */
-    Runnable forward(InferenceRequest request, NodeInfo owner, AnswerSink sink) {
+    Runnable forward(InferenceRequest request, NodeInfo owner, Set<String> avoid, AnswerSink answer) {
         context.events().record(EventCode.REQUEST_FORWARDED, request.id(), "to " + owner.node());
         long remaining = (request.deadlineNanos() - context.scheduler().nanoTime()) / NANOS_PER_MILLI;
-        peers.call(owner.peerAddress(), new PeerMessage.Forward(request, remaining), part -> passPart(part, sink))
-                .whenComplete((end, failure) -> {
-                    if (failure != null) {
-                        passFailure(owner, QuetzalvaneException.codeOf(failure), failure, sink);
-                    } else {
-                        passEnd(end, sink);
-                    }
-                });
-        return () -> peers.call(owner.peerAddress(), new PeerMessage.ForwardCancel(request.id()));
+        AnswerSink sink = new SerialSink(answer);
+        PeerMessage message = new PeerMessage.Forward(request, remaining, avoid);
+        peers.call(owner.peerAddress(), message, part -> passPart(part, sink)).whenComplete((end, failure) -> {
+            if (failure == null) {
+                passEnd(end, sink);
+                return;
+            }
+            ResultCode code = QuetzalvaneException.codeOf(failure);
+            if (code != ResultCode.PEER_UNAVAILABLE) {
+                cancel(request, owner);
+            }
+            passFailure(owner, code, failure, sink);
+        });
+        return () -> cancel(request, owner);
+    }
+
+    private void cancel(InferenceRequest request, NodeInfo owner) {
+        peers.call(owner.peerAddress(), new PeerMessage.ForwardCancel(request.id()));
     }
 
     private static void passPart(PeerMessage part, AnswerSink sink) {
@@ -106,15 +125,12 @@
         InferenceRequest sent = m.request();
         long now = context.scheduler().nanoTime();
         InferenceRequest request = sent.withTimes(now, now + m.remainingMillis() * NANOS_PER_MILLI);
-        Scheduler.Timer alive =
-                context.scheduler().repeat(ALIVE_PERIOD, () -> reply.part(new PeerMessage.ForwardAlive()));
-        ReplySink sink = new ReplySink(request.id(), reply, alive);
-        Runnable cancel = local.submit(request, sink);
-        if (!sink.over) {
-            served.put(request.id(), cancel);
-        }
-        if (sink.over) {
-            served.remove(request.id());
+        ReplySink sink = new ReplySink(request.id(), reply);
+        Set<String> avoid = m.avoid() == null ? Set.of() : m.avoid();
+        try {
+            sink.started(local.submit(request, avoid, sink));
+        } catch (RuntimeException e) {
+            sink.failed(ResultCode.INTERNAL, e.toString());
         }
     }
 
@@ -125,10 +141,29 @@
         private final Scheduler.Timer alive;
         private volatile boolean over;
 
-        ReplySink(String id, PeerPort.Reply reply, Scheduler.Timer alive) {
+        ReplySink(String id, PeerPort.Reply reply) {
             this.id = id;
             this.reply = reply;
-            this.alive = alive;
+            this.alive = context.scheduler().repeat(ALIVE_PERIOD, this::signOfLife);
+        }
+
+        /** Makes the request cancellable; cancels it when that was asked before it came. */
+        void started(Runnable cancel) {
+            served.put(id, cancel);
+            if (over) {
+                served.remove(id);
+            } else if (cancelled.getIfPresent(id) != null) {
+                cancel.run();
+            }
+        }
+
+        private void signOfLife() {
+            Runnable cancel = served.get(id);
+            if (reply.isOpen()) {
+                reply.part(new PeerMessage.ForwardAlive());
+            } else if (cancel != null) {
+                cancel.run();
+            }
         }
 
         @Override
--- a/core/src/main/java/org/quetzalvane/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/peer/PeerMessage.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.core.peer;
 
 import java.util.List;
+import java.util.Set;
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
@@ -56,8 +57,9 @@
      *
      * @param request the request; its instants are replaced by the receiver
      * @param remainingMillis time left until its deadline, in milliseconds
+     * @param avoid names of engines that failed it before
      */
-    record Forward(InferenceRequest request, long remainingMillis) implements PeerMessage {}
+    record Forward(InferenceRequest request, long remainingMillis, Set<String> avoid) implements PeerMessage {}
 
     /**
      * A part of a forwarded request's answer.
--- a/core/src/main/java/org/quetzalvane/core/peer/PeerPort.java
+++ b/core/src/main/java/org/quetzalvane/core/peer/PeerPort.java
@@ -29,6 +29,12 @@
 
     /** Where the answer to one message goes: any number of parts, then one end. */
     interface Reply {
+
+        /** Whether an answer can still reach the other node. */
+        default boolean isOpen() {
+            return true;
+        }
+
         void part(PeerMessage message);
 
         void end(PeerMessage message);
--- a/core/src/main/java/org/quetzalvane/core/request/AnswerSink.java
+++ b/core/src/main/java/org/quetzalvane/core/request/AnswerSink.java
@@ -21,4 +21,13 @@
 
     /** The request was dispatched and did not finish whole, or its outcome is unknown. */
     void failed(ResultCode code, String message);
+
+    /**
+     * Asked before a request is tried again: takes the parts given so far back.
+     *
+     * @return false when parts were passed on and cannot be taken back
+     */
+    default boolean restart() {
+        return false;
+    }
 }
--- a/core/src/main/java/org/quetzalvane/core/request/InferenceRequest.java
+++ b/core/src/main/java/org/quetzalvane/core/request/InferenceRequest.java
@@ -26,6 +26,12 @@
         long deadlineNanos,
         boolean idempotent) {
 
+    /** A copy under another identifier, for another try. */
+    public InferenceRequest withId(String newId) {
+        return new InferenceRequest(
+                newId, caller, version, prompt, maxTokens, priority, arrivalNanos, deadlineNanos, idempotent);
+    }
+
     /** A copy with other instants, for a node with another clock. */
     public InferenceRequest withTimes(long arrival, long deadline) {
         return new InferenceRequest(id, caller, version, prompt, maxTokens, priority, arrival, deadline, idempotent);
--- a/core/src/main/java/org/quetzalvane/core/routing/Placement.java
+++ b/core/src/main/java/org/quetzalvane/core/routing/Placement.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.quetzalvane.core.cluster.Membership;
 import org.quetzalvane.core.cluster.NodeInfo;
@@ -31,10 +32,20 @@
 
     /** The route for an adapter version, or empty when no engine can take it now. */
     public Optional<Route> route(AdapterVersion v) {
+        return route(v, Set.of());
+    }
+
+    /** The route that avoids engines by name where another can take the request. */
+    public Optional<Route> route(AdapterVersion v, Set<String> avoid) {
+        Optional<Route> other = first(v, avoid);
+        return other.isPresent() || avoid.isEmpty() ? other : first(v, Set.of());
+    }
+
+    private Optional<Route> first(AdapterVersion v, Set<String> avoid) {
         List<Engine> fitting = config.read(s -> fitting(s, v));
         for (Engine e : Rendezvous.rank(v.toString(), fitting, Engine::name)) {
             Optional<NodeInfo> owner = ownership.ownerOf(e.name());
-            if (owner.isPresent() && !membership.hostLeaving(e.host())) {
+            if (!avoid.contains(e.name()) && owner.isPresent() && !membership.hostLeaving(e.host())) {
                 return Optional.of(new Route(e, owner.get()));
             }
         }
--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/node/RetriesTest.java
@@ -0,0 +1,172 @@
+package org.quetzalvane.core.node;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BiConsumer;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.cluster.NodeContext;
+import org.quetzalvane.core.cluster.NodeInfo;
+import org.quetzalvane.core.event.EventLog;
+import org.quetzalvane.core.event.HybridClock;
+import org.quetzalvane.core.model.AdapterVersion;
+import org.quetzalvane.core.model.DataCentre;
+import org.quetzalvane.core.request.AnswerSink;
+import org.quetzalvane.core.request.InferenceRequest;
+import org.quetzalvane.core.request.Refusal;
+import org.quetzalvane.core.time.ManualScheduler;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Which requests are tried again, how often, and where. */
+class RetriesTest {
+    private static final Duration DEADLINE = Duration.ofSeconds(10);
+    private static final int WARM_UP = 100;
+    private static final long SEED = 20261203;
+
+    private final ManualScheduler time = new ManualScheduler();
+    private final List<Set<String>> avoided = new ArrayList<>();
+    private final List<String> ids = new ArrayList<>();
+    private final List<String> heard = new ArrayList<>();
+    private BiConsumer<String, AnswerSink> engines = (engine, sink) -> sink.done(1);
+    private final Retries retries = new Retries(context(), this::submit);
+
+    @Test
+    void failedRequestIsTriedOnAnotherEngineUnderAnotherName() {
+        warmUp();
+        engines = (engine, sink) -> {
+            if ("e0".equals(engine)) {
+                sink.failed(ResultCode.OUTCOME_UNKNOWN, "cut");
+            } else {
+                sink.done(1);
+            }
+        };
+        retries.submit(request(true), new Heard(true));
+        assertThat(heard).containsExactly("done");
+        assertThat(avoided).containsExactly(Set.of(), Set.of("e0"));
+        assertThat(ids).doesNotHaveDuplicates();
+    }
+
+    @Test
+    void nonIdempotentRequestHasOneTry() {
+        warmUp();
+        engines = (engine, sink) -> sink.failed(ResultCode.OUTCOME_UNKNOWN, "cut");
+        retries.submit(request(false), new Heard(true));
+        assertThat(avoided).hasSize(1);
+        assertThat(heard).containsExactly("OUTCOME_UNKNOWN");
+    }
+
+    @Test
+    void partThatWasPassedOnIsNeverFollowedByAnotherTry() {
+        warmUp();
+        engines = (engine, sink) -> {
+            sink.part("x");
+            sink.failed(ResultCode.STREAM_BROKEN, "cut");
+        };
+        retries.submit(request(true), new Heard(false));
+        assertThat(avoided).hasSize(1);
+        assertThat(heard).containsExactly("part", "STREAM_BROKEN");
+    }
+
+    @Test
+    void nothingIsTriedAgainAfterTheDeadlineOrWhenTheCallerLeft() {
+        warmUp();
+        List<AnswerSink> waiting = new ArrayList<>();
+        engines = (engine, sink) -> waiting.add(sink);
+        retries.submit(request(true), new Heard(true));
+        Runnable cancel = retries.submit(request(true), new Heard(true));
+        cancel.run();
+        waiting.get(1).failed(ResultCode.OUTCOME_UNKNOWN, "cut");
+        time.advance(DEADLINE);
+        waiting.get(0).failed(ResultCode.PROGRESS_TIMEOUT, "silent");
+        assertThat(avoided).hasSize(2);
+        assertThat(heard).containsExactly("OUTCOME_UNKNOWN", "PROGRESS_TIMEOUT");
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void addsAtMostATenthWhenThatManyThirdsOfTheEnginesFail(int thirds) {
+        int requests = 3000;
+        Random random = new Random(SEED);
+        engines = (engine, sink) -> {
+            if (random.nextInt(3) < thirds) {
+                sink.failed(ResultCode.OUTCOME_UNKNOWN, "cut");
+            } else {
+                sink.done(1);
+            }
+        };
+        for (int i = 0; i < requests; i++) {
+            retries.submit(request(true), new Heard(true));
+        }
+        assertThat(heard).hasSize(requests);
+        assertThat(avoided.size() - requests).isBetween(requests / 20, requests / 10);
+    }
+
+    private Retries.Started submit(InferenceRequest request, Set<String> avoid, AnswerSink sink) {
+        ids.add(request.id());
+        avoided.add(avoid);
+        String engine = "e" + avoid.size();
+        engines.accept(engine, sink);
+        return new Retries.Started(engine, () -> {});
+    }
+
+    private void warmUp() {
+        for (int i = 0; i < WARM_UP; i++) {
+            retries.submit(request(true), new Heard(true));
+        }
+        heard.clear();
+        ids.clear();
+        avoided.clear();
+    }
+
+    private InferenceRequest request(boolean idempotent) {
+        long now = time.nanoTime();
+        AdapterVersion v = new AdapterVersion("a1", 1);
+        return new InferenceRequest("q", "angler", v, "p", 8, 0, now, now + DEADLINE.toNanos(), idempotent);
+    }
+
+    private NodeContext context() {
+        NodeInfo self = new NodeInfo("n1", 1, "h", new DataCentre("r", "a"), "", "");
+        return new NodeContext(self, time, new EventLog("n1", new HybridClock(time), WARM_UP, e -> {}));
+    }
+
+    /** What the caller heard; parts may be taken back or not. */
+    private final class Heard implements AnswerSink {
+        private final boolean restartable;
+
+        Heard(boolean restartable) {
+            this.restartable = restartable;
+        }
+
+        @Override
+        public void part(String text) {
+            heard.add("part");
+        }
+
+        @Override
+        public void done(int tokens) {
+            heard.add("done");
+        }
+
+        @Override
+        public void refused(Refusal refusal) {
+            heard.add(refusal.code().name());
+        }
+
+        @Override
+        public void failed(ResultCode code, String message) {
+            heard.add(code.name());
+        }
+
+        @Override
+        public boolean restart() {
+            return restartable;
+        }
+    }
+}
--- a/node/src/main/java/org/quetzalvane/node/CompletionApi.java
+++ b/node/src/main/java/org/quetzalvane/node/CompletionApi.java
@@ -48,7 +48,7 @@
         CompletionSink sink = body.path("stream").asBoolean(false)
                 ? CompletionSink.streaming(e, request)
                 : CompletionSink.whole(e, request);
-        sink.onGone(node.submit(request, sink));
+        sink.begin(node.context().scheduler(), node.submit(request, sink));
     }
 
     private InferenceRequest request(Caller caller, AdapterVersion v, JsonNode body) {
--- a/node/src/main/java/org/quetzalvane/node/CompletionSink.java
+++ b/node/src/main/java/org/quetzalvane/node/CompletionSink.java
@@ -1,5 +1,6 @@
 package org.quetzalvane.node;
 
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -11,16 +12,20 @@
 import org.quetzalvane.core.request.AnswerSink;
 import org.quetzalvane.core.request.InferenceRequest;
 import org.quetzalvane.core.request.Refusal;
+import org.quetzalvane.core.time.Scheduler;
 
 /**
  * Writes the answer of a completion to its caller, streamed or as one JSON object.
  *
- * <p>Invariant: a stream ends with either the event {@code done} or the event {@code error}; a caller that sees
- * neither does not have the whole answer. Called from one thread at a time, as {@link AnswerSink} says.
+ * <p>Invariants: a stream ends with either the event {@code done} or the event {@code error}; a caller that sees
+ * neither does not have the whole answer. While a streamed request waits, comments tell the caller that it is alive; a
+ * refusal after the first of them comes as an {@code error} event. The sink's methods are called from one thread at a
+ * time, beside a timer's; the monitor guards what both use, and only the stream's own is taken under it.
  */
 final class CompletionSink implements AnswerSink {
     private static final int STREAM_BUFFER_BYTES = 1 << 20;
     private static final int OK = 200;
+    private static final Duration ALIVE_PERIOD = Duration.ofSeconds(2);
 
     private final Exchange exchange;
     private final InferenceRequest request;
@@ -28,6 +33,9 @@
     private final StringBuilder collected = new StringBuilder();
     private final CompletableFuture<Runnable> gone = new CompletableFuture<>();
     private EventStream stream;
+    private boolean parted;
+    private boolean over;
+    private Scheduler.Timer alive = () -> {};
 
     private CompletionSink(Exchange exchange, InferenceRequest request, boolean streaming) {
         this.exchange = exchange;
@@ -43,15 +51,22 @@
         return new CompletionSink(exchange, request, false);
     }
 
-    /** Sets what runs when the caller goes away. */
-    void onGone(Runnable action) {
-        gone.complete(action);
+    /** Sets what runs when the caller goes away, and gives signs of life from now on. */
+    void begin(Scheduler scheduler, Runnable onGone) {
+        gone.complete(onGone);
+        exchange.whenGone(scheduler, onGone);
+        synchronized (this) {
+            if (streaming && !over) {
+                alive = scheduler.repeat(ALIVE_PERIOD, this::signOfLife);
+            }
+        }
     }
 
     @Override
     public void part(String text) {
         if (streaming) {
-            stream().send(Json.object().put("text", text));
+            parted = true;
+            open().send(Json.object().put("text", text));
         } else {
             collected.append(text);
         }
@@ -61,8 +76,7 @@
     public void done(int tokens) {
         ObjectNode end = head().put("done", true).put("tokens", tokens);
         if (streaming) {
-            stream().send(end);
-            stream().end();
+            finish(open(), end);
         } else {
             exchange.reply(OK, end.put("text", collected.toString()));
         }
@@ -70,23 +84,58 @@
 
     @Override
     public void refused(Refusal refusal) {
-        Replies.refusal(exchange, refusal);
+        EventStream begun = close();
+        if (begun == null) {
+            Replies.refusal(exchange, refusal);
+        } else {
+            finish(begun, Json.object().set("error", Json.tree(ErrorBody.of(refusal))));
+        }
     }
 
     @Override
     public void failed(ResultCode code, String message) {
         ErrorBody error = ErrorBody.of(code, message);
-        if (stream != null) {
-            stream.send(Json.object().set("error", Json.tree(error)));
-            stream.end();
-        } else {
+        EventStream begun = close();
+        if (begun == null) {
             exchange.reply(code.httpStatus(), error);
+        } else {
+            finish(begun, Json.object().set("error", Json.tree(error)));
+        }
+    }
+
+    @Override
+    public boolean restart() {
+        collected.setLength(0);
+        return !parted;
+    }
+
+    private void signOfLife() {
+        EventStream s;
+        synchronized (this) {
+            if (over) {
+                return;
+            }
+            s = open();
         }
+        s.comment("waiting");
+    }
+
+    private void finish(EventStream s, Object lastEvent) {
+        close();
+        s.send(lastEvent);
+        s.end();
+    }
+
+    /** Ends the signs of life; returns the stream if one was begun. */
+    private synchronized EventStream close() {
+        over = true;
+        alive.cancel();
+        return stream;
     }
 
-    private EventStream stream() {
+    private synchronized EventStream open() {
         if (stream == null) {
-            stream = exchange.stream(STREAM_BUFFER_BYTES, () -> gone.thenAccept(Runnable::run));
+            stream = exchange.stream(STREAM_BUFFER_BYTES, () -> gone.thenAcceptAsync(Runnable::run));
             stream.send(head());
         }
         return stream;
--- a/node/src/main/java/org/quetzalvane/node/NodeRuntime.java
+++ b/node/src/main/java/org/quetzalvane/node/NodeRuntime.java
@@ -112,7 +112,10 @@
 
     private static HttpService.Builder server(NodeSettings settings) {
         NodeSettings.Limits limits = settings.limits();
-        return HttpService.builder().bodyLimitBytes(limits.bodyBytes()).idleTimeout(limits.read());
+        return HttpService.builder()
+                .bodyLimitBytes(limits.bodyBytes())
+                .idleTimeout(limits.read())
+                .stopTimeout(settings.timing().drain());
     }
 
     private void close() {
