Count outcomes, control traffic and processor time as metrics; escape log lines and set their level

Cause: operators saw only dispatch measures; what control costs a node could not be read off at all, and a line break in an event's detail split its log line. Bytes towards the platform are counted on the connections, headers included, on a client of their own, so that engine traffic does not mix in; frames between nodes are counted apart from forwarded requests. Processor time is read per group of threads. Ruled out: Jetty's ConnectionStatistics, which adds the bytes of a connection up when it closes. The heap of the control tables is an estimate from counts of objects and members.

--- a/adapters/src/main/java/org/quetzalvane/adapters/http/HttpCalls.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/http/HttpCalls.java
@@ -48,7 +48,18 @@
 
     /** Starts a client of its own. */
     public static HttpCalls start() {
+        return start(new HttpClient());
+    }
+
+    /** Starts a client whose threads bear a name and whose connections are counted. */
+    public static HttpCalls start(String threadName, ConnectionBytes bytes) {
         HttpClient client = new HttpClient();
+        client.setName(threadName);
+        client.addBean(bytes);
+        return start(client);
+    }
+
+    private static HttpCalls start(HttpClient client) {
         client.setConnectTimeout(CONNECT_TIMEOUT.toMillis());
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
         client.setMaxRequestsQueuedPerDestination(MAX_CONNECTIONS * 16);
--- a/adapters/src/main/java/org/quetzalvane/adapters/logging/EventLogger.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/logging/EventLogger.java
@@ -13,6 +13,14 @@
     public void accept(Event e) {
         LOG.infof(
                 "event=%d name=%s node=%s subject=\"%s\" detail=\"%s\"",
-                e.code().number(), e.code(), e.node(), e.subject(), e.detail());
+                e.code().number(), e.code(), e.node(), escape(e.subject()), escape(e.detail()));
+    }
+
+    /** Keeps a value on one line and its quotes from ending it. */
+    static String escape(String value) {
+        return value.replace("\\", "\\\\")
+                .replace("\"", "\\\"")
+                .replace("\n", "\\n")
+                .replace("\r", "\\r");
     }
 }
--- a/adapters/src/main/java/org/quetzalvane/adapters/metrics/MetricStats.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/metrics/MetricStats.java
@@ -5,13 +5,15 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.RatioGauge;
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.load.DispatchStats;
 
 /**
  * The measures of dispatch as Dropwizard metrics. Thread-safe.
  *
- * <p>Batch efficiency is the quotient of {@code batch.used} and {@code batch.offered}, both in slot-microseconds.
+ * <p>Batch efficiency is the quotient of {@code batch.used} and {@code batch.offered}, both in microseconds of a place
+ * in a batch, since the process started.
  */
 public final class MetricStats implements DispatchStats {
     private final MetricRegistry registry;
@@ -31,6 +33,7 @@
         this.failedLoads = registry.counter("load.failed");
         this.batchUsed = registry.counter("batch.used");
         this.batchOffered = registry.counter("batch.offered");
+        registry.register("batch.efficiency", new Efficiency());
     }
 
     @Override
@@ -59,4 +62,12 @@
             failedLoads.inc();
         }
     }
+
+    private final class Efficiency extends RatioGauge {
+
+        @Override
+        protected Ratio getRatio() {
+            return Ratio.of(batchUsed.getCount(), batchOffered.getCount());
+        }
+    }
 }
--- a/adapters/src/main/java/org/quetzalvane/adapters/peer/FrameCodec.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/peer/FrameCodec.java
@@ -17,6 +17,7 @@
  */
 final class FrameCodec {
     static final int MAX_FRAME_BYTES = 8 << 20;
+    static final int LENGTH_BYTES = 4;
 
     private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
 
--- a/adapters/src/main/java/org/quetzalvane/adapters/peer/PeerConnection.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/peer/PeerConnection.java
@@ -28,6 +28,7 @@
     private final DataInputStream in;
     private final DataOutputStream out;
     private final PeerPort.Handler handler;
+    private final FrameMeter meter;
     private final Consumer<PeerConnection> onClose;
     private final AtomicLong sequence = new AtomicLong();
     private final Map<Long, Call> calls = new ConcurrentHashMap<>();
@@ -41,12 +42,14 @@
             Handshake handshake,
             boolean client,
             PeerPort.Handler handler,
+            FrameMeter meter,
             Consumer<PeerConnection> onClose)
             throws IOException {
         this.socket = socket;
         this.in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
         this.out = new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()));
         this.handler = handler;
+        this.meter = meter;
         this.onClose = onClose;
         handshake.run(in, out, client);
     }
@@ -57,7 +60,7 @@
             while (!closed) {
                 byte[] frame = FrameCodec.read(in);
                 framesRead++;
-                receive(FrameCodec.decode(frame, Frame.class));
+                receive(FrameCodec.decode(frame, Frame.class), frame.length);
             }
         } catch (IOException | QuetzalvaneException e) {
             closeWith(e);
@@ -89,10 +92,11 @@
         closeWith(new IOException("closed"));
     }
 
-    private void receive(Frame f) {
+    private void receive(Frame f, int bodyBytes) {
         if (f.message() == null) {
             throw new QuetzalvaneException(ResultCode.FRAME_INVALID, "a frame without a message");
         }
+        meter.received(f.message(), bodyBytes + FrameCodec.LENGTH_BYTES);
         if (!f.answer()) {
             handler.handle(f.message(), new FrameReply(f.id()));
             return;
@@ -116,6 +120,7 @@
             synchronized (out) {
                 FrameCodec.write(out, body);
             }
+            meter.sent(frame.message(), body.length + FrameCodec.LENGTH_BYTES);
         } catch (IOException e) {
             closeWith(e);
         }
--- a/adapters/src/main/java/org/quetzalvane/adapters/peer/TcpPeerPort.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/peer/TcpPeerPort.java
@@ -33,6 +33,7 @@
     private final Handler handler;
     private final Scheduler scheduler;
     private final Duration callTimeout;
+    private final FrameMeter meter;
     private final ExecutorService threads;
     private final ServerSocket server;
     private final Map<String, PeerConnection> outgoing = new ConcurrentHashMap<>();
@@ -43,6 +44,7 @@
         this.handler = b.handler;
         this.scheduler = b.scheduler;
         this.callTimeout = b.callTimeout;
+        this.meter = b.meter;
         this.threads = Executors.newCachedThreadPool(r -> {
             Thread t = new Thread(r, "peer");
             t.setDaemon(true);
@@ -59,6 +61,7 @@
         private final Scheduler scheduler;
         private Handler handler = (m, reply) -> reply.end(new PeerMessage.Failure(0, "nothing is served here"));
         private Duration callTimeout = Duration.ofSeconds(2);
+        private FrameMeter meter = FrameMeter.none();
 
         private Builder(String cluster, String secret, Scheduler scheduler) {
             this.cluster = cluster;
@@ -76,6 +79,11 @@
             return this;
         }
 
+        public Builder meter(FrameMeter m) {
+            meter = m;
+            return this;
+        }
+
         /** Starts to listen on {@code ip:port}. */
         public TcpPeerPort listen(String address) throws IOException {
             TcpPeerPort port = new TcpPeerPort(this);
@@ -157,7 +165,7 @@
         try {
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(HANDSHAKE_TIMEOUT_MILLIS);
-            PeerConnection c = new PeerConnection(socket, handshake, client, handler, onClose);
+            PeerConnection c = new PeerConnection(socket, handshake, client, handler, meter, onClose);
             socket.setSoTimeout(0);
             return c;
         } catch (IOException | QuetzalvaneException e) {
--- a/adapters/src/main/java/org/quetzalvane/adapters/settings/NodeSettings.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/settings/NodeSettings.java
@@ -17,9 +17,17 @@
  * @param timing intervals
  * @param limits bounds on what it takes in
  * @param policy weights of the decisions
+ * @param log what is logged
  */
 public record NodeSettings(
-        Node node, Cluster cluster, Listen listen, Platform platform, Timing timing, Limits limits, Policy policy) {
+        Node node,
+        Cluster cluster,
+        Listen listen,
+        Platform platform,
+        Timing timing,
+        Limits limits,
+        Policy policy,
+        Log log) {
     private static final List<SettingKey> KEYS = List.of(
             SettingKey.name("node.name"),
             SettingKey.name("node.host"),
@@ -42,7 +50,8 @@
             SettingKey.whole("limits.read_millis", 30_000, 100, 300_000),
             SettingKey.whole("limits.progress_millis", 5_000, 100, 300_000),
             SettingKey.whole("limits.request_seconds", 300, 1, 3_600),
-            SettingKey.decimal("policy.batch_weight", 0.5, 0, 1));
+            SettingKey.decimal("policy.batch_weight", 0.5, 0, 1),
+            SettingKey.oneOf("log.level", "INFO", List.of("DEBUG", "INFO", "WARN", "ERROR")));
 
     /**
      * Who the node is. Immutable.
@@ -113,6 +122,13 @@
      */
     public record Policy(double batchWeight) {}
 
+    /**
+     * What is logged. Immutable.
+     *
+     * @param level lowest level that is logged: DEBUG, INFO, WARN or ERROR; events are logged at INFO
+     */
+    public record Log(String level) {}
+
     /** Reads a file; fails with {@link org.quetzalvane.core.exc.SettingsException}, which lists every fault. */
     public static NodeSettings from(Path file) {
         Map<String, String> v = new SettingsReader(KEYS).read(file);
@@ -126,7 +142,8 @@
                 new Platform(v.get("platform.log"), v.get("platform.hosts")),
                 timing(v),
                 limits(v),
-                new Policy(Double.parseDouble(v.get("policy.batch_weight"))));
+                new Policy(Double.parseDouble(v.get("policy.batch_weight"))),
+                new Log(v.get("log.level")));
     }
 
     /** Every known key with its default and its allowed values, for documents. */
--- a/adapters/src/main/java/org/quetzalvane/adapters/settings/SettingKey.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/settings/SettingKey.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.adapters.settings;
 
 import java.net.URI;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.regex.Pattern;
@@ -57,6 +58,11 @@
                 .isPresent());
     }
 
+    /** One of a few words. */
+    static SettingKey oneOf(String path, String missing, List<String> words) {
+        return new SettingKey(path, missing, false, "one of " + String.join(", ", words), words::contains);
+    }
+
     private static Optional<Double> parse(String v) {
         try {
             return Optional.of(Double.parseDouble(v));
--- a/core/src/main/java/org/quetzalvane/core/config/ConfigState.java
+++ b/core/src/main/java/org/quetzalvane/core/config/ConfigState.java
@@ -47,6 +47,11 @@
         return e == null ? 0 : e.revision();
     }
 
+    /** Number of objects. */
+    public int size() {
+        return entries.size();
+    }
+
     public Collection<Entry> all() {
         return List.copyOf(entries.values());
     }
--- a/core/src/main/java/org/quetzalvane/core/log/LogFollower.java
+++ b/core/src/main/java/org/quetzalvane/core/log/LogFollower.java
@@ -67,6 +67,11 @@
         return knownEnd >= 0 && next >= knownEnd;
     }
 
+    /** Records that the log held at the last successful read and that are not consumed yet; -1 before that read. */
+    public long lag() {
+        return knownEnd < 0 ? -1 : Math.max(0, knownEnd - next);
+    }
+
     /** Whether the last read failed. */
     public boolean down() {
         return down;
--- a/core/src/main/java/org/quetzalvane/core/node/Coordinator.java
+++ b/core/src/main/java/org/quetzalvane/core/node/Coordinator.java
@@ -197,6 +197,21 @@
         return draining;
     }
 
+    /** Configuration records known to the log and not applied yet; -1 before the first read. */
+    public long configLag() {
+        return configFollower.lag();
+    }
+
+    /** Ownership records known to the log and not applied yet; -1 before the first read. */
+    public long claimLag() {
+        return claimFollower.lag();
+    }
+
+    /** Whether the last read of a stream failed. */
+    public boolean logDown() {
+        return configFollower.down() || claimFollower.down();
+    }
+
     public NodeContext context() {
         return context;
     }
--- a/node/src/main/java/org/quetzalvane/node/NodeMain.java
+++ b/node/src/main/java/org/quetzalvane/node/NodeMain.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import org.quetzalvane.adapters.logging.LogLevel;
 import org.quetzalvane.adapters.settings.NodeSettings;
 import org.quetzalvane.core.exc.QuetzalvaneException;
 
@@ -60,6 +61,7 @@
             System.err.println(e.getMessage());
             return EXIT_SETTINGS;
         }
+        LogLevel.set(read.log().level());
         try {
             NodeRuntime runtime = NodeRuntime.start(read);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(runtime), "shutdown"));
--- /dev/null
+++ b/node/src/main/java/org/quetzalvane/node/NodeMetrics.java
@@ -0,0 +1,63 @@
+package org.quetzalvane.node;
+
+import java.util.List;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.jvm.GarbageCollectorMetricSet;
+import com.codahale.metrics.jvm.MemoryUsageGaugeSet;
+import com.codahale.metrics.jvm.ThreadStatesGaugeSet;
+import org.quetzalvane.adapters.http.ConnectionBytes;
+import org.quetzalvane.adapters.metrics.ThreadTime;
+import org.quetzalvane.core.node.Coordinator;
+
+/** Registers the gauges of a node's state and of what its control work costs. Stateless and thread-safe. */
+final class NodeMetrics {
+    static final String PLATFORM_THREADS = "platform";
+
+    private static final List<String> CONTROL_THREADS = List.of("timer", "peer", PLATFORM_THREADS);
+    private static final long BYTES_PER_OBJECT = 300;
+    private static final long BYTES_PER_MEMBER = 1_000;
+
+    private NodeMetrics() {}
+
+    static void register(MetricRegistry registry, Coordinator node, ConnectionBytes platform) {
+        registerState(registry, node);
+        gauge(registry, "control.platform.sent.bytes", platform::sent);
+        gauge(registry, "control.platform.received.bytes", platform::received);
+        for (String prefix : CONTROL_THREADS) {
+            ThreadTime time = new ThreadTime(prefix);
+            gauge(registry, "control.cpu." + prefix + ".nanos", time::nanos);
+        }
+        registry.register("jvm.memory", new MemoryUsageGaugeSet());
+        registry.register("jvm.gc", new GarbageCollectorMetricSet());
+        registry.register("jvm.threads", new ThreadStatesGaugeSet());
+    }
+
+    private static void registerState(MetricRegistry registry, Coordinator node) {
+        gauge(registry, "log.lag.config", node::configLag);
+        gauge(registry, "log.lag.ownership", node::claimLag);
+        gauge(registry, "log.down", () -> node.logDown() ? 1 : 0);
+        gauge(registry, "lease.valid", () -> node.ownership().leaseValid() ? 1 : 0);
+        gauge(registry, "engines.owned", () -> node.dispatchers().all().size());
+        gauge(registry, "control.objects", () -> objects(node));
+        gauge(registry, "control.members", () -> members(node));
+        gauge(
+                registry,
+                "control.heap.estimate.bytes",
+                () -> objects(node) * BYTES_PER_OBJECT + members(node) * BYTES_PER_MEMBER);
+    }
+
+    private static long objects(Coordinator node) {
+        return node.config().read(s -> s.size());
+    }
+
+    private static long members(Coordinator node) {
+        long now = node.context().scheduler().nanoTime();
+        return node.membership().candidates(now, n -> true).size();
+    }
+
+    private static void gauge(MetricRegistry registry, String name, Gauge<Number> gauge) {
+        registry.register(name, gauge);
+    }
+}
--- a/node/src/main/java/org/quetzalvane/node/NodeRuntime.java
+++ b/node/src/main/java/org/quetzalvane/node/NodeRuntime.java
@@ -2,20 +2,25 @@
 
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import org.quetzalvane.adapters.engine.HttpEnginePort;
 import org.quetzalvane.adapters.engine.HttpServicePort;
+import org.quetzalvane.adapters.http.ConnectionBytes;
 import org.quetzalvane.adapters.http.HttpCalls;
 import org.quetzalvane.adapters.http.HttpService;
 import org.quetzalvane.adapters.logging.EventLogger;
+import org.quetzalvane.adapters.metrics.EventCounter;
 import org.quetzalvane.adapters.metrics.MetricStats;
+import org.quetzalvane.adapters.metrics.TrafficStats;
 import org.quetzalvane.adapters.peer.TcpPeerPort;
 import org.quetzalvane.adapters.platform.HttpHostListPort;
 import org.quetzalvane.adapters.platform.HttpLogPort;
 import org.quetzalvane.adapters.settings.NodeSettings;
 import org.quetzalvane.core.cluster.NodeContext;
 import org.quetzalvane.core.cluster.NodeInfo;
+import org.quetzalvane.core.event.Event;
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.EventLog;
 import org.quetzalvane.core.event.HybridClock;
@@ -40,6 +45,8 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final HttpCalls calls = HttpCalls.start();
     private final HttpCalls unpooled = HttpCalls.start();
+    private final ConnectionBytes platformBytes = new ConnectionBytes();
+    private final HttpCalls platform = HttpCalls.start(NodeMetrics.PLATFORM_THREADS, platformBytes);
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private final Coordinator coordinator;
     private final TcpPeerPort peers;
@@ -55,21 +62,24 @@
                 settings.node().place(),
                 listen.callers(),
                 listen.peers());
-        EventLog events = new EventLog(self.node(), new HybridClock(scheduler), EVENT_RING, new EventLogger());
+        Consumer<Event> listener = new EventLogger().andThen(new EventCounter(metrics));
+        EventLog events = new EventLog(self.node(), new HybridClock(scheduler), EVENT_RING, listener);
         CompletableFuture<PeerPort.Handler> handler = new CompletableFuture<>();
         peers = TcpPeerPort.builder(
                         settings.cluster().name(), settings.cluster().secret(), scheduler)
+                .meter(new TrafficStats(metrics))
                 .handler((message, reply) -> handler.join().handle(message, reply))
                 .listen(self.peerAddress());
         NodePorts ports = new NodePorts(
-                new HttpLogPort(calls, settings.platform().log()),
-                new HttpHostListPort(calls, settings.platform().hosts()),
+                new HttpLogPort(platform, settings.platform().log()),
+                new HttpHostListPort(platform, settings.platform().hosts()),
                 new HttpEnginePort(calls),
                 new HttpServicePort(calls, unpooled),
                 peers);
         NodeContext context = new NodeContext(self, scheduler, events);
         coordinator = new Coordinator(context, nodeConfig(settings), ports, new MetricStats(metrics));
         handler.complete(coordinator.peerRouter());
+        NodeMetrics.register(metrics, coordinator, platformBytes);
         callerServer = new CallerApi(coordinator).routes(server(settings)).start(self.callerAddress());
         operatorServer = new OperatorApi(coordinator, metrics)
                 .routes(HttpService.builder())
@@ -122,6 +132,7 @@
             peers.close();
             calls.close();
             unpooled.close();
+            platform.close();
         } catch (IOException e) {
             coordinator
                     .context()
