Finish the operators' tool: nodes behind, faults as JSON, usage on standard error

Cause: status did not say which node is behind, and a program could not read the faults of settings. Nodes report how many configuration records they know of and have not applied, so that a single node can be behind.

--- a/cli/src/main/java/org/quetzalvane/cli/CheckSettingsCommand.java
+++ b/cli/src/main/java/org/quetzalvane/cli/CheckSettingsCommand.java
@@ -1,13 +1,17 @@
 package org.quetzalvane.cli;
 
 import java.nio.file.Path;
+import java.util.List;
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.quetzalvane.adapters.http.Json;
 import org.quetzalvane.adapters.settings.NodeSettings;
-import org.quetzalvane.core.exc.QuetzalvaneException;
+import org.quetzalvane.core.exc.SettingsException;
 
-/** Checks a node's settings file. Not thread-safe. */
+/** Checks a node's settings file; exit code 2 when it has faults, all of which are printed. Not thread-safe. */
 @Parameters(commandDescription = "Check a settings file of quetzalvane-node")
 final class CheckSettingsCommand extends CommonOptions {
     private static final int EXIT_SETTINGS = 2;
@@ -19,11 +23,23 @@
     public int run() {
         try {
             NodeSettings.from(Path.of(file));
-            System.out.println("ok");
+            System.out.println(json() ? Json.text(result(List.of())) : "ok");
             return 0;
-        } catch (QuetzalvaneException e) {
-            System.err.println(e.getMessage());
+        } catch (SettingsException e) {
+            if (json()) {
+                System.out.println(Json.text(result(e.faults())));
+            } else {
+                System.err.println(e.getMessage());
+            }
             return EXIT_SETTINGS;
         }
     }
+
+    private static ObjectNode result(List<SettingsException.Fault> faults) {
+        ObjectNode result = Json.object().put("valid", faults.isEmpty());
+        ArrayNode list = result.putArray("faults");
+        faults.forEach(f ->
+                list.addObject().put("key", f.key()).put("value", f.value()).put("message", f.message()));
+        return result;
+    }
 }
--- a/cli/src/main/java/org/quetzalvane/cli/QuetzalvaneMain.java
+++ b/cli/src/main/java/org/quetzalvane/cli/QuetzalvaneMain.java
@@ -50,8 +50,7 @@
         }
         String name = commander.getParsedCommand();
         if (name == null) {
-            commander.usage();
-            return main.help ? 0 : EXIT_USAGE;
+            return usage(commander, main.help);
         }
         CommonOptions options = (CommonOptions) commands.get(name);
         if (options.help()) {
@@ -61,6 +60,13 @@
         return run(commands.get(name));
     }
 
+    private static int usage(JCommander commander, boolean asked) {
+        StringBuilder text = new StringBuilder();
+        commander.getUsageFormatter().usage(text);
+        (asked ? System.out : System.err).print(text);
+        return asked ? 0 : EXIT_USAGE;
+    }
+
     private static int run(Command command) {
         try {
             return command.run();
--- a/cli/src/main/java/org/quetzalvane/cli/StatusCommand.java
+++ b/cli/src/main/java/org/quetzalvane/cli/StatusCommand.java
@@ -1,6 +1,5 @@
 package org.quetzalvane.cli;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,30 +10,42 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.quetzalvane.adapters.http.Json;
 
-/** Shows the status of nodes; fails when one cannot be reached. Not thread-safe. */
+/**
+ * Shows the status of nodes and how many configuration records each is behind the furthest record that any of them
+ * knows; fails when one cannot be reached. Not thread-safe.
+ */
 @Parameters(commandDescription = "Show the status of nodes")
 final class StatusCommand extends CommonOptions {
 
     @Parameter(names = "--nodes", description = "Operators' addresses of the nodes, ip:port", required = true)
-    private List<String> nodes = new ArrayList<>();
+    private List<String> nodes;
 
     @Override
     public int run() throws Exception {
         try (NodeClient client = new NodeClient(nodes)) {
-            boolean ok = true;
-            for (Map.Entry<String, Optional<JsonNode>> e :
-                    client.askAll("/status").entrySet()) {
-                ok &= e.getValue().isPresent();
-                print(e.getKey(), e.getValue());
-            }
-            return ok ? 0 : 1;
+            Map<String, Optional<JsonNode>> answers = client.askAll("/status");
+            long newest = newestOffset(answers);
+            answers.forEach((address, status) -> print(address, status, newest));
+            return answers.values().stream().allMatch(Optional::isPresent) ? 0 : 1;
         }
     }
 
-    private void print(String address, Optional<JsonNode> status) {
+    private static long newestOffset(Map<String, Optional<JsonNode>> answers) {
+        return answers.values().stream()
+                .flatMap(Optional::stream)
+                .mapToLong(s -> offset(s) + Math.max(0, s.path("config_lag").asLong()))
+                .max()
+                .orElse(-1);
+    }
+
+    private static long offset(JsonNode status) {
+        return status.path("config_offset").asLong();
+    }
+
+    private void print(String address, Optional<JsonNode> status, long newest) {
         if (json()) {
             ObjectNode n = Json.object().put("address", address).put("reachable", status.isPresent());
-            status.ifPresent(s -> n.set("status", s));
+            status.ifPresent(s -> n.put("behind", newest - offset(s)).set("status", s));
             System.out.println(Json.text(n));
             return;
         }
@@ -46,7 +57,8 @@
         System.out.println(s.path("node").asText() + " " + address
                 + " ready=" + s.path("ready").asBoolean()
                 + " lease=" + s.path("lease_valid").asBoolean()
-                + " config=" + s.path("config_offset").asLong());
+                + " config=" + offset(s)
+                + (newest > offset(s) ? " BEHIND by " + (newest - offset(s)) : ""));
         for (JsonNode e : s.path("engines")) {
             System.out.println(
                     "  " + e.path("engine").asText() + " load=" + e.path("load") + " resident=" + e.path("resident"));
--- a/cli/src/main/java/org/quetzalvane/cli/TimelineCommand.java
+++ b/cli/src/main/java/org/quetzalvane/cli/TimelineCommand.java
@@ -12,13 +12,16 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.quetzalvane.adapters.http.Json;
 
-/** Merges the events of all nodes into one time line, ordered by hybrid logical time. Not thread-safe. */
+/**
+ * Merges the events of all nodes into one time line, ordered by hybrid logical time; fails when one cannot be reached.
+ * Not thread-safe.
+ */
 @Parameters(commandDescription = "Show the events of all nodes as one time line")
 final class TimelineCommand extends CommonOptions {
     private static final int COUNTER_BITS = 16;
 
     @Parameter(names = "--nodes", description = "Operators' addresses of the nodes, ip:port", required = true)
-    private List<String> nodes = new ArrayList<>();
+    private List<String> nodes;
 
     @Parameter(names = "--subject", description = "Only the events of this request, engine, adapter or object")
     private String subject;
@@ -40,7 +43,8 @@
                 }
             }
         }
-        events.sort(Comparator.comparingLong(e -> e.path("time").asLong()));
+        events.sort(Comparator.<JsonNode>comparingLong(e -> e.path("time").asLong())
+                .thenComparing(e -> e.path("node").asText()));
         events.forEach(this::print);
         return ok ? 0 : 1;
     }
--- /dev/null
+++ b/cli/src/test/java/org/quetzalvane/cli/QuetzalvaneMainTest.java
@@ -0,0 +1,166 @@
+package org.quetzalvane.cli;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.quetzalvane.adapters.http.Exchange;
+import org.quetzalvane.adapters.http.HttpService;
+import org.quetzalvane.adapters.http.Json;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Output and exit codes of the operators' tool. */
+class QuetzalvaneMainTest {
+    private static final String UNREACHABLE = "127.0.0.1:1";
+    private static HttpService first;
+    private static HttpService second;
+
+    private final PrintStream stdout = System.out;
+    private final PrintStream stderr = System.err;
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+    @TempDir
+    private Path directory;
+
+    @BeforeAll
+    static void startNodes() throws Exception {
+        first = node("n1", 7, 1, 5);
+        second = node("n2", 9, 2, 4);
+    }
+
+    @AfterAll
+    static void stopNodes() throws Exception {
+        first.close();
+        second.close();
+    }
+
+    @BeforeEach
+    void capture() {
+        System.setOut(new PrintStream(out, true, StandardCharsets.UTF_8));
+        System.setErr(new PrintStream(err, true, StandardCharsets.UTF_8));
+    }
+
+    @AfterEach
+    void restore() {
+        System.setOut(stdout);
+        System.setErr(stderr);
+    }
+
+    /** A node that has applied an offset and recorded two events of the request {@code q1} at the given times. */
+    private static HttpService node(String name, long offset, long earlier, long later) throws Exception {
+        return HttpService.builder()
+                .route(
+                        "GET",
+                        "/status",
+                        e -> e.reply(200, Json.object().put("node", name).put("config_offset", offset)))
+                .route("GET", "/timeline", e -> timeline(e, name, earlier, later))
+                .start("127.0.0.1:0");
+    }
+
+    private static void timeline(Exchange e, String name, long earlier, long later) {
+        assertThat(e.query("subject", "")).isEqualTo("q1");
+        ObjectNode body = Json.object();
+        ArrayNode events = body.putArray("events");
+        for (long time : List.of(earlier, later)) {
+            events.addObject().put("time", time).put("node", name).put("subject", "q1");
+        }
+        e.reply(200, body);
+    }
+
+    private static String nodes() {
+        return "127.0.0.1:" + first.port() + ",127.0.0.1:" + second.port();
+    }
+
+    private List<JsonNode> lines() {
+        return out.toString(StandardCharsets.UTF_8)
+                .lines()
+                .map(l -> Json.parse(l.getBytes(StandardCharsets.UTF_8)))
+                .toList();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"publish", "status", "timeline", "check-settings", "trace", "replay", "measure"})
+    void everySubcommandHasHelp(String command) {
+        assertThat(QuetzalvaneMain.run(command, "--help")).isZero();
+        assertThat(out.toString(StandardCharsets.UTF_8)).contains("--json");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'',2", "--help,0", "frobnicate,2", "status,2", "status --nodes 127.0.0.1:1 --bogus,2"})
+    void wrongUsageExitsWithTwoAndSaysWhyOnStderr(String arguments, int code) {
+        String[] args = arguments.isEmpty() ? new String[0] : arguments.split(" ");
+        assertThat(QuetzalvaneMain.run(args)).isEqualTo(code);
+        assertThat(err.toString(StandardCharsets.UTF_8).isEmpty()).isEqualTo(code == 0);
+    }
+
+    @Test
+    void statusNamesTheNodesThatAreBehind() {
+        assertThat(QuetzalvaneMain.run("status", "--nodes", nodes())).isZero();
+        List<String> lines = out.toString(StandardCharsets.UTF_8).lines().toList();
+        assertThat(lines.get(0)).startsWith("n1 ").endsWith("BEHIND by 2");
+        assertThat(lines.get(1)).startsWith("n2 ").doesNotContain("BEHIND");
+    }
+
+    @Test
+    void statusFailsWhenANodeCannotBeReached() {
+        assertThat(QuetzalvaneMain.run("status", "--json", "--nodes", nodes() + "," + UNREACHABLE))
+                .isEqualTo(1);
+        assertThat(lines()).extracting(l -> l.path("behind").asLong(-1)).containsExactly(2L, 0L, -1L);
+        assertThat(lines()).extracting(l -> l.path("reachable").asBoolean()).containsExactly(true, true, false);
+    }
+
+    @Test
+    void timelineMergesTheEventsOfOneRequestByTime() {
+        assertThat(QuetzalvaneMain.run("timeline", "--json", "--subject", "q1", "--nodes", nodes()))
+                .isZero();
+        assertThat(lines()).extracting(l -> l.path("node").asText()).containsExactly("n1", "n2", "n2", "n1");
+    }
+
+    @Test
+    void timelineFailsWhenANodeCannotBeReached() {
+        assertThat(QuetzalvaneMain.run("timeline", "--subject", "q1", "--nodes", UNREACHABLE))
+                .isEqualTo(1);
+        assertThat(err.toString(StandardCharsets.UTF_8)).contains("unreachable");
+    }
+
+    @Test
+    void checkSettingsListsEveryFault() throws Exception {
+        Path file = Files.writeString(directory.resolve("n.toml"), "[node]\nname = 'UPPER'\nhots = 'h'\n");
+        assertThat(QuetzalvaneMain.run("check-settings", file.toString())).isEqualTo(2);
+        assertThat(err.toString(StandardCharsets.UTF_8)).contains("node.name = UPPER", "node.hots", "cluster.secret");
+        assertThat(QuetzalvaneMain.run("check-settings", "--json", file.toString()))
+                .isEqualTo(2);
+        JsonNode result = lines().get(0);
+        assertThat(result.path("valid").asBoolean()).isFalse();
+        assertThat(result.path("faults"))
+                .extracting(f -> f.path("key").asText())
+                .contains("node.name", "node.hots");
+    }
+
+    @Test
+    void replayPrintsItsReportAsJson() {
+        String file = directory.resolve("t.jsonl").toString();
+        assertThat(QuetzalvaneMain.run("trace", "coldwater", "--seconds", "20", "--out", file))
+                .isZero();
+        QuetzalvaneMain.run("replay", "--json", file);
+        assertThat(lines()).hasSize(1);
+        assertThat(lines().get(0).fieldNames().hasNext()).isTrue();
+    }
+}
--- a/node/src/main/java/org/quetzalvane/node/OperatorApi.java
+++ b/node/src/main/java/org/quetzalvane/node/OperatorApi.java
@@ -52,6 +52,8 @@
         s.put("ready", node.ready());
         s.put("draining", node.draining());
         s.put("config_offset", node.config().appliedOffset());
+        s.put("config_lag", node.configLag());
+        s.put("log_down", node.logDown());
         s.put("lease_valid", node.ownership().leaseValid());
         ArrayNode engines = s.putArray("engines");
         for (EngineDispatcher d : node.dispatchers().all()) {
