--- a/core/src/main/java/org/quetzalvane/core/node/ConfigFeed.java
+++ b/core/src/main/java/org/quetzalvane/core/node/ConfigFeed.java
@@ -69,6 +69,11 @@
         return follower.down();
     }
 
+    /** Records known to the log and not read from it yet; -1 before the first read. */
+    public long lag() {
+        return follower.lag();
+    }
+
     /** Whether the node has once reached the highest offset known; it stays so. */
     public boolean started() {
         if (!started) {
