--- a/bench/src/main/java/org/quetzalvane/bench/SampleRegion.java
+++ b/bench/src/main/java/org/quetzalvane/bench/SampleRegion.java
@@ -39,7 +39,7 @@
     SampleRegion nodes(int from, int to) {
         for (int i = from; i < to; i++) {
             membership.heard(node(i), false, Long.MAX_VALUE / 2);
-            claims.apply(offset++, new ClaimRecord.Renewal(node(i), 1, 20_000, false), 0);
+            claims.apply(offset++, new ClaimRecord.Renewal(node(i), 1, 20_000, false, true), 0);
         }
         return this;
     }
--- a/bench/src/main/java/org/quetzalvane/bench/SlopeBench.java
+++ b/bench/src/main/java/org/quetzalvane/bench/SlopeBench.java
@@ -85,7 +85,7 @@
         System.out.println("\n| message | bytes |\n|---|---|");
         PeerMessage heartbeat = new PeerMessage.Heartbeat(SampleRegion.node(7), false, 1_000_000, 1L << 56);
         size("heartbeat between nodes (MessagePack)", msgpack(heartbeat));
-        ClaimRecord renewal = new ClaimRecord.Renewal(SampleRegion.node(7), 1000, 20_000, false);
+        ClaimRecord renewal = new ClaimRecord.Renewal(SampleRegion.node(7), 1000, 20_000, false, true);
         size("lease renewal on the log (JSON)", ClaimCodec.encode(renewal).length);
         ClaimRecord claim = new ClaimRecord.Claim(
                 "n7", 1, java.util.List.of(new ClaimRecord.EngineClaim(SampleConfig.engine(7), 1_000_000)));
@@ -116,7 +116,7 @@
     private void processor() {
         System.out.println();
         System.out.println(Timed.HEADER);
-        byte[] renewal = ClaimCodec.encode(new ClaimRecord.Renewal(SampleRegion.node(7), 1000, 20_000, false));
+        byte[] renewal = ClaimCodec.encode(new ClaimRecord.Renewal(SampleRegion.node(7), 1000, 20_000, false, true));
         timed.row("decode of a lease renewal", i -> ClaimCodec.decode(renewal));
         PeerMessage heartbeat = new PeerMessage.Heartbeat(SampleRegion.node(7), false, 1_000_000, 1L << 56);
         timed.row("encode of a heartbeat", i -> msgpack(heartbeat));
--- a/core/src/test/java/org/quetzalvane/core/routing/PlacementTest.java
+++ b/core/src/test/java/org/quetzalvane/core/routing/PlacementTest.java
@@ -122,7 +122,7 @@
 
     private void heard() {
         membership.heard(NODE, false, Long.MAX_VALUE / 2);
-        claims.apply(claimOffset++, new ClaimRecord.Renewal(NODE, 1, 20_000, false), 0);
+        claims.apply(claimOffset++, new ClaimRecord.Renewal(NODE, 1, 20_000, false, true), 0);
     }
 
     private void claim(String engine) {
