--- a/adapters/src/main/java/org/quetzalvane/adapters/settings/NodeSettings.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/settings/NodeSettings.java
@@ -36,6 +36,7 @@
             SettingKey.whole("timing.poll_millis", 250, 20, 5_000),
             SettingKey.whole("timing.answer_millis", 2_000, 100, 3_000),
             SettingKey.whole("timing.drain_seconds", 300, 1, 3_600),
+            SettingKey.whole("timing.snapshot_seconds", 3_600, 1, 86_400),
             SettingKey.whole("limits.queue_per_engine", 1_000, 1, 100_000),
             SettingKey.whole("limits.queue_per_caller", 200, 1, 100_000),
             SettingKey.whole("limits.body_bytes", 1_048_576, 1_024, 67_108_864),
@@ -85,8 +86,9 @@
      * @param poll pause between reads of the log and the host list
      * @param answer lifetime of an address answer
      * @param drain longest wait for running requests at a planned stop
+     * @param snapshot longest time without a snapshot of the configuration on the log
      */
-    public record Timing(Duration lease, Duration poll, Duration answer, Duration drain) {}
+    public record Timing(Duration lease, Duration poll, Duration answer, Duration drain, Duration snapshot) {}
 
     /**
      * Bounds on what a node takes in. Immutable.
@@ -141,7 +143,8 @@
                 millis(v, "timing.lease_millis"),
                 millis(v, "timing.poll_millis"),
                 millis(v, "timing.answer_millis"),
-                Duration.ofSeconds(Long.parseLong(v.get("timing.drain_seconds"))));
+                Duration.ofSeconds(Long.parseLong(v.get("timing.drain_seconds"))),
+                Duration.ofSeconds(Long.parseLong(v.get("timing.snapshot_seconds"))));
     }
 
     private static Limits limits(Map<String, String> v) {
--- a/core/src/main/java/org/quetzalvane/core/config/ConfigState.java
+++ b/core/src/main/java/org/quetzalvane/core/config/ConfigState.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 import org.quetzalvane.core.model.AccessRule;
@@ -86,6 +87,26 @@
         return rules().stream().anyMatch(r -> r.allowsService(caller, service));
     }
 
+    /** Writes what is in force and what repeats must not bring back, in an order that depends on the state alone. */
+    void writeTo(Consumer<SnapshotCodec.Item> items) {
+        entries.forEach((key, e) -> {
+            ConfigRecord r = new ConfigRecord(
+                    RecordCodec.NEWEST_SCHEMA, "snapshot", e.revision(), key.kind(), key.name(), e.value());
+            items.accept(new SnapshotCodec.Item(RecordCodec.encode(r), null, null));
+        });
+        spent.pieces().forEach(p -> items.accept(new SnapshotCodec.Item(null, null, p)));
+    }
+
+    /** Takes in one object or piece that {@link #writeTo} wrote. */
+    void restore(SnapshotCodec.Item item) {
+        if (item.words() != null) {
+            spent.restore(item.words());
+        } else if (item.object() != null) {
+            ConfigRecord r = RecordCodec.decode(item.object());
+            put(r.key(), r.expectedRevision(), r.value());
+        }
+    }
+
     void put(ConfigKey key, long revision, ConfigObject value) {
         drop(key);
         entries.put(key, new Entry(revision, value));
--- a/core/src/main/java/org/quetzalvane/core/config/ConfigTable.java
+++ b/core/src/main/java/org/quetzalvane/core/config/ConfigTable.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.core.config;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -31,7 +32,7 @@
     private static final int REMEMBERED_OUTCOMES = 4096;
 
     private final ReentrantReadWriteLock lock = new ReentrantReadWriteLock();
-    private final ConfigState state = new ConfigState();
+    private ConfigState state = new ConfigState();
     private final Map<String, FoldOutcome> byId = new HashMap<>();
     private final Deque<String> idOrder = new ArrayDeque<>();
     private final int rememberedOutcomes;
@@ -91,6 +92,51 @@
         }
     }
 
+    /** The parts of a snapshot at the applied offset. */
+    public List<byte[]> snapshot() {
+        return withRead(() -> {
+            SnapshotCodec.Writer writer = new SnapshotCodec.Writer(applied);
+            state.writeTo(writer);
+            idOrder.forEach(id -> writer.accept(new SnapshotCodec.Item(null, byId.get(id), null)));
+            return writer.finish();
+        });
+    }
+
+    /**
+     * Replaces the state by a snapshot of a later offset; an earlier one changes nothing.
+     *
+     * @param parts all parts of the snapshot, in order
+     * @return whether the state was replaced
+     * @throws org.quetzalvane.core.exc.RecordException when a part is malformed; the state is as before then
+     */
+    public boolean restore(List<SnapshotCodec.Part> parts) {
+        long at = parts.get(0).at();
+        ConfigState restored = new ConfigState();
+        List<FoldOutcome> outcomes = new ArrayList<>();
+        for (SnapshotCodec.Part part : parts) {
+            for (SnapshotCodec.Item item : SnapshotCodec.items(part)) {
+                restored.restore(item);
+                if (item.outcome() != null) {
+                    outcomes.add(item.outcome());
+                }
+            }
+        }
+        lock.writeLock().lock();
+        try {
+            if (at <= applied) {
+                return false;
+            }
+            state = restored;
+            byId.clear();
+            idOrder.clear();
+            outcomes.forEach(this::remember);
+            applied = at;
+            return true;
+        } finally {
+            lock.writeLock().unlock();
+        }
+    }
+
     private FoldOutcome fold(long offset, byte[] data) {
         ConfigRecord r;
         try {
--- a/core/src/main/java/org/quetzalvane/core/config/SpentNames.java
+++ b/core/src/main/java/org/quetzalvane/core/config/SpentNames.java
@@ -1,5 +1,9 @@
 package org.quetzalvane.core.config;
 
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
 import net.openhft.hashing.LongHashFunction;
 
 /**
@@ -15,17 +19,47 @@
 final class SpentNames {
     private static final int FILTER_BITS = 1 << 23;
     private static final int PROBES = 4;
+    private static final int PIECE_WORDS = 1024;
     private static final LongHashFunction HASH = LongHashFunction.xx();
     private static final LongHashFunction STEP_HASH = LongHashFunction.xx(1);
 
     private long[] words = new long[0];
     private long revision;
 
+    /**
+     * A piece of the filter. The words must not be modified.
+     *
+     * @param from index of the first word
+     * @param words the words
+     * @param revision the revision of all spent names
+     */
+    record Piece(int from, long[] words, long revision) {}
+
+    /** The pieces that are not empty, in order. */
+    List<Piece> pieces() {
+        List<Piece> pieces = new ArrayList<>();
+        for (int from = 0; from < words.length; from += PIECE_WORDS) {
+            long[] piece = Arrays.copyOfRange(words, from, from + PIECE_WORDS);
+            if (Arrays.stream(piece).anyMatch(w -> w != 0)) {
+                pieces.add(new Piece(from, piece, revision));
+            }
+        }
+        return pieces;
+    }
+
+    /** Takes in a piece; fails with {@link IllegalArgumentException} when it lies outside of the filter. */
+    void restore(Piece piece) {
+        allocate();
+        if (piece.from() < 0 || piece.from() + piece.words().length > words.length) {
+            throw new IllegalArgumentException("piece at " + piece.from());
+        }
+        System.arraycopy(piece.words(), 0, words, piece.from(), piece.words().length);
+        revision = piece.revision();
+    }
+
     /** Notes that an absent object now has the given revision, which must be above all earlier ones. */
     void spend(ConfigKey key, long newRevision) {
-        if (words.length == 0) {
-            words = new long[FILTER_BITS / Long.SIZE];
-        }
+        allocate();
         String name = key.toString();
         long start = HASH.hashChars(name);
         long step = STEP_HASH.hashChars(name);
@@ -41,6 +75,12 @@
         return words.length > 0 && contains(key) ? revision : 0;
     }
 
+    private void allocate() {
+        if (words.length == 0) {
+            words = new long[FILTER_BITS / Long.SIZE];
+        }
+    }
+
     private boolean contains(ConfigKey key) {
         String name = key.toString();
         long start = HASH.hashChars(name);
--- a/core/src/main/java/org/quetzalvane/core/log/LogFollower.java
+++ b/core/src/main/java/org/quetzalvane/core/log/LogFollower.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.core.log;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.EventLog;
@@ -12,8 +13,9 @@
 /**
  * Follows one stream of the log and hands every record, in order and once, to a consumer.
  *
- * <p>Outages are ridden out by reading again after a pause; expired offsets are skipped with an event. Thread-safe;
- * the consumer is called from one thread at a time.
+ * <p>Outages are ridden out by reading again after a pause. Where records expired before they were read, the gap
+ * handler says where to read on; without one the gap is skipped with an event. Thread-safe; the consumer is called from
+ * one thread at a time.
  */
 public final class LogFollower {
     private static final int BATCH_RECORDS = 1000;
@@ -25,6 +27,7 @@
     private final Duration pollPause;
     private final EventLog events;
     private final RecordConsumer consumer;
+    private final GapHandler gaps;
     private volatile long next;
     private volatile long knownEnd = -1;
     private volatile boolean down;
@@ -36,6 +39,18 @@
         void accept(long offset, byte[] data);
     }
 
+    /** Makes up for records that expired before they were read. */
+    @FunctionalInterface
+    public interface GapHandler {
+        /**
+         * Makes up for the records before an offset.
+         *
+         * @param first first offset still kept
+         * @return where to read on; a failure lets the follower ask again after a pause
+         */
+        CompletableFuture<Long> bridge(long first);
+    }
+
     /** Builds a follower that reads again {@code pollPause} after it found nothing new. */
     public LogFollower(
             LogPort port,
@@ -44,6 +59,19 @@
             Duration pollPause,
             EventLog events,
             RecordConsumer consumer) {
+        this(port, stream, scheduler, pollPause, events, consumer, CompletableFuture::completedFuture);
+    }
+
+    /** Builds a follower that lets a handler make up for expired records. */
+    public LogFollower(
+            LogPort port,
+            String stream,
+            Scheduler scheduler,
+            Duration pollPause,
+            EventLog events,
+            RecordConsumer consumer,
+            GapHandler gaps) {
+        this.gaps = gaps;
         this.port = port;
         this.stream = stream;
         this.scheduler = scheduler;
@@ -110,10 +138,7 @@
     private void onFailure(Throwable failure) {
         Throwable cause = failure.getCause() == null ? failure : failure.getCause();
         if (cause instanceof LogExpiredException) {
-            long first = ((LogExpiredException) cause).firstOffset();
-            events.record(EventCode.LOG_GAP, stream, "from " + next + " to " + first);
-            next = Math.max(next + 1, first);
-            scheduler.schedule(Duration.ZERO, this::poll);
+            bridge(((LogExpiredException) cause).firstOffset());
             return;
         }
         if (!down) {
@@ -122,4 +147,16 @@
         }
         scheduler.schedule(FAILURE_PAUSE, this::poll);
     }
+
+    private void bridge(long first) {
+        events.record(EventCode.LOG_GAP, stream, "from " + next + " to " + first);
+        gaps.bridge(first).whenComplete((offset, failure) -> {
+            if (failure == null) {
+                next = Math.max(next + 1, offset);
+                scheduler.schedule(Duration.ZERO, this::poll);
+            } else {
+                scheduler.schedule(FAILURE_PAUSE, this::poll);
+            }
+        });
+    }
 }
--- a/core/src/main/java/org/quetzalvane/core/node/ConfigFeed.java
+++ b/core/src/main/java/org/quetzalvane/core/node/ConfigFeed.java
@@ -12,7 +12,9 @@
 import org.quetzalvane.core.config.ConfigTable;
 import org.quetzalvane.core.config.FoldOutcome;
 import org.quetzalvane.core.config.RecordRing;
+import org.quetzalvane.core.config.SnapshotCodec;
 import org.quetzalvane.core.event.EventCode;
+import org.quetzalvane.core.exc.LogExpiredException;
 import org.quetzalvane.core.log.LogFollower;
 import org.quetzalvane.core.port.LogPort;
 
@@ -32,6 +34,7 @@
     private final NodeContext context;
     private final ConfigTable config;
     private final LogFollower follower;
+    private final SnapshotStore snapshots;
     private final RecordRing ring = new RecordRing(RING_BYTES);
     private final List<Waiter> waiters = new ArrayList<>();
     private final AtomicLong highestSeen = new AtomicLong(-1);
@@ -43,13 +46,17 @@
         this.context = context;
         this.config = config;
         follower = new LogFollower(
-                log, Coordinator.CONFIG_STREAM, context.scheduler(), poll, context.events(), this::fromLog);
+                log, Coordinator.CONFIG_STREAM, context.scheduler(), poll, context.events(), this::take, this::bridge);
+        snapshots = new SnapshotStore(log);
     }
 
     // Life cycle
 
     public void start() {
-        follower.start(0);
+        snapshots
+                .newest()
+                .thenAccept(found -> found.ifPresent(this::restore))
+                .whenComplete((x, failure) -> follower.start(config.appliedOffset() + 1));
     }
 
     // Public API
@@ -111,8 +118,24 @@
 
     // Helpers
 
-    private void fromLog(long offset, byte[] data) {
-        take(offset, data);
+    /** Restores from a snapshot; fails when the newest one leaves a gap, so that nothing is skipped. */
+    private CompletableFuture<Long> bridge(long first) {
+        return snapshots.newest().thenApply(found -> {
+            found.ifPresent(this::restore);
+            long next = config.appliedOffset() + 1;
+            if (next < first) {
+                throw new LogExpiredException(first);
+            }
+            return next;
+        });
+    }
+
+    private void restore(List<SnapshotCodec.Part> parts) {
+        if (config.restore(parts)) {
+            String detail = "at offset " + parts.get(0).at() + " from " + parts.size() + " parts";
+            context.events().record(EventCode.SNAPSHOT_RESTORED, Coordinator.CONFIG_STREAM, detail);
+            completeWaiters();
+        }
     }
 
     private void take(long offset, byte[] data) {
--- a/core/src/main/java/org/quetzalvane/core/node/Coordinator.java
+++ b/core/src/main/java/org/quetzalvane/core/node/Coordinator.java
@@ -120,6 +120,7 @@
                         "incarnation " + context.self().incarnation());
         configFeed.start();
         configPeers.start();
+        new SnapshotWriter(context, ports.log(), config, configFeed, settings.snapshotPeriod()).start();
         claimFollower.start(0);
         ownership.start();
         context.scheduler().repeat(settings.poll(), this::readHostList);
--- a/core/src/test/java/org/quetzalvane/core/config/RepeatedRecordsTest.java
+++ b/core/src/test/java/org/quetzalvane/core/config/RepeatedRecordsTest.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
@@ -13,7 +14,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Publishers race, repeat and write either schema; a repeat changes nothing, however late it comes. */
+/** Publishers race, repeat and write either schema; a repeat changes nothing, however late, also after a restore. */
 class RepeatedRecordsTest {
     private static final int RECORDS = 120;
     private static final int NAMES = 3;
@@ -34,6 +35,9 @@
             List<ConfigState.Entry> before = List.copyOf(table.read(ConfigState::all));
             FoldOutcome outcome = table.apply(offset, data).orElseThrow();
             assertThat(other.apply(offset, data)).contains(outcome);
+            if (random.nextInt(RECORDS / 2) == 0) {
+                other = restored(table);
+            }
             if (!seen.add(new String(data, StandardCharsets.UTF_8))) {
                 assertThat(outcome.code()).isNotEqualTo(ResultCode.RECORD_ACCEPTED);
                 assertThat(table.read(ConfigState::all)).isEqualTo(before);
@@ -42,6 +46,14 @@
         assertThat(other.read(ConfigState::all)).isEqualTo(table.read(ConfigState::all));
     }
 
+    private static ConfigTable restored(ConfigTable table) {
+        List<byte[]> snapshot = table.snapshot();
+        ConfigTable restored = new ConfigTable(REMEMBERED);
+        restored.restore(snapshot.stream().map(SnapshotCodec::decode).toList());
+        assertThat(restored.snapshot()).usingElementComparator(Arrays::compare).isEqualTo(snapshot);
+        return restored;
+    }
+
     /** A record by a publisher that read the revision now, guesses 0, or read it some records ago. */
     private static byte[] fresh(Random random, ConfigTable table, int offset) {
         String kind = random.nextInt(3) == 0 ? "base-model" : "adapter";
--- a/node/src/main/java/org/quetzalvane/node/NodeRuntime.java
+++ b/node/src/main/java/org/quetzalvane/node/NodeRuntime.java
@@ -107,7 +107,8 @@
                 .withDispatch(dispatch)
                 .withPoll(timing.poll())
                 .withAnswerLifetime(timing.answer())
-                .withDrainLimit(timing.drain());
+                .withDrainLimit(timing.drain())
+                .withSnapshotPeriod(timing.snapshot());
     }
 
     private static HttpService.Builder server(NodeSettings settings) {
--- a/proofs/src/test/java/org/quetzalvane/proofs/ConfigurationTest.java
+++ b/proofs/src/test/java/org/quetzalvane/proofs/ConfigurationTest.java
@@ -13,6 +13,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.quetzalvane.adapters.http.Json;
@@ -39,6 +40,13 @@
         cluster.close();
     }
 
+    @AfterEach
+    void endFaults() {
+        List.of("log", "n2", "n3").forEach(c -> cluster.child(c).thaw());
+        cluster.fault(cluster.logUrl(), "down", 0);
+        cluster.nodes().forEach(cluster::awaitReady);
+    }
+
     @Test
     void publishRepeatsLostAppendsAndConfirmsOnEveryNode() throws IOException {
         long before = logEnd();
@@ -62,8 +70,6 @@
         cluster.child("n3").thaw();
         awaitOffset("n2", end);
         awaitOffset("n3", end);
-        cluster.fault(cluster.logUrl(), "down", 0);
-        cluster.nodes().forEach(cluster::awaitReady);
     }
 
     @Test
@@ -73,8 +79,6 @@
         cluster.fault(cluster.logUrl(), "down", 1);
         cluster.startNode("n3");
         awaitOffset("n3", end - 1);
-        cluster.fault(cluster.logUrl(), "down", 0);
-        cluster.awaitReady("n3");
     }
 
     @Test
--- /dev/null
+++ b/proofs/src/test/java/org/quetzalvane/proofs/RetentionTest.java
@@ -0,0 +1,80 @@
+package org.quetzalvane.proofs;
+
+import java.io.IOException;
+import java.time.Duration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.quetzalvane.adapters.http.Json;
+import org.quetzalvane.core.config.SnapshotCodec;
+import org.quetzalvane.standins.harness.Await;
+import org.quetzalvane.standins.harness.LocalCluster;
+import org.quetzalvane.standins.harness.Records;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** The log drops the records of the configuration; snapshots keep it in force, also against late repeats. */
+class RetentionTest {
+    private static final Duration LIMIT = Duration.ofSeconds(30);
+    private static final String SNAPSHOTS = "config-snapshots";
+    private static LocalCluster cluster;
+
+    @BeforeAll
+    static void start() throws IOException {
+        cluster = LocalCluster.builder().nodes(2).engines(1).snapshotSeconds(1).start();
+        cluster.publishEndpoints();
+    }
+
+    @AfterAll
+    static void stop() {
+        cluster.close();
+    }
+
+    @Test
+    void freshNodeServesFromTheSnapshotAfterTheRecordsExpired() throws IOException {
+        ObjectNode removed = Records.adapter("removed", LocalCluster.BASE_MODEL);
+        cluster.publish(Records.caller("c", "t"), Records.rule("r", "c", "service:*"), removed);
+        cluster.publish(Records.record("adapter", "removed", end("config"), null));
+        long end = end("config");
+        Await.until("snapshot of everything", LIMIT, () -> newestSnapshot() >= end - 1);
+        cluster.fault(cluster.logUrl(), "expire_before.config", end);
+        cluster.fault(cluster.logUrl(), "expire_before.config-snapshots", 1);
+        cluster.child("n2").kill();
+        cluster.child("n1").kill();
+        cluster.startNode("n2");
+        cluster.awaitReady("n2");
+        assertThat(cluster.nodeStatus("n2").path("config_offset").asLong()).isEqualTo(end - 1);
+        assertThat(cluster.caller("t").resolveService("booking").isWhole()).isTrue();
+        cluster.append("config", Json.text(removed.put("id", "late")));
+        Await.until("late repeat", LIMIT, () -> outcome("late").path("known").asBoolean());
+        assertThat(outcome("late").path("name").asText()).isEqualTo("REVISION_CONFLICT");
+    }
+
+    private static JsonNode outcome(String id) {
+        return cluster.get("http://" + cluster.operators("n2") + "/outcome?id=" + id);
+    }
+
+    private static long newestSnapshot() {
+        long end = end(SNAPSHOTS);
+        if (end == 0) {
+            return -1;
+        }
+        JsonNode record = stream(SNAPSHOTS, end - 1).path("records").path(0);
+        try {
+            return SnapshotCodec.decode(record.path("data").binaryValue()).at();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    private static long end(String stream) {
+        return stream(stream, Integer.MAX_VALUE - 1).path("end").asLong();
+    }
+
+    private static JsonNode stream(String stream, long from) {
+        return cluster.get(cluster.logUrl() + "/streams/" + stream + "?max=1&from=" + from);
+    }
+}
--- a/standins/src/main/java/org/quetzalvane/standins/harness/LocalCluster.java
+++ b/standins/src/main/java/org/quetzalvane/standins/harness/LocalCluster.java
@@ -53,6 +53,7 @@
         private boolean checksFencing;
         private long leaseMillis = 2000;
         private long readMillis = 30_000;
+        private long snapshotSeconds = 3600;
 
         public Builder nodes(int n) {
             nodes = n;
@@ -84,6 +85,11 @@
             return this;
         }
 
+        public Builder snapshotSeconds(long seconds) {
+            snapshotSeconds = seconds;
+            return this;
+        }
+
         /** Starts all processes and waits until every node is ready. */
         public LocalCluster start() throws IOException {
             LocalCluster cluster = new LocalCluster(this);
@@ -352,6 +358,7 @@
                 "[timing]",
                 "lease_millis = " + settings.leaseMillis,
                 "poll_millis = 100",
+                "snapshot_seconds = " + settings.snapshotSeconds,
                 "answer_millis = 1000",
                 "[limits]",
                 "read_millis = " + settings.readMillis,
