Look up engines and access rules by index

Cause: each request listed all engines and scanned all rules, and each list walked every object. Change: engines are kept as immutable lists, in all and by base model, replaced on change; rules are indexed by caller and target, so a decision looks at four keys. After: ConfigTableTest, RepeatedRecordsTest pass.

--- a/core/src/main/java/org/quetzalvane/core/config/ConfigState.java
+++ b/core/src/main/java/org/quetzalvane/core/config/ConfigState.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -25,10 +26,16 @@
  * <p>Not thread-safe by itself; {@link ConfigTable} guards it.
  */
 public final class ConfigState {
-    private final Map<ConfigKey, Entry> entries =
+    private static final ConfigObject.Kind AFTER_ENGINES =
+            ConfigObject.Kind.values()[ConfigObject.Kind.ENGINE.ordinal() + 1];
+
+    private final NavigableMap<ConfigKey, Entry> entries =
             new TreeMap<>(java.util.Comparator.comparing(ConfigKey::kind).thenComparing(ConfigKey::name));
     private final Map<String, Caller> callersByToken = new HashMap<>();
+    private final RuleIndex rules = new RuleIndex();
     private final SpentNames spent = new SpentNames();
+    private List<Engine> engines = List.of();
+    private Map<String, List<Engine>> enginesByModel = Map.of();
 
     /**
      * An object in force with its revision. Immutable.
@@ -75,16 +82,22 @@
         return Optional.ofNullable(callersByToken.get(tokenSha256));
     }
 
+    /** All engines, in the order of their names. Immutable. */
     public List<Engine> engines() {
-        return list(ConfigObject.Kind.ENGINE, Engine.class);
+        return engines;
+    }
+
+    /** The engines with a base model, in the order of their names. Immutable. */
+    public List<Engine> engines(String baseModel) {
+        return enginesByModel.getOrDefault(baseModel, List.of());
     }
 
     public boolean allowsAdapter(String caller, AdapterVersion v) {
-        return rules().stream().anyMatch(r -> r.allowsAdapter(caller, v));
+        return rules.any(caller, "adapter:", v.adapter(), r -> r.allowsAdapter(caller, v));
     }
 
     public boolean allowsService(String caller, String service) {
-        return rules().stream().anyMatch(r -> r.allowsService(caller, service));
+        return rules.any(caller, "service:", service, r -> r.allowsService(caller, service));
     }
 
     /** Writes what is in force and what repeats must not bring back, in an order that depends on the state alone. */
@@ -110,9 +123,7 @@
     void put(ConfigKey key, long revision, ConfigObject value) {
         drop(key);
         entries.put(key, new Entry(revision, value));
-        if (value instanceof Caller) {
-            callersByToken.put(((Caller) value).tokenSha256(), (Caller) value);
-        }
+        index(value);
     }
 
     void remove(ConfigKey key, long revision) {
@@ -132,23 +143,43 @@
 
     private void drop(ConfigKey key) {
         Entry old = entries.remove(key);
-        if (old != null && old.value() instanceof Caller) {
-            callersByToken.remove(((Caller) old.value()).tokenSha256());
+        if (old != null) {
+            unindex(old.value());
         }
     }
 
-    private List<AccessRule> rules() {
-        return list(ConfigObject.Kind.ACCESS_RULE, AccessRule.class);
+    private void index(ConfigObject value) {
+        if (value instanceof Caller) {
+            callersByToken.put(((Caller) value).tokenSha256(), (Caller) value);
+        } else if (value instanceof AccessRule) {
+            rules.add((AccessRule) value);
+        } else if (value instanceof Engine) {
+            listEngines();
+        }
     }
 
-    private <T extends ConfigObject> Optional<T> get(ConfigObject.Kind kind, String name, Class<T> type) {
-        return find(new ConfigKey(kind, name)).map(e -> type.cast(e.value()));
+    private void unindex(ConfigObject value) {
+        if (value instanceof Caller) {
+            callersByToken.remove(((Caller) value).tokenSha256(), value);
+        } else if (value instanceof AccessRule) {
+            rules.remove((AccessRule) value);
+        } else if (value instanceof Engine) {
+            listEngines();
+        }
     }
 
-    private <T extends ConfigObject> List<T> list(ConfigObject.Kind kind, Class<T> type) {
-        return entries.entrySet().stream()
-                .filter(e -> e.getKey().kind() == kind)
-                .map(e -> type.cast(e.getValue().value()))
-                .collect(Collectors.toList());
+    private void listEngines() {
+        engines =
+                entries
+                        .subMap(new ConfigKey(ConfigObject.Kind.ENGINE, ""), new ConfigKey(AFTER_ENGINES, ""))
+                        .values()
+                        .stream()
+                        .map(e -> (Engine) e.value())
+                        .toList();
+        enginesByModel = engines.stream().collect(Collectors.groupingBy(Engine::baseModel));
+    }
+
+    private <T extends ConfigObject> Optional<T> get(ConfigObject.Kind kind, String name, Class<T> type) {
+        return find(new ConfigKey(kind, name)).map(e -> type.cast(e.value()));
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/routing/Placement.java
+++ b/core/src/main/java/org/quetzalvane/core/routing/Placement.java
@@ -43,8 +43,7 @@
 
     private List<Engine> fitting(ConfigState s, AdapterVersion v) {
         String baseModel = s.adapter(v.adapter()).map(a -> a.baseModel()).orElse("");
-        return s.engines().stream()
-                .filter(e -> e.baseModel().equals(baseModel))
+        return s.engines(baseModel).stream()
                 .filter(e -> e.dataCentre().region().equals(region))
                 .toList();
     }
