--- a/core/src/main/java/org/quetzalvane/core/config/RuleIndex.java
+++ b/core/src/main/java/org/quetzalvane/core/config/RuleIndex.java
@@ -1,58 +1,56 @@
 package org.quetzalvane.core.config;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
 
 import org.quetzalvane.core.model.AccessRule;
-import org.quetzalvane.core.model.AdapterVersion;
 
 /**
- * Access rules by caller and target, so that a check looks at the few rules that can match.
+ * The access rules by caller and target, so that a decision looks at the rules that name both and at no others.
  *
- * <p>Invariant: gives the same answer as trying every rule. Not thread-safe by itself; {@link ConfigTable} guards it.
+ * <p>Not thread-safe.
  */
 final class RuleIndex {
     private static final String ANY = "*";
 
-    private final Map<Key, List<AccessRule>> rules = new HashMap<>();
+    private final Map<Pair, List<AccessRule>> rules = new HashMap<>();
 
-    private record Key(String caller, String target) {}
+    private record Pair(String caller, String target) {}
 
     void add(AccessRule rule) {
-        rules.computeIfAbsent(key(rule), k -> new ArrayList<>(1)).add(rule);
+        rules.merge(pair(rule), List.of(rule), (a, b) -> {
+            List<AccessRule> both = new java.util.ArrayList<>(a);
+            both.addAll(b);
+            return List.copyOf(both);
+        });
     }
 
     void remove(AccessRule rule) {
-        rules.computeIfPresent(key(rule), (k, list) -> {
-            list.remove(rule);
-            return list.isEmpty() ? null : list;
+        rules.computeIfPresent(pair(rule), (pair, list) -> {
+            List<AccessRule> rest = list.stream().filter(r -> !r.equals(rule)).toList();
+            return rest.isEmpty() ? null : rest;
         });
     }
 
-    boolean allowsAdapter(String caller, AdapterVersion v) {
-        return any(caller, "adapter:", v.adapter(), r -> r.allowsAdapter(caller, v));
-    }
-
-    boolean allowsService(String caller, String service) {
-        return any(caller, "service:", service, r -> r.allowsService(caller, service));
-    }
-
-    private boolean any(String caller, String prefix, String name, Predicate<AccessRule> allows) {
-        return at(caller, prefix + name, allows)
-                || at(caller, prefix + ANY, allows)
-                || at(ANY, prefix + name, allows)
-                || at(ANY, prefix + ANY, allows);
+    /**
+     * Whether a rule for the caller and the target, or for all of either, fits.
+     *
+     * @param kind {@code adapter:} or {@code service:}
+     */
+    boolean any(String caller, String kind, String name, Predicate<AccessRule> fits) {
+        return anyOf(caller, kind + name, fits)
+                || anyOf(caller, kind + ANY, fits)
+                || anyOf(ANY, kind + name, fits)
+                || anyOf(ANY, kind + ANY, fits);
     }
 
-    private boolean at(String caller, String target, Predicate<AccessRule> allows) {
-        List<AccessRule> list = rules.get(new Key(caller, target));
-        return list != null && list.stream().anyMatch(allows);
+    private boolean anyOf(String caller, String target, Predicate<AccessRule> fits) {
+        return rules.getOrDefault(new Pair(caller, target), List.of()).stream().anyMatch(fits);
     }
 
-    private static Key key(AccessRule rule) {
-        return new Key(rule.caller(), rule.target());
+    private static Pair pair(AccessRule rule) {
+        return new Pair(rule.caller(), rule.target());
     }
 }
