Hold adapters, versions and rules in packed bytes

Change: PackedEntries keeps them as bytes in segments, found by OffsetTable (one integer a slot), rules by caller and target as well; dead bytes are given back by compaction. Records over 16 KiB and text that is not valid Unicode are refused as malformed, since nodes could not store them alike. Ruled out: interned Strings in fastutil maps (a String of 20 characters alone is 64 bytes).

--- a/core/src/main/java/org/quetzalvane/core/config/ConfigState.java
+++ b/core/src/main/java/org/quetzalvane/core/config/ConfigState.java
@@ -1,5 +1,6 @@
 package org.quetzalvane.core.config;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -8,6 +9,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import org.quetzalvane.core.model.AccessRule;
@@ -26,13 +28,14 @@
  * <p>Not thread-safe by itself; {@link ConfigTable} guards it.
  */
 public final class ConfigState {
+    private static final String ANY = "*";
     private static final ConfigObject.Kind AFTER_ENGINES =
             ConfigObject.Kind.values()[ConfigObject.Kind.ENGINE.ordinal() + 1];
 
     private final NavigableMap<ConfigKey, Entry> entries =
             new TreeMap<>(java.util.Comparator.comparing(ConfigKey::kind).thenComparing(ConfigKey::name));
     private final Map<String, Caller> callersByToken = new HashMap<>();
-    private final RuleIndex rules = new RuleIndex();
+    private final PackedEntries packed = new PackedEntries();
     private final SpentNames spent = new SpentNames();
     private List<Engine> engines = List.of();
     private Map<String, List<Engine>> enginesByModel = Map.of();
@@ -46,7 +49,7 @@
     public record Entry(long revision, ConfigObject value) {}
 
     public Optional<Entry> find(ConfigKey key) {
-        return Optional.ofNullable(entries.get(key));
+        return PackedCodec.packs(key.kind()) ? packed.find(key) : Optional.ofNullable(entries.get(key));
     }
 
     /**
@@ -54,12 +57,13 @@
      * 0 when no record ever changed the object.
      */
     public long revision(ConfigKey key) {
-        Entry e = entries.get(key);
-        return e == null ? spent.revision(key) : e.revision();
+        return find(key).map(Entry::revision).orElseGet(() -> spent.revision(key));
     }
 
     public Collection<Entry> all() {
-        return List.copyOf(entries.values());
+        List<Entry> all = new ArrayList<>(entries.values());
+        packed.forEach(all::add);
+        return all;
     }
 
     public Optional<Adapter> adapter(String name) {
@@ -93,23 +97,26 @@
     }
 
     public boolean allowsAdapter(String caller, AdapterVersion v) {
-        return rules.any(caller, "adapter:", v.adapter(), r -> r.allowsAdapter(caller, v));
+        return anyRule(caller, "adapter:", v.adapter(), r -> r.allowsAdapter(caller, v));
     }
 
     public boolean allowsService(String caller, String service) {
-        return rules.any(caller, "service:", service, r -> r.allowsService(caller, service));
+        return anyRule(caller, "service:", service, r -> r.allowsService(caller, service));
     }
 
     /** Writes what is in force and what repeats must not bring back, in an order that depends on the state alone. */
     void writeTo(Consumer<SnapshotCodec.Item> items) {
-        entries.forEach((key, e) -> {
-            ConfigRecord r = new ConfigRecord(
-                    RecordCodec.NEWEST_SCHEMA, "snapshot", e.revision(), key.kind(), key.name(), e.value());
-            items.accept(new SnapshotCodec.Item(RecordCodec.encode(r), null, null));
-        });
+        entries.values().forEach(e -> items.accept(item(e)));
+        packed.forEach(e -> items.accept(item(e)));
         spent.pieces().forEach(p -> items.accept(new SnapshotCodec.Item(null, null, p)));
     }
 
+    private static SnapshotCodec.Item item(Entry e) {
+        ConfigObject v = e.value();
+        ConfigRecord r = new ConfigRecord(RecordCodec.NEWEST_SCHEMA, "snapshot", e.revision(), v.kind(), v.name(), v);
+        return new SnapshotCodec.Item(RecordCodec.encode(r), null, null);
+    }
+
     /** Takes in one object or piece that {@link #writeTo} wrote. */
     void restore(SnapshotCodec.Item item) {
         if (item.words() != null) {
@@ -122,8 +129,13 @@
 
     void put(ConfigKey key, long revision, ConfigObject value) {
         drop(key);
-        entries.put(key, new Entry(revision, value));
-        index(value);
+        Entry e = new Entry(revision, value);
+        if (PackedCodec.packs(key.kind())) {
+            packed.add(e);
+        } else {
+            entries.put(key, e);
+            index(value);
+        }
     }
 
     void remove(ConfigKey key, long revision) {
@@ -133,15 +145,19 @@
 
     /** Moves the revision of an object on and leaves its value, or its absence, as it is. */
     void useUpRevision(ConfigKey key, long revision) {
-        Entry e = entries.get(key);
-        if (e == null) {
+        Optional<Entry> e = find(key);
+        if (e.isEmpty()) {
             spent.spend(key, revision);
         } else {
-            entries.put(key, new Entry(revision, e.value()));
+            put(key, revision, e.get().value());
         }
     }
 
     private void drop(ConfigKey key) {
+        if (PackedCodec.packs(key.kind())) {
+            packed.remove(key);
+            return;
+        }
         Entry old = entries.remove(key);
         if (old != null) {
             unindex(old.value());
@@ -151,8 +167,6 @@
     private void index(ConfigObject value) {
         if (value instanceof Caller) {
             callersByToken.put(((Caller) value).tokenSha256(), (Caller) value);
-        } else if (value instanceof AccessRule) {
-            rules.add((AccessRule) value);
         } else if (value instanceof Engine) {
             listEngines();
         }
@@ -161,13 +175,18 @@
     private void unindex(ConfigObject value) {
         if (value instanceof Caller) {
             callersByToken.remove(((Caller) value).tokenSha256(), value);
-        } else if (value instanceof AccessRule) {
-            rules.remove((AccessRule) value);
         } else if (value instanceof Engine) {
             listEngines();
         }
     }
 
+    private boolean anyRule(String caller, String kind, String name, Predicate<AccessRule> fits) {
+        return packed.anyRule(caller, kind + name, fits)
+                || packed.anyRule(caller, kind + ANY, fits)
+                || packed.anyRule(ANY, kind + name, fits)
+                || packed.anyRule(ANY, kind + ANY, fits);
+    }
+
     private void listEngines() {
         engines =
                 entries
--- a/core/src/main/java/org/quetzalvane/core/config/ConfigTable.java
+++ b/core/src/main/java/org/quetzalvane/core/config/ConfigTable.java
@@ -26,9 +26,13 @@
  * return; so a record decides something once, and no later repeat of its bytes changes the state, also when its id is
  * no longer remembered.
  *
- * <p>Thread-safe; its read-write lock is the first in the lock order and no other lock is taken while it is held.
+ * <p>Thread-safe. Of all locks only the monitor of the feed's ring may be held when its read-write lock is taken, and
+ * no other lock is taken while it is held.
  */
 public final class ConfigTable {
+    /** Most bytes of a record; entries packed from it fit by far. */
+    private static final int MAX_RECORD_BYTES = PackedEntries.MAX_ENTRY_BYTES / 2;
+
     private static final int REMEMBERED_OUTCOMES = 4096;
 
     private final ReentrantReadWriteLock lock = new ReentrantReadWriteLock();
@@ -138,6 +142,10 @@
     }
 
     private FoldOutcome fold(long offset, byte[] data) {
+        if (data.length > MAX_RECORD_BYTES) {
+            String message = "a record has at most " + MAX_RECORD_BYTES + " bytes";
+            return new FoldOutcome(offset, "", null, ResultCode.RECORD_MALFORMED, 0, message);
+        }
         ConfigRecord r;
         try {
             r = RecordCodec.decode(data);
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/config/PackedEntries.java
@@ -0,0 +1,158 @@
+package org.quetzalvane.core.config;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+import it.unimi.dsi.fastutil.ints.IntArrayList;
+import net.openhft.hashing.LongHashFunction;
+import org.quetzalvane.core.model.AccessRule;
+import org.quetzalvane.core.model.ConfigObject;
+
+/**
+ * Adapters, versions and access rules as bytes in segments, found by name, and rules by caller and target as well.
+ *
+ * <p>An entry never changes in place; what was removed is given back by copying all entries once half of the bytes are
+ * dead. Not thread-safe, but for reads without a writer.
+ */
+final class PackedEntries {
+    /** Most bytes of one entry. */
+    static final int MAX_ENTRY_BYTES = 1 << 15;
+
+    private static final int SEGMENT_BITS = 16;
+    private static final int SEGMENT_BYTES = 1 << SEGMENT_BITS;
+    private static final int MIN_DEAD_BYTES = 1 << 20;
+    private static final LongHashFunction HASH = LongHashFunction.xx();
+
+    private List<ByteBuffer> segments = new ArrayList<>();
+    private OffsetTable byName = new OffsetTable(this::nameHash);
+    private OffsetTable byPair = new OffsetTable(this::pairHash);
+    private int segmentUsed = SEGMENT_BYTES;
+    private long liveBytes;
+    private long deadBytes;
+
+    Optional<ConfigState.Entry> find(ConfigKey key) {
+        int offset = offset(key);
+        return offset == OffsetTable.NONE ? Optional.empty() : Optional.of(entry(offset));
+    }
+
+    /** Adds an entry whose key is not held. */
+    void add(ConfigState.Entry e) {
+        addRaw(PackedCodec.encode(e));
+    }
+
+    /** Removes an entry, if it is held. */
+    void remove(ConfigKey key) {
+        int offset = offset(key);
+        if (offset == OffsetTable.NONE) {
+            return;
+        }
+        byName.remove(offset);
+        if (isRule(offset)) {
+            byPair.remove(offset);
+        }
+        int size = PackedCodec.encode(entry(offset)).length;
+        liveBytes -= size;
+        deadBytes += size;
+        if (deadBytes > MIN_DEAD_BYTES && deadBytes > liveBytes) {
+            compact();
+        }
+    }
+
+    /** Whether a rule that names just this caller and target fits. */
+    boolean anyRule(String caller, String target, Predicate<AccessRule> fits) {
+        byte[] callerBytes = caller.getBytes(StandardCharsets.UTF_8);
+        byte[] targetBytes = target.getBytes(StandardCharsets.UTF_8);
+        ByteBuffer callerKey = ByteBuffer.wrap(callerBytes);
+        ByteBuffer targetKey = ByteBuffer.wrap(targetBytes);
+        long hash = pairHash(HASH.hashBytes(callerBytes), HASH.hashBytes(targetBytes));
+        int found = byPair.find(
+                hash,
+                o -> PackedCodec.field(at(o), 1).equals(callerKey)
+                        && PackedCodec.field(at(o), 2).equals(targetKey)
+                        && fits.test((AccessRule) entry(o).value()));
+        return found != OffsetTable.NONE;
+    }
+
+    /** Hands out all entries, by kind and then by the bytes of their names. */
+    void forEach(Consumer<ConfigState.Entry> action) {
+        IntArrayList offsets = new IntArrayList(byName.size());
+        byName.forEach(offsets::add);
+        offsets.sort(this::compare);
+        offsets.forEach((int o) -> action.accept(entry(o)));
+    }
+
+    private int compare(int a, int b) {
+        int byKind = PackedCodec.kind(at(a)).compareTo(PackedCodec.kind(at(b)));
+        return byKind != 0 ? byKind : PackedCodec.name(at(a)).compareTo(PackedCodec.name(at(b)));
+    }
+
+    private int offset(ConfigKey key) {
+        byte[] name = key.name().getBytes(StandardCharsets.UTF_8);
+        ByteBuffer wanted = ByteBuffer.wrap(name);
+        return byName.find(
+                nameHash(key.kind(), HASH.hashBytes(name)),
+                o -> PackedCodec.kind(at(o)) == key.kind()
+                        && PackedCodec.name(at(o)).equals(wanted));
+    }
+
+    private void addRaw(byte[] data) {
+        if (segmentUsed + data.length > SEGMENT_BYTES) {
+            segments.add(ByteBuffer.allocate(SEGMENT_BYTES));
+            segmentUsed = 0;
+        }
+        int last = segments.size() - 1;
+        segments.get(last).put(segmentUsed, data);
+        int offset = last << SEGMENT_BITS | segmentUsed;
+        segmentUsed += data.length;
+        liveBytes += data.length;
+        byName.add(offset);
+        if (isRule(offset)) {
+            byPair.add(offset);
+        }
+    }
+
+    private void compact() {
+        PackedEntries copy = new PackedEntries();
+        byName.forEach(o -> copy.add(entry(o)));
+        segments = copy.segments;
+        segmentUsed = copy.segmentUsed;
+        liveBytes = copy.liveBytes;
+        deadBytes = 0;
+        byName = copy.byName.rebound(this::nameHash);
+        byPair = copy.byPair.rebound(this::pairHash);
+    }
+
+    private boolean isRule(int offset) {
+        return PackedCodec.kind(at(offset)) == ConfigObject.Kind.ACCESS_RULE;
+    }
+
+    private ConfigState.Entry entry(int offset) {
+        return PackedCodec.decode(at(offset));
+    }
+
+    private ByteBuffer at(int offset) {
+        return segments.get(offset >>> SEGMENT_BITS).duplicate().position(offset & SEGMENT_BYTES - 1);
+    }
+
+    private long nameHash(int offset) {
+        return nameHash(PackedCodec.kind(at(offset)), HASH.hashBytes(PackedCodec.name(at(offset))));
+    }
+
+    private long pairHash(int offset) {
+        return pairHash(
+                HASH.hashBytes(PackedCodec.field(at(offset), 1)), HASH.hashBytes(PackedCodec.field(at(offset), 2)));
+    }
+
+    private static long nameHash(ConfigObject.Kind kind, long hash) {
+        return hash + kind.ordinal();
+    }
+
+    private static long pairHash(long caller, long target) {
+        return caller * 31 + target;
+    }
+}
--- a/core/src/main/java/org/quetzalvane/core/config/RecordCodec.java
+++ b/core/src/main/java/org/quetzalvane/core/config/RecordCodec.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -155,6 +156,9 @@
         if (!v.isTextual() || v.textValue().isEmpty()) {
             throw malformed(field + " must be a non-empty string");
         }
+        if (!StandardCharsets.UTF_8.newEncoder().canEncode(v.textValue())) {
+            throw malformed(field + " must be valid Unicode");
+        }
         return v.textValue();
     }
 
--- a/core/src/test/java/org/quetzalvane/core/config/ConfigTableTest.java
+++ b/core/src/test/java/org/quetzalvane/core/config/ConfigTableTest.java
@@ -39,12 +39,20 @@
         assertThat(apply(first).code()).isEqualTo(ResultCode.RECORD_REPEATED);
     }
 
+    @Test
+    void refusesRecordOverTheLimit() {
+        String long20k = "n".repeat(20_000);
+        FoldOutcome o = apply("{'schema':1,'id':'1','type':'base-model','name':'" + long20k + "','rev':0}");
+        assertThat(o.code()).isEqualTo(ResultCode.RECORD_MALFORMED);
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
             value = {
                 "not json | RECORD_MALFORMED",
                 "{'schema':3,'id':'1'} | UNKNOWN_SCHEMA",
+                "{'schema':1,'id':'1','type':'base-model','name':'\\ud800','rev':0} | RECORD_MALFORMED",
                 "{'schema':2,'id':'1','kind':'adapter','name':'a','expectedRevision':0,'value':{}} | RECORD_MALFORMED",
                 "{'schema':2,'id':'1','kind':'adapter','name':'a','expectedRevision':0,'value':{'baseModel':'x'}}"
                         + " | RECORD_INVALID"
