--- a/core/src/main/java/org/quetzalvane/core/node/ConfigFeed.java
+++ b/core/src/main/java/org/quetzalvane/core/node/ConfigFeed.java
@@ -106,7 +106,17 @@
                 take(offset, records.get(i));
             }
         }
-        peersAnswered = true;
+        peersAnswered |= !records.isEmpty() || from <= config.appliedOffset() + 1;
+    }
+
+    /** Replaces the state by a snapshot of a later offset, from the log or from a peer. */
+    void restore(List<SnapshotCodec.Part> parts) {
+        if (config.restore(parts)) {
+            String detail = "at offset " + parts.get(0).at() + " from " + parts.size() + " parts";
+            context.events().record(EventCode.SNAPSHOT_RESTORED, Coordinator.CONFIG_STREAM, detail);
+            peersAnswered = true;
+            completeWaiters();
+        }
     }
 
     /** Records from an offset on, up to some bytes; empty when they are not held any more or not known yet. */
@@ -130,14 +140,6 @@
         });
     }
 
-    private void restore(List<SnapshotCodec.Part> parts) {
-        if (config.restore(parts)) {
-            String detail = "at offset " + parts.get(0).at() + " from " + parts.size() + " parts";
-            context.events().record(EventCode.SNAPSHOT_RESTORED, Coordinator.CONFIG_STREAM, detail);
-            completeWaiters();
-        }
-    }
-
     private void take(long offset, byte[] data) {
         Optional<FoldOutcome> outcome;
         synchronized (ring) {
--- a/core/src/main/java/org/quetzalvane/core/node/ConfigPeers.java
+++ b/core/src/main/java/org/quetzalvane/core/node/ConfigPeers.java
@@ -38,6 +38,7 @@
     private final Membership membership;
     private final PeerPort peers;
     private final Supplier<PeerMessage.Heartbeat> heartbeat;
+    private final SnapshotExchange snapshots;
     private final Map<String, NodeInfo> known = new ConcurrentHashMap<>();
     private final Random random;
     private int ticks;
@@ -56,12 +57,14 @@
         this.membership = membership;
         this.peers = peers;
         this.heartbeat = heartbeat;
+        snapshots = new SnapshotExchange(context, config, feed, peers);
         random = new Random(context.self().node().hashCode());
     }
 
     /** Serves requests for records. */
     public void serveOn(PeerRouter router) {
         router.serve(PeerMessage.RecordsWanted.class, (wanted, reply) -> reply.end(records(wanted.from())));
+        snapshots.serveOn(router);
     }
 
     public void start() {
@@ -88,6 +91,9 @@
     // Helpers
 
     private void tick() {
+        for (NodeInfo n : membership.candidates(context.scheduler().nanoTime(), n -> true)) {
+            known.put(n.node(), n);
+        }
         if (feed.logDown() || feed.behind()) {
             pull();
         }
@@ -116,6 +122,8 @@
         feed.fromPeer(r.from(), r.records());
         if (config.appliedOffset() > before) {
             pull(peer);
+        } else if (r.records().isEmpty() && r.from() > before + 1 && (feed.logDown() || !feed.started())) {
+            snapshots.fetch(peer);
         }
     }
 
@@ -129,9 +137,6 @@
     }
 
     private List<NodeInfo> choose() {
-        for (NodeInfo n : membership.candidates(context.scheduler().nanoTime(), n -> true)) {
-            known.put(n.node(), n);
-        }
         List<NodeInfo> others = new ArrayList<>(known.values());
         others.removeIf(n -> n.node().equals(context.self().node()));
         Collections.shuffle(others, random);
--- a/core/src/main/java/org/quetzalvane/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/peer/PeerMessage.java
@@ -14,6 +14,8 @@
     @JsonSubTypes.Type(value = PeerMessage.Heartbeat.class, name = "hb"),
     @JsonSubTypes.Type(value = PeerMessage.RecordsWanted.class, name = "rw"),
     @JsonSubTypes.Type(value = PeerMessage.Records.class, name = "rs"),
+    @JsonSubTypes.Type(value = PeerMessage.SnapshotWanted.class, name = "sw"),
+    @JsonSubTypes.Type(value = PeerMessage.SnapshotPart.class, name = "sp"),
     @JsonSubTypes.Type(value = PeerMessage.Forward.class, name = "fw"),
     @JsonSubTypes.Type(value = PeerMessage.ForwardPart.class, name = "fp"),
     @JsonSubTypes.Type(value = PeerMessage.ForwardAlive.class, name = "fa"),
@@ -47,10 +49,25 @@
      * Consecutive configuration records.
      *
      * @param from offset of the first record
-     * @param records the records; empty when the receiver does not hold the offset
+     * @param records the records; empty when the receiver does not hold the offset, {@code from} is then the offset
+     *     after the last one that it has applied
      */
     record Records(long from, List<byte[]> records) implements PeerMessage {}
 
+    /**
+     * Asks for a part of a snapshot of the configuration; asking for the first part makes a new one.
+     *
+     * @param part number of the part, from 0
+     */
+    record SnapshotWanted(int part) implements PeerMessage {}
+
+    /**
+     * A part of a snapshot of the configuration.
+     *
+     * @param data the part; empty when the receiver does not hold it
+     */
+    record SnapshotPart(byte[] data) implements PeerMessage {}
+
     /**
      * Hands a request to the owner of its engine; parts and an end come back.
      *
--- a/proofs/src/test/java/org/quetzalvane/proofs/RetentionTest.java
+++ b/proofs/src/test/java/org/quetzalvane/proofs/RetentionTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.concurrent.CompletionException;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -51,6 +52,39 @@
         cluster.append("config", Json.text(removed.put("id", "late")));
         Await.until("late repeat", LIMIT, () -> outcome("late").path("known").asBoolean());
         assertThat(outcome("late").path("name").asText()).isEqualTo("REVISION_CONFLICT");
+        cluster.startNode("n1");
+        cluster.awaitReady("n1");
+    }
+
+    @Test
+    void nodeStartingInAnOutageTakesTheSnapshotOfAPeer() throws IOException {
+        cluster.publish(Records.adapter("before", LocalCluster.BASE_MODEL));
+        long end = end("config");
+        Await.until("snapshot of everything", LIMIT, () -> newestSnapshot() >= end - 1);
+        cluster.child("n2").kill();
+        cluster.startNode("n2");
+        cluster.awaitReady("n2");
+        cluster.awaitOwners();
+        cluster.child("n1").kill();
+        cluster.startNode("n1");
+        cluster.awaitReady("n1");
+        cluster.awaitOwners();
+        long snapshots = end(SNAPSHOTS);
+        Await.until("nodes have met", LIMIT, () -> end(SNAPSHOTS) >= snapshots + 2);
+        cluster.child("n1").kill();
+        cluster.fault(cluster.logUrl(), "down", 1);
+        cluster.startNode("n1");
+        Await.until("n1 follows n2", LIMIT, () -> appliedOffset("n1") >= end - 1);
+        cluster.fault(cluster.logUrl(), "down", 0);
+        cluster.awaitReady("n1");
+    }
+
+    private static long appliedOffset(String node) {
+        try {
+            return cluster.nodeStatus(node).path("config_offset").asLong();
+        } catch (CompletionException e) {
+            return -1;
+        }
     }
 
     private static JsonNode outcome(String id) {
