Prove requests under failure over separate processes

A TCP relay in the tests cuts hops and makes connections silent; answers are checked against the endpoints' own records. Planned stops are proved with long whole answers, owned and forwarded, and with nothing running.

AtMostOnceTest's lost answer failed because the stand-in answered 500: Exchange.abort did not break the connection off before the answer had begun; it does now.

--- a/adapters/src/main/java/org/quetzalvane/adapters/http/Exchange.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/http/Exchange.java
@@ -104,6 +104,7 @@
     /** Breaks the connection off without an answer. */
     public void abort() {
         answered();
+        request.getConnectionMetaData().getConnection().getEndPoint().close();
         callback.failed(new java.io.IOException("aborted"));
     }
 
--- a/proofs/src/test/java/org/quetzalvane/proofs/PlannedStopTest.java
+++ b/proofs/src/test/java/org/quetzalvane/proofs/PlannedStopTest.java
@@ -9,9 +9,12 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.standins.harness.Await;
 import org.quetzalvane.standins.harness.CallerClient;
@@ -25,6 +28,9 @@
     private static final String TOKEN = "t";
     private static final int CALLERS = 4;
     private static final int TOKENS = 30;
+    private static final int LONG_TOKENS = 1500;
+    private static final Duration LIMIT = Duration.ofSeconds(20);
+    private static final Duration SOON = Duration.ofSeconds(8);
     private static LocalCluster cluster;
 
     @BeforeAll
@@ -72,6 +78,51 @@
         assertThat(all.stream().filter(CallerClient.Result::isWhole).count()).isGreaterThan(all.size() / 2);
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void stopCutsOffNoLongWholeAnswer(boolean ownerLeaves) throws IOException {
+        CallerClient caller = cluster.caller(TOKEN);
+        String owner = caller.resolve("a1", 1).body().path("node").asText();
+        String other = cluster.nodes().stream()
+                .filter(n -> !n.equals(owner))
+                .findFirst()
+                .orElseThrow();
+        String leaving = ownerLeaves ? owner : other;
+        String prompt = "long " + ownerLeaves;
+        CompletableFuture<CallerClient.Result> forwarded = CompletableFuture.supplyAsync(
+                () -> caller.completeWholeAt(cluster.callers(other), "a1", 1, prompt, LONG_TOKENS));
+        Await.until("it runs", LIMIT, () -> ran(prompt) == 1);
+        cluster.child(leaving).terminateLater();
+        assertThat(forwarded.join().code()).isZero();
+        Await.until("stopped", LIMIT, () -> !cluster.child(leaving).isAlive());
+        assertThat(cluster.child(leaving).waitForExit()).isZero();
+        assertThat(ran(prompt)).isEqualTo(1);
+        cluster.startNode(leaving);
+        cluster.awaitReady(leaving);
+        cluster.awaitOwners();
+    }
+
+    @Test
+    void stopWithNothingRunningEndsSoon() throws IOException {
+        String leaving = cluster.nodes().get(1);
+        cluster.child(leaving).terminateLater();
+        Await.until("stopped", SOON, () -> !cluster.child(leaving).isAlive());
+        cluster.startNode(leaving);
+        cluster.awaitReady(leaving);
+        cluster.awaitOwners();
+    }
+
+    private static int ran(String prompt) {
+        int found = 0;
+        for (String engine : List.of("e1", "e2")) {
+            for (JsonNode ran :
+                    cluster.get(cluster.engineUrl(engine) + "/control/ran").path("ran")) {
+                found += ran.path("prompt").asText().equals(prompt) ? 1 : 0;
+            }
+        }
+        return found;
+    }
+
     private static boolean isWholeOrNotRun(CallerClient.Result r) {
         boolean unsent = r.code() == ResultCode.ENDPOINT_UNREACHABLE.number();
         return r.isWhole() || unsent || r.body().path("notRun").asBoolean();
--- /dev/null
+++ b/proofs/src/test/java/org/quetzalvane/proofs/RequestFaultsTest.java
@@ -0,0 +1,299 @@
+package org.quetzalvane.proofs;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.quetzalvane.adapters.http.HttpCalls;
+import org.quetzalvane.adapters.http.Json;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.standins.harness.Await;
+import org.quetzalvane.standins.harness.LocalCluster;
+import org.quetzalvane.standins.harness.Records;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Completions over separate processes while hops are cut and fall silent, checked by the engines' own records. */
+class RequestFaultsTest {
+    private static final String TOKEN = "t";
+    private static final List<String> ENGINES = List.of("e1", "e2");
+    private static final Duration LIMIT = Duration.ofSeconds(30);
+    private static final int WARM_UP = 40;
+    private static final int CALLERS = 6;
+    private static final int ROUNDS = 12;
+    private static final int LONG = 100;
+    private static final int ENDLESS = 100_000;
+    private static final Map<String, Relay> RELAYS = new HashMap<>();
+    private static final HttpCalls CALLS = HttpCalls.start();
+    private static LocalCluster cluster;
+
+    /** An answer as the caller sees it. */
+    private record Answer(boolean whole, int code, boolean notRun, String text) {}
+
+    @BeforeAll
+    static void start() throws IOException {
+        cluster = LocalCluster.builder().nodes(3).engines(2).start();
+        List<ObjectNode> records = new ArrayList<>(List.of(
+                Records.baseModel(LocalCluster.BASE_MODEL),
+                Records.limits(LocalCluster.REGION, 20, 8),
+                Records.caller("angler", TOKEN),
+                Records.rule("r1", "angler", "adapter:*"),
+                Records.adapter("a1", LocalCluster.BASE_MODEL),
+                Records.version("a1", 1)));
+        for (String engine : ENGINES) {
+            Relay relay = new Relay(cluster.engineUrl(engine));
+            RELAYS.put(engine, relay);
+            ObjectNode value = Json.object()
+                    .put("url", relay.url())
+                    .put("host", "host-" + engine)
+                    .put("dataCentre", LocalCluster.REGION + "/a")
+                    .put("baseModel", LocalCluster.BASE_MODEL)
+                    .put("slots", 2)
+                    .put("batchSize", 8)
+                    .put("checksFencing", false);
+            records.add(Records.record("engine", engine, 0, value));
+        }
+        cluster.publish(records.toArray(new ObjectNode[0]));
+        cluster.awaitOwners();
+        for (String node : cluster.nodes()) {
+            for (int i = 0; i < WARM_UP; i++) {
+                complete(node, "warm", 1, false, true);
+            }
+        }
+    }
+
+    @AfterAll
+    static void stop() throws IOException {
+        for (Relay relay : RELAYS.values()) {
+            relay.close();
+        }
+        CALLS.close();
+        cluster.close();
+    }
+
+    @Test
+    void streamCutMidwayEndsInAnErrorAndIsNeverWhole() {
+        CompletableFuture<Answer> answer = async("n1", "stream-cut", LONG, true, true);
+        RELAYS.get(engineOf("stream-cut")).cut();
+        assertThat(answer.join().whole).isFalse();
+        assertThat(answer.join().code).isEqualTo(ResultCode.STREAM_BROKEN.number());
+        assertThat(runs("stream-cut")).hasSize(1);
+    }
+
+    @Test
+    void wholeAnswerCutMidwayIsTriedOnTheOtherEngine() {
+        CompletableFuture<Answer> answer = async("n1", "whole-cut", LONG, false, true);
+        RELAYS.get(engineOf("whole-cut")).cut();
+        assertThat(answer.join().text).isEqualTo(expected("whole-cut", LONG));
+        assertThat(runs("whole-cut")).hasSize(2).doesNotHaveDuplicates();
+    }
+
+    @Test
+    void nonIdempotentAnswerCutMidwayIsUnknownAndRunsOnce() {
+        CompletableFuture<Answer> answer = async("n1", "once-cut", LONG, false, false);
+        RELAYS.get(engineOf("once-cut")).cut();
+        assertThat(answer.join().whole).isFalse();
+        assertThat(answer.join().notRun).isFalse();
+        assertThat(runs("once-cut")).hasSize(1);
+    }
+
+    @Test
+    void silentConnectionIsAbandonedAndNewWorkGoesToAnother() {
+        CompletableFuture<Answer> answer = async("n1", "silent", LONG, false, true);
+        engineOf("silent");
+        RELAYS.values().forEach(Relay::silence);
+        assertThat(answer.join().text).isEqualTo(expected("silent", LONG));
+        assertThat(runs("silent")).hasSize(2).doesNotHaveDuplicates();
+        assertThat(complete("n1", "after", 5, false, true).whole).isTrue();
+    }
+
+    @Test
+    void callerThatLeavesAWholeAnswerIsCancelledAtTheEngineOverTheHop() throws IOException {
+        for (String node : cluster.nodes()) {
+            String prompt = "leaver-" + node;
+            String body = Json.text(body(prompt, ENDLESS, false, true));
+            String[] address = cluster.callers(node).split(":");
+            try (Socket caller = new Socket(address[0], Integer.parseInt(address[1]))) {
+                String request = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + TOKEN
+                        + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+                caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+                engineOf(prompt);
+            }
+            Await.until("nothing runs", LIMIT, () -> running() == 0);
+        }
+    }
+
+    @Test
+    void ownerKilledMidwayLeavesAnErrorAtTheNodeThatForwarded() throws IOException {
+        String owner =
+                cluster.caller(TOKEN).resolve("a1", 1).body().path("node").asText();
+        String other = cluster.nodes().stream()
+                .filter(n -> !n.equals(owner))
+                .findFirst()
+                .orElseThrow();
+        CompletableFuture<Answer> answer = async(other, "owner-killed", LONG, true, true);
+        engineOf("owner-killed");
+        cluster.child(owner).kill();
+        assertThat(answer.join().whole).isFalse();
+        assertThat(answer.join().notRun).isFalse();
+        cluster.startNode(owner);
+        cluster.awaitReady(owner);
+        cluster.awaitOwners();
+    }
+
+    @Test
+    void whateverFailsWholeIsWholeNotRunIsTrueAndOnceIsOnce() {
+        ExecutorService threads = Executors.newFixedThreadPool(CALLERS);
+        Map<String, Answer> answers = new HashMap<>();
+        for (int round = 0; round < ROUNDS; round++) {
+            Map<String, CompletableFuture<Answer>> running = new HashMap<>();
+            for (int i = 0; i < CALLERS; i++) {
+                String prompt = "storm-" + round + "-" + i;
+                String node = cluster.nodes().get(i % cluster.nodes().size());
+                boolean stream = i % 2 == 0;
+                boolean idempotent = i % 3 != 0;
+                running.put(
+                        prompt,
+                        CompletableFuture.supplyAsync(() -> complete(node, prompt, 20, stream, idempotent), threads));
+            }
+            fault(round);
+            running.forEach((prompt, answer) -> answers.put(prompt, answer.join()));
+        }
+        threads.shutdown();
+        answers.forEach((prompt, a) -> {
+            int runs = runs(prompt).size();
+            boolean once = Integer.parseInt(prompt.substring(prompt.lastIndexOf('-') + 1)) % 3 == 0;
+            assertThat(a.whole && !a.text.equals(expected(prompt, 20)))
+                    .as(prompt + a)
+                    .isFalse();
+            assertThat(a.notRun && runs > 0).as(prompt + a).isFalse();
+            assertThat(once && runs > 1).as(prompt + a).isFalse();
+        });
+        assertThat(answers.values().stream().filter(Answer::whole).count()).isGreaterThan(CALLERS * ROUNDS / 3);
+    }
+
+    private static void fault(int round) {
+        String engine = ENGINES.get(round % 2);
+        String url = cluster.engineUrl(engine);
+        switch (round % 6) {
+            case 0, 1 -> cluster.control(url + "/control/restart", Json.object());
+            case 2 -> RELAYS.get(engine).cut();
+            case 3 -> cluster.fault(url, "wrong_echo", 2);
+            case 4 -> cluster.fault(url, "truncate", 2);
+            default -> RELAYS.get(engine).cutAnswers(3);
+        }
+    }
+
+    private static CompletableFuture<Answer> async(
+            String node, String prompt, int tokens, boolean stream, boolean idempotent) {
+        return CompletableFuture.supplyAsync(() -> complete(node, prompt, tokens, stream, idempotent));
+    }
+
+    private static Answer complete(String node, String prompt, int tokens, boolean stream, boolean idempotent) {
+        String url = "http://" + cluster.callers(node) + "/v1/completions";
+        Map<String, String> headers = Map.of("Authorization", "Bearer " + TOKEN);
+        byte[] body = Json.bytes(body(prompt, tokens, stream, idempotent));
+        try {
+            return parse(CALLS.call("POST", url, headers, body, LIMIT).join());
+        } catch (CompletionException e) {
+            return new Answer(false, ResultCode.OUTCOME_UNKNOWN.number(), false, "");
+        }
+    }
+
+    private static ObjectNode body(String prompt, int tokens, boolean stream, boolean idempotent) {
+        return Json.object()
+                .put("adapter", "a1")
+                .put("version", 1)
+                .put("prompt", prompt)
+                .put("max_tokens", tokens)
+                .put("stream", stream)
+                .put("idempotent", idempotent);
+    }
+
+    private static Answer parse(HttpCalls.Answer a) {
+        String text = new String(a.body(), StandardCharsets.UTF_8);
+        if (!text.startsWith("data: ") && !text.startsWith(": ")) {
+            JsonNode body = Json.parse(a.body());
+            boolean notRun = body.path("notRun").asBoolean();
+            return new Answer(
+                    a.isOk(),
+                    body.path("code").asInt(),
+                    notRun,
+                    body.path("text").asText());
+        }
+        StringBuilder parts = new StringBuilder();
+        for (String line : text.split("\n")) {
+            JsonNode event = line.startsWith("data: ")
+                    ? Json.parse(line.substring("data: ".length()).getBytes(StandardCharsets.UTF_8))
+                    : Json.object();
+            JsonNode error = event.path("error");
+            if (event.path("done").asBoolean() || !error.isMissingNode()) {
+                boolean notRun = error.path("notRun").asBoolean();
+                return new Answer(error.isMissingNode(), error.path("code").asInt(), notRun, parts.toString());
+            }
+            parts.append(event.path("text").asText());
+        }
+        return new Answer(false, ResultCode.STREAM_BROKEN.number(), false, parts.toString());
+    }
+
+    private static String expected(String prompt, int tokens) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < tokens; i++) {
+            text.append("a1@1#")
+                    .append(Integer.toHexString((prompt + i).hashCode()))
+                    .append(' ');
+        }
+        return text.toString();
+    }
+
+    /** Waits until an engine runs a prompt and names the engine. */
+    private static String engineOf(String prompt) {
+        Await.until(prompt + " runs", LIMIT, () -> !runs(prompt).isEmpty());
+        return ENGINES.stream()
+                .filter(e -> !runs(e, prompt).isEmpty())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static List<String> runs(String prompt) {
+        List<String> all = new ArrayList<>();
+        ENGINES.forEach(e -> all.addAll(runs(e, prompt)));
+        return all;
+    }
+
+    private static List<String> runs(String engine, String prompt) {
+        List<String> attempts = new ArrayList<>();
+        for (JsonNode ran :
+                cluster.get(cluster.engineUrl(engine) + "/control/ran").path("ran")) {
+            if (ran.path("prompt").asText().equals(prompt)) {
+                attempts.add(ran.path("attempt").asText());
+            }
+        }
+        return attempts;
+    }
+
+    private static int running() {
+        int running = 0;
+        for (String engine : ENGINES) {
+            for (JsonNode a :
+                    cluster.get(cluster.engineUrl(engine) + "/v1/report").path("adapters")) {
+                running += a.path("running").asInt();
+            }
+        }
+        return running;
+    }
+}
--- a/standins/src/main/java/org/quetzalvane/standins/EngineStandIn.java
+++ b/standins/src/main/java/org/quetzalvane/standins/EngineStandIn.java
@@ -226,7 +226,10 @@
             r = residents.get(key);
             if (r != null && !r.loading) {
                 r.users++;
-                ran.add(Json.object().put("attempt", attempt).put("adapter", key));
+                ran.add(Json.object()
+                        .put("attempt", attempt)
+                        .put("adapter", key)
+                        .put("prompt", body.path("prompt").asText()));
             }
         }
         if (r == null || r.loading) {
--- a/standins/src/main/java/org/quetzalvane/standins/harness/CallerClient.java
+++ b/standins/src/main/java/org/quetzalvane/standins/harness/CallerClient.java
@@ -72,6 +72,16 @@
         return send("http://" + address + "/v1/completions", Map.of(), Json.bytes(body));
     }
 
+    /** Asks a node for a completion that is answered as one whole. */
+    public Result completeWholeAt(String address, String adapter, int version, String prompt, int tokens) {
+        ObjectNode body = Json.object()
+                .put("adapter", adapter)
+                .put("version", version)
+                .put("prompt", prompt)
+                .put("max_tokens", tokens);
+        return send("http://" + address + "/v1/completions", Map.of(), Json.bytes(body));
+    }
+
     /** Calls a service at a node; a key makes the call non-idempotent. */
     public Result callAt(String address, String service, String key, String body) {
         Map<String, String> headers = key == null ? Map.of() : Map.of("Idempotent", "false", "Idempotency-Key", key);
