Call a request unsent only when it was never put on a connection; retry idempotent service calls

Cause: whether anything was sent was read from the type and text of the client's exception. The client tells when it begins to write a request, and that mark decides now. A call that waited in vain for a connection counts as unsent.

--- a/adapters/src/main/java/org/quetzalvane/adapters/engine/CompletionReader.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/engine/CompletionReader.java
@@ -62,7 +62,7 @@
             return;
         }
         if (result.isFailed()) {
-            QuetzalvaneException e = HttpCalls.failure(result.getFailure());
+            QuetzalvaneException e = HttpCalls.failure(result);
             boolean unsent = e.code() == ResultCode.ENDPOINT_UNREACHABLE;
             fail(new EndpointException(e.code(), e.getMessage(), unsent));
         } else if (result.getResponse().getStatus() / 100 == 2) {
--- a/adapters/src/main/java/org/quetzalvane/adapters/engine/HttpServicePort.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/engine/HttpServicePort.java
@@ -65,7 +65,7 @@
         @Override
         public void onComplete(Result result) {
             if (result.isFailed()) {
-                QuetzalvaneException e = HttpCalls.failure(result.getFailure());
+                QuetzalvaneException e = HttpCalls.failure(result);
                 boolean unsent = e.code() == ResultCode.ENDPOINT_UNREACHABLE;
                 fail(new EndpointException(e.code(), e.getMessage(), unsent));
                 return;
--- a/adapters/src/main/java/org/quetzalvane/adapters/http/HttpCalls.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/http/HttpCalls.java
@@ -1,7 +1,6 @@
 package org.quetzalvane.adapters.http;
 
 import java.io.IOException;
-import java.net.ConnectException;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -18,14 +17,15 @@
 /**
  * HTTP calls with buffered answers. Thread-safe.
  *
- * <p>Futures fail with {@link ResultCode#ENDPOINT_UNREACHABLE} when no connection could be made, so that nothing was
- * sent, and with {@link ResultCode#OUTCOME_UNKNOWN} when the exchange broke off later. An HTTP error status is an
- * answer, not a failure.
+ * <p>Futures fail with {@link ResultCode#ENDPOINT_UNREACHABLE} when the request was never put on a connection, so that
+ * nothing was sent, and with {@link ResultCode#OUTCOME_UNKNOWN} when the exchange broke off later. An HTTP error status
+ * is an answer, not a failure.
  */
 public final class HttpCalls implements AutoCloseable {
     private static final int MAX_ANSWER_BYTES = 16 << 20;
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
     private static final int MAX_CONNECTIONS = 256;
+    private static final String BEGUN = HttpCalls.class.getName() + ".begun";
 
     private final HttpClient client;
 
@@ -78,7 +78,7 @@
             @Override
             public void onComplete(Result result) {
                 if (result.isFailed()) {
-                    answer.completeExceptionally(failure(result.getFailure()));
+                    answer.completeExceptionally(failure(result));
                 } else {
                     byte[] content = getContent() == null ? new byte[0] : getContent();
                     answer.complete(new Answer(result.getResponse().getStatus(), content));
@@ -90,7 +90,7 @@
 
     /** Prepares a request without sending it. */
     public Request request(String method, String url, Map<String, String> headers, byte[] body) {
-        Request request = client.newRequest(url).method(method);
+        Request request = client.newRequest(url).method(method).onRequestBegin(r -> r.attribute(BEGUN, true));
         request.headers(h -> headers.forEach(h::put));
         if (body != null) {
             request.body(new BytesRequestContent("application/json", body));
@@ -98,12 +98,12 @@
         return request;
     }
 
-    /** Translates a failure of the client into one of this project's. */
-    public static QuetzalvaneException failure(Throwable failure) {
-        boolean unsent = failure instanceof ConnectException
-                || failure instanceof java.net.SocketTimeoutException && isConnect(failure);
-        ResultCode code = unsent ? ResultCode.ENDPOINT_UNREACHABLE : ResultCode.OUTCOME_UNKNOWN;
-        return new QuetzalvaneException(code, failure.toString(), failure);
+    /** Translates a failed exchange, prepared by {@link #request}, into one of this project's failures. */
+    public static QuetzalvaneException failure(Result result) {
+        boolean begun = result.getRequest().getAttributes().containsKey(BEGUN);
+        ResultCode code = begun ? ResultCode.OUTCOME_UNKNOWN : ResultCode.ENDPOINT_UNREACHABLE;
+        Throwable cause = result.getFailure();
+        return new QuetzalvaneException(code, cause.toString(), cause);
     }
 
     @Override
@@ -114,8 +114,4 @@
             throw new IOException(e);
         }
     }
-
-    private static boolean isConnect(Throwable failure) {
-        return String.valueOf(failure.getMessage()).contains("onnect");
-    }
 }
--- /dev/null
+++ b/adapters/src/test/java/org/quetzalvane/adapters/http/HttpCallsTest.java
@@ -0,0 +1,83 @@
+package org.quetzalvane.adapters.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.exc.QuetzalvaneException;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** A call is said to be unsent only when nothing of it was put on a connection. */
+class HttpCallsTest {
+    private static final Duration LIMIT = Duration.ofSeconds(20);
+    private static final Duration SHORT = Duration.ofMillis(300);
+    private static final int CONNECTIONS = 256;
+
+    private final HttpCalls calls = HttpCalls.start();
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private ServerSocket server;
+
+    @BeforeEach
+    void listen() throws IOException {
+        server = new ServerSocket(0, CONNECTIONS * 2, InetAddress.getByName("127.0.0.1"));
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        server.close();
+        calls.close();
+        threads.shutdownNow();
+    }
+
+    @Test
+    void refusedConnectionIsUnsent() throws IOException {
+        server.close();
+        assertThat(codeOf(post(LIMIT))).isEqualTo(ResultCode.ENDPOINT_UNREACHABLE);
+    }
+
+    @Test
+    void connectionResetAfterTheWriteIsUnknown() {
+        threads.execute(() -> {
+            try (Socket s = server.accept()) {
+                s.setSoLinger(true, 0);
+                assertThat(s.getInputStream().read()).isNotNegative();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        assertThat(codeOf(post(LIMIT))).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void silentEndpointIsUnknown() {
+        assertThat(codeOf(post(SHORT))).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void callThatWaitedForAConnectionInVainIsUnsent() {
+        for (int i = 0; i < CONNECTIONS; i++) {
+            post(LIMIT);
+        }
+        assertThat(codeOf(post(SHORT))).isEqualTo(ResultCode.ENDPOINT_UNREACHABLE);
+    }
+
+    private CompletableFuture<HttpCalls.Answer> post(Duration timeout) {
+        String url = "http://127.0.0.1:" + server.getLocalPort() + "/x";
+        return calls.call("POST", url, Map.of(), new byte[] {1}, timeout);
+    }
+
+    private static ResultCode codeOf(CompletableFuture<HttpCalls.Answer> answer) {
+        return QuetzalvaneException.codeOf(answer.handle((a, f) -> f).join());
+    }
+}
--- a/node/src/main/java/org/quetzalvane/node/ServiceApi.java
+++ b/node/src/main/java/org/quetzalvane/node/ServiceApi.java
@@ -7,8 +7,8 @@
 import org.quetzalvane.core.model.Caller;
 import org.quetzalvane.core.model.Service;
 import org.quetzalvane.core.node.Coordinator;
+import org.quetzalvane.core.node.ServiceCalls;
 import org.quetzalvane.core.port.ServicePort.ServiceAnswer;
-import org.quetzalvane.core.port.ServicePort.ServiceCall;
 import org.quetzalvane.core.request.ForeignKeys;
 import org.quetzalvane.core.request.IdempotencyTable;
 
@@ -21,13 +21,13 @@
     private final Coordinator node;
     private final IdempotencyTable keys;
     private final ForeignKeys foreign;
-    private final RequestIds ids;
+    private final ServiceCalls calls;
 
     ServiceApi(Coordinator node, IdempotencyTable keys, RequestIds ids) {
         this.node = node;
         this.keys = keys;
         this.foreign = new ForeignKeys(node.context().self(), node.membership()::find);
-        this.ids = ids;
+        this.calls = new ServiceCalls(node.ports().services(), node.context().scheduler(), ids::next);
     }
 
     void call(Exchange e, Caller caller) {
@@ -48,13 +48,13 @@
     private CompletableFuture<ServiceAnswer> dispatch(Exchange e, Caller caller, String name, String body) {
         Service service = node.config().read(s -> s.service(name)).orElseThrow();
         boolean idempotent = !"false".equals(e.header("Idempotent"));
-        ServiceCall call = new ServiceCall(ids.next(), caller.name(), idempotent, body, TIMEOUT_MILLIS);
         if (idempotent) {
-            return node.ports().services().call(service, call);
+            return calls.call(service, caller.name(), true, body, TIMEOUT_MILLIS);
         }
         String key = e.header("Idempotency-Key");
         return key == null || !keys.isOwn(key)
                 ? CompletableFuture.failedFuture(foreign.answer(key))
-                : keys.runOnce(key, caller.name(), () -> node.ports().services().call(service, call));
+                : keys.runOnce(
+                        key, caller.name(), () -> calls.call(service, caller.name(), false, body, TIMEOUT_MILLIS));
     }
 }
