Let the demonstration leave nothing behind, serve several adapters at once and ride out a failed load

Cause: the demonstration called System.exit inside the block that was to close its cluster, so every run left eight processes (six stand-ins, two nodes); a signal left them too. The cluster now ends its children from a shutdown hook and starts none after that.

--- /dev/null
+++ b/proofs/src/test/java/org/quetzalvane/proofs/DemoTest.java
@@ -0,0 +1,73 @@
+package org.quetzalvane.proofs;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.quetzalvane.standins.harness.Await;
+import org.quetzalvane.standins.harness.Demo;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** The demonstration as a process of its own. */
+class DemoTest {
+    private static final Duration LIMIT = Duration.ofSeconds(30);
+    private static final Duration RUN_LIMIT = Duration.ofSeconds(120);
+    private static final int STOP_SECONDS = 30;
+    private static final int PLATFORM_PROCESSES = 4;
+
+    @TempDir
+    private Path directory;
+
+    private Process start() throws IOException {
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        return new ProcessBuilder(java, "-cp", System.getProperty("java.class.path"), Demo.class.getName())
+                .redirectErrorStream(true)
+                .redirectOutput(directory.resolve("demo.log").toFile())
+                .start();
+    }
+
+    private static void awaitEndOf(Collection<ProcessHandle> children) {
+        try {
+            Await.until("all children end", LIMIT, () -> children.stream().noneMatch(ProcessHandle::isAlive));
+        } finally {
+            children.forEach(ProcessHandle::destroyForcibly);
+        }
+    }
+
+    @Test
+    void servesEveryRequestRightAndLeavesNoProcess() throws Exception {
+        Process demo = start();
+        Set<ProcessHandle> children = new HashSet<>();
+        Await.until("the demonstration ends", RUN_LIMIT, () -> {
+            demo.descendants().forEach(children::add);
+            return !demo.isAlive();
+        });
+        awaitEndOf(children);
+        String output = Files.readString(directory.resolve("demo.log"));
+        assertThat(demo.exitValue()).as(output).isZero();
+        assertThat(output).contains("checks, 0 wrong", "LOAD_FAILED", "ENGINE_CLAIMED");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"-TERM", "-INT"})
+    void leavesNoProcessWhenItIsInterrupted(String signal) throws Exception {
+        Process demo = start();
+        Await.until("children", LIMIT, () -> demo.descendants().count() > PLATFORM_PROCESSES);
+        List<ProcessHandle> children = demo.descendants().toList();
+        new ProcessBuilder("kill", signal, Long.toString(demo.pid())).start().waitFor();
+        assertThat(demo.waitFor(STOP_SECONDS, TimeUnit.SECONDS)).isTrue();
+        awaitEndOf(children);
+        assertThat(demo.exitValue()).isNotZero();
+    }
+}
--- a/standins/src/main/java/org/quetzalvane/standins/harness/Demo.java
+++ b/standins/src/main/java/org/quetzalvane/standins/harness/Demo.java
@@ -5,19 +5,24 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.quetzalvane.core.ResultCode;
 
 /**
- * The demonstration: three nodes serve streamed requests, a service call and a refusal, and go on when one is killed.
+ * The demonstration: three nodes serve streamed requests of several adapters at once, ride out a failed load, make a
+ * service call and a refusal, and go on when one of them is killed.
  *
  * <p>Exit code 0 when every outcome was right, 1 otherwise. Used by the main thread only.
  */
 public final class Demo {
     private static final String TOKEN = "demo-token";
     private static final int ADAPTERS = 3;
+    private static final String UNLOADED = "a4";
     private static final int TOKENS = 20;
     private static final Duration FAILOVER_LIMIT = Duration.ofSeconds(20);
 
@@ -31,9 +36,13 @@
 
     /** Runs the demonstration. */
     public static void main(String[] args) throws IOException {
+        System.exit(runOnCluster());
+    }
+
+    private static int runOnCluster() throws IOException {
         try (LocalCluster cluster =
                 LocalCluster.builder().nodes(3).engines(2).slots(2).start()) {
-            System.exit(new Demo(cluster).run());
+            return new Demo(cluster).run();
         }
     }
 
@@ -42,16 +51,19 @@
         cluster.publishEndpoints();
         publishAdapters();
         cluster.awaitOwners();
-        say("streamed requests");
+        say("streamed requests of " + ADAPTERS + " adapters at once");
         serveAll("before the failure");
+        say("a load that fails");
+        failLoad();
         say("service call");
         callService();
         say("a request that must be refused");
         refuse();
+        printTimeline("time line so far");
         say("killing the owner of an engine");
         killOwner();
         serveAll("after the failure");
-        printTimeline();
+        printTimeline("time line of the nodes that live");
         say(checks + " checks, " + wrong.size() + " wrong");
         wrong.forEach(w -> say("WRONG: " + w));
         return wrong.isEmpty() ? 0 : 1;
@@ -66,19 +78,35 @@
             records.add(Records.adapter("a" + i, LocalCluster.BASE_MODEL));
             records.add(Records.version("a" + i, 1));
         }
+        records.add(Records.adapter(UNLOADED, LocalCluster.BASE_MODEL));
+        records.add(Records.version(UNLOADED, 1));
         cluster.publish(records.toArray(new ObjectNode[0]));
     }
 
     private void serveAll(String when) {
         CallerClient caller = cluster.caller(TOKEN);
+        Map<String, CompletableFuture<CallerClient.Result>> running = new LinkedHashMap<>();
         for (int i = 1; i <= ADAPTERS; i++) {
             String adapter = "a" + i;
-            CallerClient.Result r = caller.complete(adapter, 1, "hello", TOKENS);
-            boolean right = r.isWhole()
-                    && r.text().split(" ").length == TOKENS
-                    && r.text().startsWith(adapter + "@1#");
-            check(right, adapter + " " + when + ": " + r.code() + " " + r.body());
+            running.put(adapter, CompletableFuture.supplyAsync(() -> caller.complete(adapter, 1, "hello", TOKENS)));
         }
+        running.forEach((adapter, answer) -> checkWhole(adapter, when, answer.join()));
+    }
+
+    private void checkWhole(String adapter, String when, CallerClient.Result r) {
+        boolean right =
+                r.isWhole() && r.text().split(" ").length == TOKENS && r.text().startsWith(adapter + "@1#");
+        check(right, adapter + " " + when + ": " + r.code() + " " + r.body());
+    }
+
+    private void failLoad() {
+        cluster.fault(cluster.storeUrl(), "fail_loads", 1);
+        CallerClient caller = cluster.caller(TOKEN);
+        CallerClient.Result r = caller.complete(UNLOADED, 1, "hello", TOKENS);
+        boolean refused = r.code() == ResultCode.LOAD_FAILED.number();
+        check(r.isWhole() || refused, UNLOADED + " with a failed load: " + r.code() + " " + r.body());
+        Await.until("the load tried again", FAILOVER_LIMIT, () -> caller.complete(UNLOADED, 1, "hello", 1)
+                .isWhole());
     }
 
     private void callService() {
@@ -110,7 +138,7 @@
                 .isWhole());
     }
 
-    private void printTimeline() throws IOException {
+    private void printTimeline(String title) throws IOException {
         List<String> nodes = cluster.nodes().stream()
                 .filter(n -> cluster.child(n).isAlive())
                 .map(cluster::operators)
@@ -118,7 +146,7 @@
         Path log = cluster.directory().resolve("cli.log");
         long before = Files.size(log);
         check(cluster.cli("timeline", "--nodes", String.join(",", nodes)) == 0, "timeline");
-        say("time line");
+        say(title);
         byte[] all = Files.readAllBytes(log);
         System.out.write(all, (int) before, (int) (all.length - before));
         System.out.flush();
--- a/standins/src/main/java/org/quetzalvane/standins/harness/LocalCluster.java
+++ b/standins/src/main/java/org/quetzalvane/standins/harness/LocalCluster.java
@@ -26,7 +26,7 @@
  * A small cluster of child processes on loopback: the platform's stand-ins, engines, a service and nodes.
  *
  * <p>Every process listens on a loopback address of its own in a subnet that was found free, so that ports never
- * clash. Closing ends all children. Not thread-safe.
+ * clash. Closing ends all children, and so does the end of this process by a signal. Not thread-safe, but for that end.
  */
 public final class LocalCluster implements AutoCloseable {
     public static final String REGION = "r1";
@@ -44,6 +44,14 @@
     private final String subnet;
     private final HttpCalls calls = HttpCalls.start();
     private final Map<String, Child> children = new LinkedHashMap<>();
+    private final Thread atExit = new Thread(this::endChildren, "end-children");
+    private boolean ended;
+
+    /** Starts a child process. */
+    @FunctionalInterface
+    private interface ChildStart {
+        Child start() throws IOException;
+    }
 
     /** Collects the sizes of a cluster. Not thread-safe. */
     public static final class Builder {
@@ -101,6 +109,7 @@
         this.settings = settings;
         this.directory = Files.createTempDirectory("quetzalvane-cluster");
         this.subnet = freeSubnet();
+        Runtime.getRuntime().addShutdownHook(atExit);
     }
 
     public static Builder builder() {
@@ -131,7 +140,7 @@
     public void startNode(String node) throws IOException {
         List<String> program = new ArrayList<>(Programs.node());
         program.addAll(List.of("--settings", writeSettings(node).toString()));
-        children.put(node, Child.java(node, directory, program));
+        add(node, () -> Child.java(node, directory, program));
     }
 
     /** Waits until a node is ready. */
@@ -163,7 +172,7 @@
     public int cli(String... arguments) throws IOException {
         List<String> program = new ArrayList<>(Programs.cli());
         program.addAll(List.of(arguments));
-        return Child.java("cli", directory, program).waitForExit();
+        return add("cli", () -> Child.java("cli", directory, program)).waitForExit();
     }
 
     /** Publishes the base model, the engines, the service and the store's limits. */
@@ -257,7 +266,8 @@
 
     @Override
     public void close() {
-        children.values().forEach(Child::close);
+        endChildren();
+        removeHook();
         try {
             calls.close();
         } catch (IOException e) {
@@ -267,6 +277,32 @@
 
     // Helpers
 
+    private Child add(String name, ChildStart start) throws IOException {
+        synchronized (children) {
+            if (ended) {
+                throw new IllegalStateException("the cluster is closed");
+            }
+            Child child = start.start();
+            children.put(name, child);
+            return child;
+        }
+    }
+
+    private void endChildren() {
+        synchronized (children) {
+            ended = true;
+            children.values().forEach(Child::close);
+        }
+    }
+
+    private void removeHook() {
+        try {
+            Runtime.getRuntime().removeShutdownHook(atExit);
+        } catch (IllegalStateException e) {
+            Thread.onSpinWait();
+        }
+    }
+
     private void open() throws IOException {
         standIn("log", logUrl());
         standIn("hosts", hostsUrl());
@@ -304,7 +340,7 @@
         List<String> program = new ArrayList<>(Programs.standIn());
         program.addAll(List.of(kind, "--listen", url.substring("http://".length())));
         program.addAll(options);
-        children.put(name, Child.java(name, directory, program));
+        add(name, () -> Child.java(name, directory, program));
     }
 
     private Map<String, String> standInUrls() {
