--- a/bench/src/main/java/org/quetzalvane/bench/SampleRegion.java
+++ b/bench/src/main/java/org/quetzalvane/bench/SampleRegion.java
@@ -1,5 +1,6 @@
 package org.quetzalvane.bench;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -12,6 +13,7 @@
 import org.quetzalvane.core.event.HybridClock;
 import org.quetzalvane.core.model.DataCentre;
 import org.quetzalvane.core.model.Engine;
+import org.quetzalvane.core.ownership.ClaimCodec;
 import org.quetzalvane.core.ownership.ClaimRecord;
 import org.quetzalvane.core.ownership.ClaimTable;
 import org.quetzalvane.core.ownership.Ownership;
@@ -23,13 +25,13 @@
 
 /** One node's view of a region of nodes that own all its engines. Not thread-safe. */
 final class SampleRegion {
+    private final ManualScheduler time = new ManualScheduler();
     private final ClaimTable claims = new ClaimTable();
     private final NodeContext context;
     private final Membership membership;
     private long offset;
 
     SampleRegion() {
-        ManualScheduler time = new ManualScheduler();
         EventLog events = new EventLog("n0", new HybridClock(time), 1000, e -> {});
         membership = new Membership(events);
         context = new NodeContext(node(0), time, events);
@@ -55,7 +57,12 @@
     }
 
     Placement placement(ConfigTable config) {
-        LogPort log = new SilentLog();
+        return new Placement(SampleConfig.REGION, config, membership, ownership(config));
+    }
+
+    /** The part in ownership of the region's first node, which reads back its own records at once. */
+    Ownership ownership(ConfigTable config) {
+        EchoLog log = new EchoLog();
         Ownership ownership = new Ownership(
                 context,
                 OwnershipConfig.of(SampleConfig.REGION),
@@ -64,7 +71,22 @@
                 membership,
                 config,
                 new SilentListener());
-        return new Placement(SampleConfig.REGION, config, membership, ownership);
+        log.reader = ownership;
+        return ownership;
+    }
+
+    /** Moves the clock of the region's first node. */
+    void advance(Duration step) {
+        time.advance(step);
+    }
+
+    /** Lets a node read a claim of one engine by another node that had released it. */
+    void takeOver(Ownership reader, int engine, int node) {
+        String name = SampleConfig.engine(engine);
+        String holder = claims.holder(name).orElseThrow().node();
+        reader.apply(offset++, ClaimCodec.encode(new ClaimRecord.Release(holder, 1, List.of(name))));
+        ClaimRecord.EngineClaim one = new ClaimRecord.EngineClaim(name, ClaimTable.UNHELD);
+        reader.apply(offset++, ClaimCodec.encode(new ClaimRecord.Claim("n" + node, 1, List.of(one))));
     }
 
     static NodeInfo node(int i) {
@@ -73,11 +95,13 @@
         return new NodeInfo("n" + i, 1, "entry-" + i, place, ip + ":7001", ip + ":7003");
     }
 
-    private static final class SilentLog implements LogPort {
+    private final class EchoLog implements LogPort {
+        private Ownership reader;
 
         @Override
         public CompletableFuture<Long> append(String stream, byte[] data) {
-            return new CompletableFuture<>();
+            long at = offset++;
+            return CompletableFuture.completedFuture(at).whenComplete((o, failure) -> reader.apply(at, data));
         }
 
         @Override
