--- a/bench/src/main/java/org/quetzalvane/bench/SlopeBench.java
+++ b/bench/src/main/java/org/quetzalvane/bench/SlopeBench.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.bench;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Locale;
 import java.util.function.IntFunction;
 import java.util.function.Supplier;
@@ -83,7 +84,7 @@
 
     private void bytes() {
         System.out.println("\n| message | bytes |\n|---|---|");
-        PeerMessage heartbeat = new PeerMessage.Heartbeat(SampleRegion.node(7), false, 1_000_000, 1L << 56);
+        PeerMessage heartbeat = new PeerMessage.Heartbeat(SampleRegion.node(7), false, 1_000_000, 1L << 56, List.of());
         size("heartbeat between nodes (MessagePack)", msgpack(heartbeat));
         size("load permit asked for (MessagePack)", msgpack(new PeerMessage.LoadWanted("n7", 1.5)));
         size("load permit given (MessagePack)", msgpack(new PeerMessage.LoadPermit(true)));
@@ -121,7 +122,7 @@
         System.out.println(Timed.HEADER);
         byte[] renewal = ClaimCodec.encode(new ClaimRecord.Renewal(SampleRegion.node(7), 1000, 20_000, false, true));
         timed.row("decode of a lease renewal", i -> ClaimCodec.decode(renewal));
-        PeerMessage heartbeat = new PeerMessage.Heartbeat(SampleRegion.node(7), false, 1_000_000, 1L << 56);
+        PeerMessage heartbeat = new PeerMessage.Heartbeat(SampleRegion.node(7), false, 1_000_000, 1L << 56, List.of());
         timed.row("encode of a heartbeat", i -> msgpack(heartbeat));
         ConfigTable table =
                 new SampleConfig().adapters(0, 1000).versions(0, 1000).table();
--- a/core/src/main/java/org/quetzalvane/core/node/Coordinator.java
+++ b/core/src/main/java/org/quetzalvane/core/node/Coordinator.java
@@ -1,10 +1,13 @@
 package org.quetzalvane.core.node;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.cluster.Heartbeats;
 import org.quetzalvane.core.cluster.Membership;
 import org.quetzalvane.core.cluster.NodeContext;
 import org.quetzalvane.core.config.ConfigTable;
@@ -68,6 +71,10 @@
     private final ConfigFeed configFeed;
     private final ConfigPeers configPeers;
     private final LogFollower claimFollower;
+    private final Heartbeats heartbeats;
+    private final LeavingHosts leavingHosts;
+    private final AtomicBoolean drainBegun = new AtomicBoolean();
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private volatile boolean draining;
 
     /** Builds a node; nothing happens before {@link #start()}. */
@@ -88,9 +95,11 @@
                 stats);
         dispatchers = new DispatcherRegistry(dispatch, settings.dispatch(), e -> () -> mayDispatch(e));
         ownership = new Ownership(context, settings.ownership(), ports.log(), claims, membership, config, dispatchers);
+        leavingHosts = new LeavingHosts(membership, dispatchers, scheduler, settings.answerLifetime());
         placement = new Placement(context.self().dataCentre().region(), config, membership, ownership);
         configFeed = new ConfigFeed(context, ports.log(), settings.poll(), config);
-        configPeers = new ConfigPeers(context, config, configFeed, membership, ports.peers(), this::heartbeat);
+        configPeers =
+                new ConfigPeers(context, config, configFeed, membership, ports.peers(), () -> heartbeat(List.of()));
         configPeers.serveOn(peerRouter);
         claimFollower = new LogFollower(
                 ports.log(), settings.ownership().stream(), scheduler, settings.poll(), events, ownership::apply);
@@ -106,10 +115,11 @@
                         .cancel());
         retries = new Retries(context, (request, avoid, sink) -> submit(request, avoid, sink, true));
         forwarding.serveOn(peerRouter);
+        heartbeats = new Heartbeats(context, membership, ports.peers(), this::heartbeat);
         peerRouter.serve(PeerMessage.Heartbeat.class, (m, reply) -> {
             events.clock().observe(m.time());
             configPeers.seen(m.info(), m.configOffset());
-            reply.end(heartbeat());
+            heartbeats.serve(m, reply);
         });
     }
 
@@ -128,6 +138,7 @@
         new SnapshotWriter(context, ports.log(), config, configFeed, settings.snapshotPeriod()).start();
         claimFollower.start(0);
         ownership.start();
+        heartbeats.start();
         context.scheduler().repeat(settings.poll(), this::readHostList);
     }
 
@@ -138,21 +149,22 @@
      * @return completes when nothing runs and the engines are released, or after the drain limit
      */
     public CompletableFuture<Void> drain() {
+        if (!drainBegun.compareAndSet(false, true)) {
+            return stopped;
+        }
         draining = true;
         context.events().record(EventCode.NODE_DRAINING, context.self().node(), "");
         ownership.leave();
         long retry = settings.answerLifetime().toMillis();
         Refusal reason = Refusal.retry(ResultCode.DRAINING, "the node is leaving", retry);
-        CompletableFuture<Void> over = new CompletableFuture<>();
         Scheduler scheduler = context.scheduler();
-        scheduler.schedule(settings.answerLifetime(), () -> dispatchers
-                .drain(reason)
-                .thenCompose(x -> ownership.release(ownership.held()))
-                .whenComplete(
-                        (x, failure) -> scheduler.schedule(settings.answerLifetime(), () -> over.complete(null))));
-        scheduler.schedule(settings.drainLimit(), () -> over.complete(null));
-        return over.thenRun(() ->
+        HandOver handOver = new HandOver(dispatchers, ownership, scheduler);
+        scheduler.schedule(settings.answerLifetime(), () -> handOver.start(reason)
+                .thenRun(() -> scheduler.schedule(settings.answerLifetime(), () -> stopped.complete(null))));
+        scheduler.schedule(settings.drainLimit(), () -> stopped.complete(null));
+        stopped.thenRun(() ->
                 context.events().record(EventCode.NODE_STOPPED, context.self().node(), ""));
+        return stopped;
     }
 
     // Public API
@@ -277,7 +289,7 @@
 
     private LoadBudget loadBudget(Scheduler scheduler) {
         LoadBudget equalShare = new EqualShareBudget(scheduler, this::loadLimits, () -> membership
-                .candidates(scheduler.nanoTime(), n -> true)
+                .live(scheduler.nanoTime(), n -> true)
                 .size());
         if (settings.dispatch().budget() == DispatchConfig.Budget.EQUAL_SHARES) {
             return equalShare;
@@ -290,18 +302,23 @@
         return config.read(s -> s.loadLimits(region)).orElse(NO_LIMITS);
     }
 
-    private PeerMessage.Heartbeat heartbeat() {
+    private PeerMessage.Heartbeat heartbeat(List<PeerMessage.Sign> signs) {
         return new PeerMessage.Heartbeat(
                 context.self(),
                 draining,
                 config.appliedOffset(),
-                context.events().clock().next());
+                context.events().clock().next(),
+                signs);
     }
 
     private void readHostList() {
         ports.hosts().list().whenComplete((hosts, failure) -> {
             if (failure == null) {
                 membership.hostList(hosts);
+                leavingHosts.look();
+                if (membership.hostLeaving(context.self().host())) {
+                    drain();
+                }
             }
         });
     }
