Prove the signs of life of a streamed request that waits for its load

The test asks for an adapter whose weights take five seconds and finds the comments before the end mark.

--- a/proofs/src/test/java/org/quetzalvane/proofs/RequestFaultsTest.java
+++ b/proofs/src/test/java/org/quetzalvane/proofs/RequestFaultsTest.java
@@ -155,6 +155,19 @@
         cluster.awaitOwners();
     }
 
+    @Test
+    void streamedRequestThatWaitsForALoadGetsSignsOfLife() throws IOException {
+        cluster.publish(Records.adapter("a2", LocalCluster.BASE_MODEL), Records.version("a2", 1));
+        cluster.fault(cluster.storeUrl(), "slow_ms", 5000);
+        ObjectNode body = body("waits", 3, true, true).put("adapter", "a2");
+        Map<String, String> headers = Map.of("Authorization", "Bearer " + TOKEN);
+        String url = "http://" + cluster.callers("n1") + "/v1/completions";
+        HttpCalls.Answer answer =
+                CALLS.call("POST", url, headers, Json.bytes(body), LIMIT).join();
+        cluster.fault(cluster.storeUrl(), "slow_ms", 0);
+        assertThat(new String(answer.body(), StandardCharsets.UTF_8)).contains(": waiting\n\n", "\"done\":true");
+    }
+
     @Test
     void whateverFailsWholeIsWholeNotRunIsTrueAndOnceIsOnce() {
         ExecutorService threads = Executors.newFixedThreadPool(CALLERS);
