--- a/cli/src/main/java/org/quetzalvane/cli/ReplayCommand.java
+++ b/cli/src/main/java/org/quetzalvane/cli/ReplayCommand.java
@@ -25,7 +25,7 @@
     @Override
     public int run() throws Exception {
         Trace trace = Trace.from(Path.of(file));
-        NodeConfig config = Replayer.nodeConfig();
+        NodeConfig config = Replayer.nodeConfig(trace.header());
         if (policy.equals("baseline")) {
             config = config.withDispatch(DispatchConfig.baseline());
         }
--- a/core/src/main/java/org/quetzalvane/core/load/DispatchConfig.java
+++ b/core/src/main/java/org/quetzalvane/core/load/DispatchConfig.java
@@ -75,9 +75,9 @@
         return withPolicy(policy.withBudget(newBudget));
     }
 
-    /** Replaces the longest forecast wait. */
-    public DispatchConfig withPatience(double newPatience) {
-        return withPolicy(policy.withPatience(newPatience));
+    /** Replaces the longest forecast waits. */
+    public DispatchConfig withPatience(double newPatience, double idle) {
+        return withPolicy(policy.withPatience(newPatience, idle));
     }
 
     /** Replaces the weight of full batches against short waits, from 0 to 1. */
--- a/core/src/main/java/org/quetzalvane/core/load/DispatchPolicy.java
+++ b/core/src/main/java/org/quetzalvane/core/load/DispatchPolicy.java
@@ -8,17 +8,22 @@
  * @param budget how the nodes share the weight store's limits
  * @param patience longest forecast wait for a load, as a part of the time to the deadline; a request that would wait
  *     longer is refused at once; infinite to wait until the deadline
+ * @param idlePatience the same while the engine's loads are seldom waited for
  * @param fair whether callers share an engine fairly, by priority; otherwise first come, first served
- * @param batchWeight weight of full batches against short waits, from 0 to 1; 0 dispatches at once
+ * @param batchWeight weight of full batches against short waits, from 0 to 1; up to one half
+ *     requests are dispatched at once
  */
 public record DispatchPolicy(
         LoadPolicy loads,
         EvictionPolicy evictions,
         DispatchConfig.Budget budget,
         double patience,
+        double idlePatience,
         boolean fair,
         double batchWeight) {
-    private static final double DEFAULT_PATIENCE = 0.2;
+    private static final double DEFAULT_PATIENCE = 0.08;
+    private static final double DEFAULT_IDLE_PATIENCE = 0.25;
+    private static final double EVEN_WEIGHT = 0.5;
     private static final double UNTIL_DEADLINE = Double.POSITIVE_INFINITY;
 
     /** Defaults. */
@@ -28,8 +33,9 @@
                 EvictionPolicy.leastPopular(),
                 DispatchConfig.Budget.GOVERNED,
                 DEFAULT_PATIENCE,
+                DEFAULT_IDLE_PATIENCE,
                 true,
-                0);
+                EVEN_WEIGHT);
     }
 
     /** LRU eviction, first-come loads and dispatch, equal shares, waiting until the deadline. */
@@ -39,8 +45,9 @@
                 EvictionPolicy.leastRecentlyUsed(),
                 DispatchConfig.Budget.EQUAL_SHARES,
                 UNTIL_DEADLINE,
+                UNTIL_DEADLINE,
                 false,
-                0);
+                EVEN_WEIGHT);
     }
 
     /** Whether loads are planned, so that what cannot be loaded in time is refused at once. */
@@ -50,26 +57,26 @@
 
     /** Replaces both policies of loads. */
     public DispatchPolicy withLoads(LoadPolicy newLoads, EvictionPolicy newEvictions) {
-        return new DispatchPolicy(newLoads, newEvictions, budget, patience, fair, batchWeight);
+        return new DispatchPolicy(newLoads, newEvictions, budget, patience, idlePatience, fair, batchWeight);
     }
 
     /** Replaces how the weight store's limits are shared. */
     public DispatchPolicy withBudget(DispatchConfig.Budget newBudget) {
-        return new DispatchPolicy(loads, evictions, newBudget, patience, fair, batchWeight);
+        return new DispatchPolicy(loads, evictions, newBudget, patience, idlePatience, fair, batchWeight);
     }
 
-    /** Replaces the longest forecast wait. */
-    public DispatchPolicy withPatience(double newPatience) {
-        return new DispatchPolicy(loads, evictions, budget, newPatience, fair, batchWeight);
+    /** Replaces the longest forecast waits. */
+    public DispatchPolicy withPatience(double newPatience, double newIdlePatience) {
+        return new DispatchPolicy(loads, evictions, budget, newPatience, newIdlePatience, fair, batchWeight);
     }
 
     /** Replaces whether callers share an engine fairly. */
     public DispatchPolicy withFair(boolean newFair) {
-        return new DispatchPolicy(loads, evictions, budget, patience, newFair, batchWeight);
+        return new DispatchPolicy(loads, evictions, budget, patience, idlePatience, newFair, batchWeight);
     }
 
     /** Replaces the weight of full batches. */
     public DispatchPolicy withBatchWeight(double weight) {
-        return new DispatchPolicy(loads, evictions, budget, patience, fair, weight);
+        return new DispatchPolicy(loads, evictions, budget, patience, idlePatience, fair, weight);
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/load/EngineDispatcher.java
+++ b/core/src/main/java/org/quetzalvane/core/load/EngineDispatcher.java
@@ -76,7 +76,7 @@
         this.slots = new SlotTable(engine.slots(), now, config.maxRequest().toNanos(), budget);
         this.gate = new BatchGate(config.policy().batchWeight(), engine.batchSize());
         this.waiting = new WaitQueue(config.policy(), gate);
-        this.planner = new LoadPlanner(config, slots, waiting);
+        this.planner = new LoadPlanner(config, slots, waiting, now);
         this.orders = new SlotOrders(lease, context, new SlotOrders.Tables(lock, slots, planner), this::pump);
         this.batchSinceNanos = now;
     }
@@ -126,7 +126,8 @@
         try {
             refusal = closed != null ? closed : admission(ticket);
             if (refusal == null) {
-                waiting.addLast(ticket, scheduler.nanoTime());
+                long now = scheduler.nanoTime();
+                waiting.addLast(ticket, now, planner.promise(ticket.request(), now));
             }
         } finally {
             lock.unlock();
@@ -246,11 +247,12 @@
         try {
             slots.find(t.request().version())
                     .filter(s -> s.users() == 0 && failure.code() == ResultCode.ENDPOINT_REJECTED)
-                    .ifPresent(slots::vacate);
+                    .ifPresent(s -> slots.vacate(s, scheduler.nanoTime()));
             if (closed != null || !t.requeue()) {
                 return false;
             }
-            waiting.addFirst(t, scheduler.nanoTime());
+            long now = scheduler.nanoTime();
+            waiting.addFirst(t, now, planner.promise(t.request(), now));
         } finally {
             lock.unlock();
         }
--- a/core/src/main/java/org/quetzalvane/core/load/GovernedBudget.java
+++ b/core/src/main/java/org/quetzalvane/core/load/GovernedBudget.java
@@ -11,8 +11,9 @@
 /**
  * Load permits asked from the region's governor one at a time.
  *
- * <p>Invariants: a load starts only under a permit that was asked for less than its lifetime ago; every permit is
- * either used and its end reported, or given back. While there is no governor, permits come from the fall-back budget.
+ * <p>Invariants: a permit is used only within its lifetime after its grant, as bounded by the round trip less the
+ * governor's own time; every permit is either used and its end reported, or given back. While there is no governor,
+ * permits come from the fall-back budget.
  *
  * <p>Thread-safe; its monitor is a leaf and is not held while messages are sent.
  */
@@ -23,7 +24,7 @@
     private final Scheduler scheduler;
     private final Governor governor;
     private final LoadBudget fallBack;
-    private final Deque<Long> permitsAskedAt = new ArrayDeque<>();
+    private final Deque<Long> usableUntil = new ArrayDeque<>();
     private final Deque<Boolean> startedGoverned = new ArrayDeque<>();
     private Runnable available = () -> {};
     private boolean asking;
@@ -58,7 +59,7 @@
         long now = scheduler.nanoTime();
         synchronized (this) {
             expired = dropExpired(now);
-            acquired = permitsAskedAt.pollFirst() != null;
+            acquired = usableUntil.pollFirst() != null;
             if (acquired) {
                 startedGoverned.addLast(true);
             }
@@ -104,26 +105,39 @@
 
     private void ask(double value, long askedAt) {
         governor.ask(new PeerMessage.LoadWanted(node, value)).whenComplete((answer, failure) -> {
+            long now = scheduler.nanoTime();
             boolean granted = answer instanceof PeerMessage.LoadPermit && ((PeerMessage.LoadPermit) answer).granted();
             Runnable then;
             synchronized (this) {
                 asking = false;
                 if (granted) {
-                    permitsAskedAt.addLast(askedAt);
+                    long grantedAt = askedAt + ((PeerMessage.LoadPermit) answer).waitedNanos();
+                    usableUntil.addLast(grantedAt + LoadGovernor.PERMIT_LIFETIME.toNanos());
                 } else {
-                    pauseUntilNanos = scheduler.nanoTime() + PAUSE_AFTER_NONE.toNanos();
+                    pauseUntilNanos = now + PAUSE_AFTER_NONE.toNanos();
                 }
                 then = granted ? available : () -> {};
             }
             then.run();
+            giveBackUnused();
         });
     }
 
+    private void giveBackUnused() {
+        int unused;
+        synchronized (this) {
+            unused = usableUntil.size();
+            usableUntil.clear();
+        }
+        for (int i = 0; i < unused; i++) {
+            governor.ended(new PeerMessage.LoadEnded(node));
+        }
+    }
+
     private int dropExpired(long now) {
         int expired = 0;
-        long lifetime = LoadGovernor.PERMIT_LIFETIME.multipliedBy(2).toNanos();
-        while (!permitsAskedAt.isEmpty() && now - permitsAskedAt.peekFirst() > lifetime) {
-            permitsAskedAt.pollFirst();
+        while (!usableUntil.isEmpty() && now - usableUntil.peekFirst() > 0) {
+            usableUntil.pollFirst();
             expired++;
         }
         return expired;
--- a/core/src/main/java/org/quetzalvane/core/load/LoadGovernor.java
+++ b/core/src/main/java/org/quetzalvane/core/load/LoadGovernor.java
@@ -18,19 +18,24 @@
 /**
  * Gives out the region's load permits while this node holds the role of the governor.
  *
- * <p>Invariants: permits are spaced at least the inverse of the store's rate; permits out and loads in flight together
+ * <p>Invariants: permits are spaced by the inverse of the store's rate and the longest delay of their use, so that
+ * loads start no faster than the rate in any window; permits out and loads in flight together
  * never exceed the store's limit; after the role was gained nothing is given out until every permit of an earlier
  * governor has expired and its loads have ended. The most valuable wish goes first.
  *
  * <p>Thread-safe; its monitor is a leaf and is not held while answers are sent.
  */
 public final class LoadGovernor {
-    /** How long a permit may wait to be used. */
-    static final Duration PERMIT_LIFETIME = Duration.ofSeconds(1);
+    /** Longest time from the grant of a permit to its use, the way to the node included. */
+    static final Duration PERMIT_LIFETIME = Duration.ofMillis(5);
+
+    /** Longest time from the use of a permit to the start of its load, an eviction included. */
+    static final Duration START_DELAY = Duration.ofMillis(5);
 
     private static final Duration WISH_LIFETIME = Duration.ofMillis(1000);
-    private static final Duration MAX_LOAD = Duration.ofSeconds(10);
-    private static final Duration START_PAUSE = PERMIT_LIFETIME.plus(Duration.ofSeconds(1));
+    private static final Duration MAX_LOAD = Duration.ofSeconds(60);
+    private static final Duration START_PAUSE = Duration.ofSeconds(2);
+    private static final long JITTER_NANOS = PERMIT_LIFETIME.plus(START_DELAY).toNanos();
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final Scheduler scheduler;
@@ -49,7 +54,12 @@
         long fencing();
     }
 
-    private record Wish(PeerMessage.LoadWanted wanted, PeerPort.Reply reply, long untilNanos) {}
+    private record Wish(PeerMessage.LoadWanted wanted, PeerPort.Reply reply, long sinceNanos) {
+
+        long untilNanos() {
+            return sinceNanos + WISH_LIFETIME.toNanos();
+        }
+    }
 
     private record Answer(Wish wish, boolean granted) {}
 
@@ -63,7 +73,7 @@
     /** Takes a wish for a permit; it is answered when one is free, or with none after a second. */
     public void wanted(PeerMessage.LoadWanted wanted, PeerPort.Reply reply) {
         synchronized (this) {
-            wishes.add(new Wish(wanted, reply, scheduler.nanoTime() + WISH_LIFETIME.toNanos()));
+            wishes.add(new Wish(wanted, reply, scheduler.nanoTime()));
         }
         serve();
     }
@@ -81,8 +91,8 @@
 
     private void serve() {
         List<Answer> answers = new ArrayList<>();
+        long now = scheduler.nanoTime();
         synchronized (this) {
-            long now = scheduler.nanoTime();
             refuseExpired(now, answers);
             if (role.mayAct()) {
                 noteRole(now);
@@ -90,13 +100,13 @@
             }
             wakeLater(now);
         }
-        answers.forEach(a -> a.wish.reply.end(new PeerMessage.LoadPermit(a.granted)));
+        answers.forEach(a -> a.wish.reply.end(new PeerMessage.LoadPermit(a.granted, now - a.wish.sinceNanos)));
     }
 
     private void refuseExpired(long now, List<Answer> answers) {
         boolean powerless = !role.mayAct();
         wishes.removeIf(w -> {
-            boolean over = powerless || w.untilNanos - now <= 0;
+            boolean over = powerless || w.untilNanos() - now <= 0;
             if (over) {
                 answers.add(new Answer(w, false));
             }
@@ -118,7 +128,8 @@
         while (!wishes.isEmpty() && nextPermitNanos - now <= 0 && inFlight(now) < l.maxInFlight()) {
             Wish w = wishes.remove(0);
             outSince.computeIfAbsent(w.wanted.node(), n -> new ArrayDeque<>()).addLast(now);
-            nextPermitNanos = Math.max(nextPermitNanos, now) + (long) (NANOS_PER_SECOND / l.loadsPerSecond());
+            nextPermitNanos =
+                    Math.max(nextPermitNanos, now) + (long) (NANOS_PER_SECOND / l.loadsPerSecond()) + JITTER_NANOS;
             answers.add(new Answer(w, true));
         }
     }
@@ -139,7 +150,7 @@
         if (wishes.isEmpty()) {
             return;
         }
-        long next = wishes.stream().mapToLong(w -> w.untilNanos - now).min().orElse(0);
+        long next = wishes.stream().mapToLong(w -> w.untilNanos() - now).min().orElse(0);
         long permit = nextPermitNanos - now;
         long wait = permit > 0 ? Math.min(next, permit) : next;
         wake = scheduler.schedule(Duration.ofNanos(Math.max(1, wait)), this::serve);
--- a/core/src/main/java/org/quetzalvane/core/load/LoadPlanner.java
+++ b/core/src/main/java/org/quetzalvane/core/load/LoadPlanner.java
@@ -25,13 +25,15 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long MIN_RETRY_MILLIS = 500;
     private static final double URGENT = 1e6;
+    private static final double BUSY = 0.5;
+    private static final double BUSY_RANGE = 0.3;
     private static final Comparator<WaitGroup> BY_PROMISE =
             (a, b) -> Long.signum(a.promisedNanos() - b.promisedNanos());
 
     private final DispatchConfig config;
     private final SlotTable slots;
     private final WaitQueue waiting;
-    private final LoadForecast forecast = new LoadForecast();
+    private final LoadForecast forecast;
     private final Popularity popularity = new Popularity();
     private final Map<AdapterVersion, Long> backoffUntilNanos = new HashMap<>();
 
@@ -43,7 +45,8 @@
      */
     record Next(AdapterVersion version, double value) {}
 
-    LoadPlanner(DispatchConfig config, SlotTable slots, WaitQueue waiting) {
+    LoadPlanner(DispatchConfig config, SlotTable slots, WaitQueue waiting, long now) {
+        this.forecast = new LoadForecast(now);
         this.config = config;
         this.slots = slots;
         this.waiting = waiting;
@@ -53,6 +56,17 @@
         return forecast;
     }
 
+    /** Instant by which the adapter of a request that comes now should be loaded. */
+    long promise(InferenceRequest r, long now) {
+        DispatchPolicy policy = config.policy();
+        if (!policy.planned()) {
+            return r.deadlineNanos();
+        }
+        double ease = Math.max(0, Math.min(1, (BUSY - forecast.busyShare(now)) / BUSY_RANGE));
+        double patience = policy.patience() + ease * (policy.idlePatience() - policy.patience());
+        return now + (long) (patience * (r.deadlineNanos() - now));
+    }
+
     /** Why a request cannot be taken, or null. */
     Refusal admission(InferenceRequest r, long now) {
         popularity.requested(r.version(), now);
@@ -62,7 +76,7 @@
         if (slots.find(r.version()).isPresent()) {
             return late(r, now, 0);
         }
-        long promise = waiting.promise(r, now);
+        long promise = promise(r, now);
         List<WaitGroup> plan = plan();
         int place = placeOf(r.version(), promise, plan);
         long wait = forecast.untilLoaded(place, now);
@@ -107,8 +121,8 @@
         forecast.loadStarted(now);
     }
 
-    void loaded(AdapterVersion v, long nanos) {
-        forecast.loadEnded(nanos);
+    void loaded(AdapterVersion v, long nanos, long now) {
+        forecast.loadEnded(nanos, now);
         backoffUntilNanos.remove(v);
     }
 
@@ -120,7 +134,7 @@
     // Helpers
 
     private Optional<Next> mostValuable(List<WaitGroup> due, long now) {
-        return due.stream().map(g -> valued(g, now, 0)).max(Comparator.comparingDouble(Next::value));
+        return due.stream().map(g -> valued(g, now)).max(Comparator.comparingDouble(Next::value));
     }
 
     private Optional<Next> mostValuableInTime(List<WaitGroup> due, long now) {
@@ -129,7 +143,7 @@
         Next best = null;
         for (int i = 0; i < due.size(); i++) {
             WaitGroup g = due.get(i);
-            Next candidate = valued(g, now, 0);
+            Next candidate = valued(g, now);
             best = best == null || candidate.value() > best.value() ? candidate : best;
             long slack = g.promisedNanos() - now - forecast.untilLoaded(i, now);
             if (slack < interval) {
@@ -139,8 +153,8 @@
         return Optional.ofNullable(best);
     }
 
-    private Next valued(WaitGroup g, long now, double extra) {
-        return new Next(g.version(), config.loads().value(g, now) + extra);
+    private Next valued(WaitGroup g, long now) {
+        return new Next(g.version(), config.loads().value(g, now));
     }
 
     /** The groups that need a load, in the order of their promises. */
--- a/core/src/main/java/org/quetzalvane/core/load/SlotOrders.java
+++ b/core/src/main/java/org/quetzalvane/core/load/SlotOrders.java
@@ -60,7 +60,7 @@
     void load(Slot slot, Optional<Slot> victim) {
         long start = scheduler.nanoTime();
         if (victim.isPresent()) {
-            unload(victim.get(), () -> load(slot, start));
+            unload(victim.get(), () -> loadIfSoonEnough(slot, start));
         } else {
             load(slot, start);
         }
@@ -78,6 +78,21 @@
 
     // Loads
 
+    /** Loads unless the eviction took so long that the permission for the load is no longer good. */
+    private void loadIfSoonEnough(Slot s, long startNanos) {
+        if (scheduler.nanoTime() - startNanos <= LoadGovernor.START_DELAY.toNanos()) {
+            load(s, startNanos);
+            return;
+        }
+        tables.lock.lock();
+        try {
+            tables.slots.vacate(s, scheduler.nanoTime());
+        } finally {
+            tables.lock.unlock();
+        }
+        pump.run();
+    }
+
     private void load(Slot s, long startNanos) {
         AdapterVersion v = s.version();
         Optional<String> ref = weights.weights(v);
@@ -96,9 +111,9 @@
         try {
             if (failure == null) {
                 tables.slots.loaded(s, now);
-                tables.planner.loaded(v, now - startNanos);
+                tables.planner.loaded(v, now - startNanos, now);
             } else if (provedNotRun(failure)) {
-                tables.slots.vacate(s);
+                tables.slots.vacate(s, scheduler.nanoTime());
                 tables.planner.failed(v, now);
             } else {
                 tables.slots.inDoubt(s, now);
@@ -126,7 +141,7 @@
         tables.lock.lock();
         try {
             if (failure == null) {
-                tables.slots.vacate(s);
+                tables.slots.vacate(s, scheduler.nanoTime());
             } else if (provedNotRun(failure)) {
                 s.state(Slot.State.RESIDENT, scheduler.nanoTime());
             } else {
--- a/core/src/main/java/org/quetzalvane/core/load/SlotTable.java
+++ b/core/src/main/java/org/quetzalvane/core/load/SlotTable.java
@@ -23,11 +23,15 @@
  * <p>Not thread-safe; guarded by the lock of its {@link EngineDispatcher}.
  */
 final class SlotTable {
+    private static final int MAX_VACATED = 256;
+    private static final long LONGEST_LAG_NANOS = 60_000_000_000L;
+
     private final int capacity;
     private final long gainedNanos;
     private final long maxRequestNanos;
     private final LoadBudget budget;
     private final Map<AdapterVersion, Slot> slots = new HashMap<>();
+    private final Map<AdapterVersion, Long> vacatedNanos = new HashMap<>();
     private String instance;
 
     SlotTable(int capacity, long gainedNanos, long maxRequestNanos, LoadBudget budget) {
@@ -80,6 +84,15 @@
         releasePermit(s);
     }
 
+    /** The slot is certainly empty as of now; a report taken earlier does not bring it back. */
+    void vacate(Slot s, long now) {
+        if (vacatedNanos.size() >= MAX_VACATED) {
+            vacatedNanos.values().removeIf(at -> now - at > LONGEST_LAG_NANOS);
+        }
+        vacatedNanos.put(s.version(), now);
+        vacate(s);
+    }
+
     /** The slot is certainly empty. */
     void vacate(Slot s) {
         releasePermit(s);
@@ -118,6 +131,9 @@
 
     private void settlePresent(EngineReport.Residency r, long taken, long now) {
         Slot s = slots.get(r.version());
+        if (s == null && vacatedNanos.getOrDefault(r.version(), taken - 1) - taken >= 0) {
+            return;
+        }
         if (s == null) {
             s = new Slot(r.version(), r.loading() ? Slot.State.IN_DOUBT : Slot.State.RESIDENT, now);
             s.inherited(true);
--- a/core/src/main/java/org/quetzalvane/core/load/WaitQueue.java
+++ b/core/src/main/java/org/quetzalvane/core/load/WaitQueue.java
@@ -26,7 +26,6 @@
     private static final int MAX_CALLERS = 4096;
 
     private final boolean fair;
-    private final double patience;
     private final BatchGate gate;
     private final Map<AdapterVersion, WaitGroup> groups = new LinkedHashMap<>();
     private final Map<String, Integer> byCaller = new HashMap<>();
@@ -40,7 +39,6 @@
     /** Builds an empty queue. */
     WaitQueue(DispatchPolicy policy, BatchGate gate) {
         this.fair = policy.fair();
-        this.patience = policy.patience();
         this.gate = gate;
     }
 
@@ -64,20 +62,14 @@
         return groups.values();
     }
 
-    /** Instant by which the adapter of a request that comes now should be loaded. */
-    long promise(InferenceRequest r, long now) {
-        return patience == Double.POSITIVE_INFINITY
-                ? r.deadlineNanos()
-                : now + (long) (patience * (r.deadlineNanos() - now));
-    }
-
-    void addLast(Ticket ticket, long now) {
-        add(ticket, now, nextTag(ticket.request()), nextPlace++);
+    /** Adds a request whose load is promised by an instant. */
+    void addLast(Ticket ticket, long now, long promised) {
+        add(ticket, now, promised, nextTag(ticket.request()), nextPlace++);
     }
 
     /** Adds a request that was dispatched before, ahead of the others of its rank. */
-    void addFirst(Ticket ticket, long now) {
-        add(ticket, now, fair ? virtualTime : 0, nextFrontPlace--);
+    void addFirst(Ticket ticket, long now, long promised) {
+        add(ticket, now, promised, fair ? virtualTime : 0, nextFrontPlace--);
     }
 
     /** Takes the request whose turn it is in a group. */
@@ -117,10 +109,10 @@
         return found;
     }
 
-    private void add(Ticket ticket, long now, double tag, long place) {
+    private void add(Ticket ticket, long now, long promised, double tag, long place) {
         InferenceRequest r = ticket.request();
         long heldUntil = gate.heldUntil(now, r.deadlineNanos());
-        Waiting w = new Waiting(ticket, now, promise(r, now), heldUntil, fair ? -r.priority() : 0, tag, place);
+        Waiting w = new Waiting(ticket, now, promised, heldUntil, fair ? -r.priority() : 0, tag, place);
         groups.computeIfAbsent(w.version(), v -> new WaitGroup(v, nextGroup++)).add(w);
         size++;
         byCaller.merge(w.request().caller(), 1, Integer::sum);
--- a/core/src/main/java/org/quetzalvane/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/peer/PeerMessage.java
@@ -100,8 +100,9 @@
      * Answers {@link LoadWanted}.
      *
      * @param granted whether one load may start
+     * @param waitedNanos how long the wish lay with the governor
      */
-    record LoadPermit(boolean granted) implements PeerMessage {}
+    record LoadPermit(boolean granted, long waitedNanos) implements PeerMessage {}
 
     /**
      * A load ended, or its permit was not used.
--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/load/LoadGovernorTest.java
@@ -0,0 +1,147 @@
+package org.quetzalvane.core.load;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.quetzalvane.core.model.LoadLimits;
+import org.quetzalvane.core.peer.PeerMessage;
+import org.quetzalvane.core.peer.PeerPort;
+import org.quetzalvane.core.time.ManualScheduler;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** The store's limits hold in every window while nodes ask over a way of varying delay and one of them dies. */
+class LoadGovernorTest {
+    private static final LoadLimits LIMITS = new LoadLimits("r1", 3, 8);
+    private static final int NODES = 9;
+    private static final long MILLI = 1_000_000;
+
+    private final ManualScheduler time = new ManualScheduler();
+    private final List<Long> starts = new ArrayList<>();
+    private final boolean[] dead = new boolean[NODES];
+    private int inFlight;
+    private int mostInFlight;
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void startsNoFasterThanTheRateInAnyWindow(long seed) {
+        Random random = new Random(seed);
+        LoadGovernor governor = new LoadGovernor(time, () -> LIMITS, always());
+        for (int i = 0; i < NODES; i++) {
+            runNode(i, governor, random);
+        }
+        time.schedule(Duration.ofSeconds(20), () -> dead[0] = true);
+
+        time.advance(Duration.ofSeconds(120));
+
+        assertThat(starts).hasSizeGreaterThan(200);
+        for (int window = 1; window <= 30; window++) {
+            assertThat(mostIn(Math.round(window * 1e9 / LIMITS.loadsPerSecond())))
+                    .isLessThanOrEqualTo(window);
+        }
+        assertThat(mostInFlight).isLessThanOrEqualTo(LIMITS.maxInFlight());
+    }
+
+    private void runNode(int number, LoadGovernor governor, Random random) {
+        GovernedBudget budget = new GovernedBudget("n" + number, time, way(governor, random), noFallBack());
+        Runnable work = () -> {
+            if (!dead[number] && budget.tryAcquire(random.nextInt(10))) {
+                load(budget, number, random.nextInt(4000));
+            }
+        };
+        budget.onAvailable(work);
+        time.repeat(Duration.ofMillis(50), work);
+    }
+
+    private void load(LoadBudget budget, int number, long millis) {
+        starts.add(time.nanoTime());
+        inFlight++;
+        mostInFlight = Math.max(mostInFlight, inFlight);
+        time.schedule(Duration.ofMillis(millis), () -> {
+            inFlight--;
+            if (!dead[number]) {
+                budget.release();
+            }
+        });
+    }
+
+    private int mostIn(long window) {
+        int most = 0;
+        int first = 0;
+        for (int i = 0; i < starts.size(); i++) {
+            while (starts.get(i) - starts.get(first) >= window) {
+                first++;
+            }
+            most = Math.max(most, i - first + 1);
+        }
+        return most;
+    }
+
+    private GovernedBudget.Governor way(LoadGovernor governor, Random random) {
+        return new GovernedBudget.Governor() {
+            @Override
+            public boolean absent() {
+                return false;
+            }
+
+            @Override
+            public CompletableFuture<PeerMessage> ask(PeerMessage.LoadWanted wanted) {
+                CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+                later(() -> governor.wanted(wanted, reply(answer)));
+                return answer;
+            }
+
+            @Override
+            public void ended(PeerMessage.LoadEnded ended) {
+                later(() -> governor.ended(ended));
+            }
+
+            private PeerPort.Reply reply(CompletableFuture<PeerMessage> answer) {
+                return new PeerPort.Reply() {
+                    @Override
+                    public void part(PeerMessage m) {}
+
+                    @Override
+                    public void end(PeerMessage m) {
+                        later(() -> answer.complete(m));
+                    }
+                };
+            }
+
+            private void later(Runnable task) {
+                time.schedule(Duration.ofNanos((long) (random.nextDouble() * 4 * MILLI)), task);
+            }
+        };
+    }
+
+    private static LoadBudget noFallBack() {
+        return new LoadBudget() {
+            @Override
+            public boolean tryAcquire(double value) {
+                return false;
+            }
+
+            @Override
+            public void release() {}
+        };
+    }
+
+    private static LoadGovernor.Role always() {
+        return new LoadGovernor.Role() {
+            @Override
+            public boolean mayAct() {
+                return true;
+            }
+
+            @Override
+            public long fencing() {
+                return 1;
+            }
+        };
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/load/SlotTableTest.java
@@ -0,0 +1,36 @@
+package org.quetzalvane.core.load;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.quetzalvane.core.model.AdapterVersion;
+import org.quetzalvane.core.port.EngineReport;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** What the owner of an engine believes of its slots. */
+class SlotTableTest {
+    private static final AdapterVersion V = new AdapterVersion("a", 1);
+
+    @Test
+    void lateReportDoesNotBringAnEvictedAdapterBack() {
+        SlotTable slots = new SlotTable(8, 0, 1_000, new LoadBudget() {
+            @Override
+            public boolean tryAcquire(double value) {
+                return true;
+            }
+
+            @Override
+            public void release() {}
+        });
+        EngineReport holding = new EngineReport("i", 0, List.of(new EngineReport.Residency(V, false, 0)));
+        slots.reconcile(holding, 100, 100);
+        slots.vacate(slots.find(V).orElseThrow(), 200);
+
+        slots.reconcile(holding, 150, 300);
+        assertThat(slots.find(V)).isEmpty();
+
+        slots.reconcile(holding, 250, 350);
+        assertThat(slots.find(V)).isPresent();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/load/WaitQueueTest.java
@@ -0,0 +1,83 @@
+package org.quetzalvane.core.load;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.model.AdapterVersion;
+import org.quetzalvane.core.request.AnswerSink;
+import org.quetzalvane.core.request.InferenceRequest;
+import org.quetzalvane.core.request.Refusal;
+import org.quetzalvane.core.request.Ticket;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Turns in the queue of one engine. */
+class WaitQueueTest {
+    private static final AdapterVersion V = new AdapterVersion("a", 1);
+    private static final long DEADLINE = 10_000_000_000L;
+
+    @Test
+    void servesOthersBeforeTheRestOfAFlood() {
+        WaitQueue queue = queue(DispatchPolicy.defaults());
+        for (int i = 0; i < 5; i++) {
+            add(queue, "flood", 0);
+        }
+        add(queue, "other", 0);
+
+        assertThat(turns(queue)).startsWith("flood", "other", "flood");
+    }
+
+    @Test
+    void servesHigherPriorityFirst() {
+        WaitQueue queue = queue(DispatchPolicy.defaults());
+        add(queue, "low", 0);
+        add(queue, "high", 1);
+
+        assertThat(turns(queue)).containsExactly("high", "low");
+    }
+
+    @Test
+    void baselineServesByArrival() {
+        WaitQueue queue = queue(DispatchPolicy.baseline());
+        add(queue, "first", 0);
+        add(queue, "first", 0);
+        add(queue, "second", 1);
+
+        assertThat(turns(queue)).containsExactly("first", "first", "second");
+    }
+
+    private static WaitQueue queue(DispatchPolicy policy) {
+        return new WaitQueue(policy, new BatchGate(0.5, 16));
+    }
+
+    private static void add(WaitQueue queue, String caller, int priority) {
+        InferenceRequest r = new InferenceRequest("q", caller, V, "p", 10, priority, 0, DEADLINE, true);
+        queue.addLast(new Ticket(r, ignored()), 0, DEADLINE);
+    }
+
+    private static List<String> turns(WaitQueue queue) {
+        List<String> turns = new ArrayList<>();
+        while (queue.has(V)) {
+            turns.add(queue.poll(V).request().caller());
+        }
+        return turns;
+    }
+
+    private static AnswerSink ignored() {
+        return new AnswerSink() {
+            @Override
+            public void part(String text) {}
+
+            @Override
+            public void done(int tokens) {}
+
+            @Override
+            public void refused(Refusal refusal) {}
+
+            @Override
+            public void failed(ResultCode code, String message) {}
+        };
+    }
+}
--- a/node/src/main/java/org/quetzalvane/node/NodeRuntime.java
+++ b/node/src/main/java/org/quetzalvane/node/NodeRuntime.java
@@ -101,7 +101,8 @@
         String region = settings.node().place().region();
         DispatchConfig dispatch = DispatchConfig.defaults()
                 .withQueues(limits.queuePerEngine(), limits.queuePerCaller())
-                .withTimeouts(limits.progress(), limits.request());
+                .withTimeouts(limits.progress(), limits.request())
+                .withBatchWeight(settings.policy().batchWeight());
         return NodeConfig.of(region)
                 .withOwnership(OwnershipConfig.of(region).withLease(timing.lease()))
                 .withDispatch(dispatch)
--- a/standins/src/main/java/org/quetzalvane/standins/replay/Measurement.java
+++ b/standins/src/main/java/org/quetzalvane/standins/replay/Measurement.java
@@ -16,12 +16,15 @@
     /** Header of the table. */
     public static final String HEADER =
             "| user | slots | load | fault | policy | arrived | in time | late | failed | refused "
-                    + "| refused p99 ms | stall p50 ms | p95 | p99 | stall ms per request | batch efficiency | loads "
-                    + "| most in 10 s | in flight | wrong |\n"
-                    + "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|";
+                    + "| refused p99 ms | stall p50 ms | p95 | p99 | stall ms per request | queue p95 ms "
+                    + "| batch efficiency | loads | most in 10 s | in flight | wrong |\n"
+                    + "|"
+                    + "---|".repeat(21);
 
     private static final String ROW = "| %s | %d | %s | %s | %s | %d | %d | %d | %d | %d | %d | %d | %d | %d "
-            + "| %.0f | %.3f | %d | %d | %d | %d |";
+            + "| %.0f | %d | %.3f | %d | %d | %d | %d |";
+    private static final String BOUND =
+            "| %s | %d | %s | %s | offline bound | %d | | | | | | | | | %.0f | | | %d | | | |";
     private static final int BATCH_SIZE = 16;
 
     private final long seed;
@@ -55,12 +58,30 @@
     }
 
     private static List<String> compare(Trace trace, LoadLevel level, FaultPlan plan) {
-        NodeConfig config = Replayer.nodeConfig();
+        NodeConfig config = Replayer.nodeConfig(trace.header());
         return List.of(
+                bound(trace, level, plan),
                 row(trace, level, plan, "baseline", config.withDispatch(DispatchConfig.baseline())),
                 row(trace, level, plan, "default", config));
     }
 
+    private static String bound(Trace trace, LoadLevel level, FaultPlan plan) {
+        LowerBound b = LowerBound.of(trace);
+        long arrived = trace.events().stream()
+                .filter(TraceEvent.Arrival.class::isInstance)
+                .count();
+        return String.format(
+                Locale.ROOT,
+                BOUND,
+                trace.header().name(),
+                trace.header().slots(),
+                level,
+                plan,
+                arrived,
+                b.stallMillis() / (double) arrived,
+                b.loads());
+    }
+
     private static String row(Trace trace, LoadLevel level, FaultPlan plan, String policy, NodeConfig config) {
         ReplayReport r = Replayer.replay(trace, config);
         TraceHeader h = trace.header();
@@ -82,6 +103,7 @@
                 r.stall().p95(),
                 r.stall().p99(),
                 r.stallPerRequest(),
+                r.queue().p95(),
                 r.batchEfficiency(),
                 r.loads(),
                 r.maxPerTenSeconds(),
--- a/standins/src/main/java/org/quetzalvane/standins/replay/Measures.java
+++ b/standins/src/main/java/org/quetzalvane/standins/replay/Measures.java
@@ -14,6 +14,7 @@
 
     private final Histogram stallMillis = new Histogram(DIGITS);
     private final Histogram queueMillis = new Histogram(DIGITS);
+    private final Histogram firstPartMillis = new Histogram(DIGITS);
     private final Histogram refusalMillis = new Histogram(DIGITS);
     private final Map<ResultCode, Integer> refusals = new TreeMap<>();
     private final Map<ResultCode, Integer> failures = new TreeMap<>();
@@ -42,6 +43,15 @@
         failedLoads += successful ? 0 : 1;
     }
 
+    /** The first part of an answer came to a caller other than the one that floods. */
+    void firstPart(long afterMillis) {
+        firstPartMillis.recordValue(afterMillis);
+    }
+
+    Histogram firstParts() {
+        return firstPartMillis;
+    }
+
     void arrived() {
         arrived++;
     }
--- a/standins/src/main/java/org/quetzalvane/standins/replay/ReplayCaller.java
+++ b/standins/src/main/java/org/quetzalvane/standins/replay/ReplayCaller.java
@@ -19,6 +19,7 @@
 final class ReplayCaller {
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int MAX_HINTS = 2;
+    private static final String FLOODING = "flood";
 
     private final Scheduler time;
     private final Map<String, ReplayNode> nodes;
@@ -89,6 +90,9 @@
 
         @Override
         public void part(String text) {
+            if (parts.isEmpty() && !request.caller().equals(FLOODING)) {
+                measures.firstPart(waitedMillis(request));
+            }
             parts.add(text);
             if (over || !text.equals(request.version() + " ")) {
                 measures.wrong();
--- a/standins/src/main/java/org/quetzalvane/standins/replay/ReplayReport.java
+++ b/standins/src/main/java/org/quetzalvane/standins/replay/ReplayReport.java
@@ -23,6 +23,7 @@
  * @param stallTotal sum of the load stalls of dispatched requests
  * @param stallPerRequest mean load stall over all requests that arrived
  * @param queue time from arrival to dispatch
+ * @param firstPart time from arrival to the first part of an answer, of callers other than one named flood
  * @param refusalTime time from arrival to refusal
  * @param batchEfficiency used part of the batches of busy engines, from 0 to 1
  * @param loads loads started at the store
@@ -46,6 +47,7 @@
         long stallTotal,
         double stallPerRequest,
         Quantiles queue,
+        Quantiles firstPart,
         Quantiles refusalTime,
         double batchEfficiency,
         int loads,
@@ -92,6 +94,7 @@
                 m.stallTotalMillis(),
                 m.stallTotalMillis() / (double) Math.max(1, m.arrivedCount()),
                 Quantiles.of(m.queues()),
+                Quantiles.of(m.firstParts()),
                 Quantiles.of(m.refusalTimes()),
                 used / (double) Math.max(1, busy * header.batchSize()),
                 store.loads(),
@@ -105,6 +108,10 @@
     /** Whether the trace's stated outcomes hold. */
     public boolean meets(TraceHeader.Expect expect) {
         double share = finished / (double) Math.max(1, arrived);
-        return share >= expect.minFinishedShare() && wrong <= expect.maxWrong();
+        return share >= expect.minFinishedShare()
+                && wrong <= expect.maxWrong()
+                && stall.p95() <= expect.maxStallP95()
+                && maxPerTenSeconds <= expect.maxPerTenSeconds()
+                && maxInFlight <= expect.maxInFlight();
     }
 }
--- a/standins/src/main/java/org/quetzalvane/standins/replay/Replayer.java
+++ b/standins/src/main/java/org/quetzalvane/standins/replay/Replayer.java
@@ -10,6 +10,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.quetzalvane.core.load.DispatchConfig;
 import org.quetzalvane.core.node.Coordinator;
 import org.quetzalvane.core.node.NodeConfig;
 import org.quetzalvane.core.ownership.OwnershipConfig;
@@ -54,6 +55,11 @@
                 .withPoll(Duration.ofMillis(250));
     }
 
+    /** The same with the default decisions and the weight of the trace's user. */
+    public static NodeConfig nodeConfig(TraceHeader header) {
+        return nodeConfig().withDispatch(DispatchConfig.defaults().withBatchWeight(header.batchWeight()));
+    }
+
     /** Replays a trace with the given settings of the nodes. */
     public static ReplayReport replay(Trace trace, NodeConfig config) {
         return new Replayer(trace, config).run();
--- a/standins/src/main/java/org/quetzalvane/standins/replay/TraceGenerator.java
+++ b/standins/src/main/java/org/quetzalvane/standins/replay/TraceGenerator.java
@@ -86,8 +86,9 @@
                 8,
                 250,
                 20,
+                profile.batchWeight(),
                 lengthMillis + profile.deadlineMillis() + 30_000,
-                new TraceHeader.Expect(0, 0));
+                TraceHeader.Expect.nothingWrong());
     }
 
     private TraceEvent.Arrival arrival(long at) {
--- a/standins/src/main/java/org/quetzalvane/standins/replay/TraceHeader.java
+++ b/standins/src/main/java/org/quetzalvane/standins/replay/TraceHeader.java
@@ -15,6 +15,7 @@
  * @param maxInFlight loads in flight at full speed
  * @param loadMillis duration of a load at full speed, in milliseconds
  * @param tokenMillis time between tokens, in milliseconds
+ * @param batchWeight the user's weight of full batches against short waits, from 0 to 1
  * @param endMillis when the replay ends, in milliseconds of trace time
  * @param expect outcomes that the replay checks
  */
@@ -31,6 +32,7 @@
         int maxInFlight,
         long loadMillis,
         long tokenMillis,
+        double batchWeight,
         long endMillis,
         Expect expect) {
 
@@ -49,15 +51,46 @@
                 maxInFlight,
                 loadMillis,
                 tokenMillis,
+                batchWeight,
                 endMillis,
                 expect);
     }
 
+    /** A copy with other stated outcomes. */
+    public TraceHeader withExpect(Expect newExpect) {
+        return new TraceHeader(
+                name,
+                seed,
+                dataCentres,
+                nodes,
+                engines,
+                slots,
+                batchSize,
+                adapters,
+                loadsPerSecond,
+                maxInFlight,
+                loadMillis,
+                tokenMillis,
+                batchWeight,
+                endMillis,
+                newExpect);
+    }
+
     /**
      * Stated outcomes. Immutable.
      *
      * @param minFinishedShare least share of requests that finish whole, from 0 to 1
      * @param maxWrong most answers of a wrong adapter, evictions in use and other broken promises; normally 0
+     * @param maxStallP95 greatest 95th percentile of the load stall, in milliseconds
+     * @param maxPerTenSeconds most loads that may start in any ten seconds
+     * @param maxInFlight most loads that may be in flight
      */
-    public record Expect(double minFinishedShare, int maxWrong) {}
+    public record Expect(
+            double minFinishedShare, int maxWrong, long maxStallP95, int maxPerTenSeconds, int maxInFlight) {
+
+        /** Expects nothing but that no promise is broken. */
+        public static Expect nothingWrong() {
+            return new Expect(0, 0, Long.MAX_VALUE, Integer.MAX_VALUE, Integer.MAX_VALUE);
+        }
+    }
 }
--- a/standins/src/main/java/org/quetzalvane/standins/replay/TraceProfile.java
+++ b/standins/src/main/java/org/quetzalvane/standins/replay/TraceProfile.java
@@ -15,6 +15,7 @@
  * @param tokens mean length of an answer, in tokens
  * @param deadlineMillis time from arrival to the deadline of ordinary requests, in milliseconds
  * @param burst whether bursts with a common deadline come on top
+ * @param batchWeight weight of full batches against short waits, from 0 to 1
  */
 public record TraceProfile(
         String name,
@@ -26,16 +27,17 @@
         int callers,
         int tokens,
         long deadlineMillis,
-        boolean burst) {
+        boolean burst,
+        double batchWeight) {
 
     /** Bulletins and summaries in bursts before a deadline. */
     public static TraceProfile vozes() {
-        return new TraceProfile("vozes", 8, 6, 3000, 2, 4, 40, 120, 60_000, true);
+        return new TraceProfile("vozes", 8, 6, 3000, 2, 4, 40, 120, 60_000, true, 0.7);
     }
 
     /** Live callers all season. */
     public static TraceProfile coldwater() {
-        return new TraceProfile("coldwater", 9, 8, 3000, 3, 8, 60, 60, 10_000, false);
+        return new TraceProfile("coldwater", 9, 8, 3000, 3, 8, 60, 60, 10_000, false, 0.3);
     }
 
     /** The profile of a name; fails with {@link IllegalArgumentException}. */
