--- a/adapters/src/main/java/org/quetzalvane/adapters/peer/TcpPeerPort.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/peer/TcpPeerPort.java
@@ -102,6 +102,11 @@
         return new Builder(cluster, secret, scheduler);
     }
 
+    /** The port that it listens on; chosen by the system when it was told to listen on port 0. */
+    public int localPort() {
+        return server.getLocalPort();
+    }
+
     @Override
     public CompletableFuture<PeerMessage> call(String address, PeerMessage message, Consumer<PeerMessage> parts) {
         CompletableFuture<PeerMessage> result = new CompletableFuture<>();
--- a/adapters/src/test/java/org/quetzalvane/adapters/peer/TcpPeerPortTest.java
+++ b/adapters/src/test/java/org/quetzalvane/adapters/peer/TcpPeerPortTest.java
@@ -18,9 +18,10 @@
 
 /** Peer messages over TCP. */
 class TcpPeerPortTest {
-    private static final String ADDRESS = "127.77.1.1:7003";
+    private static final String HOST = "127.0.0.1";
     private final SystemScheduler scheduler = new SystemScheduler(1);
     private TcpPeerPort server;
+    private String address;
 
     @BeforeEach
     void listen() throws IOException {
@@ -30,7 +31,8 @@
                     reply.part(new PeerMessage.RecordsWanted(2));
                     reply.end(m);
                 })
-                .listen(ADDRESS);
+                .listen(HOST + ":0");
+        address = HOST + ":" + server.localPort();
     }
 
     @AfterEach
@@ -44,7 +46,7 @@
         try (TcpPeerPort client = TcpPeerPort.builder("c", "secret", scheduler).callOnly()) {
             List<PeerMessage> parts = new ArrayList<>();
             PeerMessage sent = new PeerMessage.RecordsWanted(7);
-            assertThat(client.call(ADDRESS, sent, parts::add).join()).isEqualTo(sent);
+            assertThat(client.call(address, sent, parts::add).join()).isEqualTo(sent);
             assertThat(parts).containsExactly(new PeerMessage.RecordsWanted(1), new PeerMessage.RecordsWanted(2));
         }
     }
@@ -54,7 +56,7 @@
         for (String[] wrong : new String[][] {{"c", "other"}, {"d", "secret"}}) {
             try (TcpPeerPort client =
                     TcpPeerPort.builder(wrong[0], wrong[1], scheduler).callOnly()) {
-                assertThatThrownBy(() -> client.call(ADDRESS, new PeerMessage.RecordsWanted(7))
+                assertThatThrownBy(() -> client.call(address, new PeerMessage.RecordsWanted(7))
                                 .join())
                         .hasRootCauseInstanceOf(Exception.class)
                         .cause()
@@ -65,7 +67,7 @@
 
     @Test
     void survivesFramesOfWrongLength() throws IOException {
-        try (Socket socket = new Socket("127.77.1.1", 7003)) {
+        try (Socket socket = new Socket(HOST, server.localPort())) {
             new DataOutputStream(socket.getOutputStream()).writeInt(Integer.MAX_VALUE);
             while (socket.getInputStream().read() >= 0) {
                 continue;
--- a/bench/src/main/java/org/quetzalvane/bench/SlopeBench.java
+++ b/bench/src/main/java/org/quetzalvane/bench/SlopeBench.java
@@ -87,7 +87,7 @@
         PeerMessage heartbeat = new PeerMessage.Heartbeat(SampleRegion.node(7), false, 1_000_000, 1L << 56, List.of());
         size("heartbeat between nodes (MessagePack)", msgpack(heartbeat));
         size("load permit asked for (MessagePack)", msgpack(new PeerMessage.LoadWanted("n7", 1.5)));
-        size("load permit given (MessagePack)", msgpack(new PeerMessage.LoadPermit(true)));
+        size("load permit given (MessagePack)", msgpack(new PeerMessage.LoadPermit(true, 0)));
         size("load ended (MessagePack)", msgpack(new PeerMessage.LoadEnded("n7")));
         ClaimRecord renewal = new ClaimRecord.Renewal(SampleRegion.node(7), 1000, 20_000, false, true);
         size("lease renewal on the log (JSON)", ClaimCodec.encode(renewal).length);
