--- a/core/src/main/java/org/quetzalvane/core/config/ConfigState.java
+++ b/core/src/main/java/org/quetzalvane/core/config/ConfigState.java
@@ -79,6 +79,10 @@
         return get(ConfigObject.Kind.VERSION, v.toString(), PublishedVersion.class);
     }
 
+    public Optional<Engine> engine(String name) {
+        return get(ConfigObject.Kind.ENGINE, name, Engine.class);
+    }
+
     public Optional<Service> service(String name) {
         return get(ConfigObject.Kind.SERVICE, name, Service.class);
     }
--- a/core/src/main/java/org/quetzalvane/core/load/DispatcherRegistry.java
+++ b/core/src/main/java/org/quetzalvane/core/load/DispatcherRegistry.java
@@ -15,8 +15,8 @@
 /**
  * The dispatchers of the engines this node holds, one for each fencing number.
  *
- * <p>Invariant: at most one dispatcher per engine takes requests. Thread-safe; its monitor comes before the locks of
- * the dispatchers.
+ * <p>Invariants: at most one dispatcher per engine takes requests; it works by the engine's configuration in force.
+ * Thread-safe; its monitor comes before the locks of the dispatchers.
  */
 public final class DispatcherRegistry implements Ownership.Listener {
     private static final long RETRY_MILLIS = 500;
@@ -44,7 +44,9 @@
     @Override
     public synchronized void gained(Engine engine, long fencing) {
         Held present = held.get(engine.name());
-        if (present != null && present.fencing == fencing) {
+        if (present != null
+                && present.fencing == fencing
+                && present.dispatcher.engine().equals(engine)) {
             return;
         }
         lost(engine.name());
--- a/core/src/main/java/org/quetzalvane/core/ownership/Ownership.java
+++ b/core/src/main/java/org/quetzalvane/core/ownership/Ownership.java
@@ -196,9 +196,13 @@
 
     /** Repeats every engine held, since a claim may be read before the engine's own configuration. */
     private void announceHeld() {
-        for (Engine e : objects.read(s -> s.engines())) {
-            table.holder(e.name()).filter(h -> holds(e.name())).ifPresent(h -> listener.gained(e, h.fencing()));
-        }
+        List<String> held = held();
+        held.removeAll(config.roles());
+        List<Engine> engines = objects.read(
+                s -> held.stream().map(s::engine).flatMap(Optional::stream).toList());
+        engines.forEach(e -> fencing(e.name()).ifPresent(f -> listener.gained(e, f)));
+        engines.forEach(e -> held.remove(e.name()));
+        held.forEach(listener::lost);
     }
 
     private void look() {
--- a/proofs/src/test/java/org/quetzalvane/proofs/BadInputTest.java
+++ b/proofs/src/test/java/org/quetzalvane/proofs/BadInputTest.java
@@ -28,13 +28,7 @@
     @BeforeAll
     static void start() throws IOException {
         cluster = LocalCluster.builder().nodes(1).engines(1).readMillis(1000).start();
-        cluster.publishEndpoints();
-        cluster.publish(
-                Records.caller("angler", TOKEN),
-                Records.rule("r1", "angler", "adapter:*"),
-                Records.adapter("a1", LocalCluster.BASE_MODEL),
-                Records.version("a1", 1));
-        cluster.awaitOwners();
+        cluster.publishAll(TOKEN, "a1");
     }
 
     @AfterAll
--- a/proofs/src/test/java/org/quetzalvane/proofs/FrozenOwnerTest.java
+++ b/proofs/src/test/java/org/quetzalvane/proofs/FrozenOwnerTest.java
@@ -9,7 +9,6 @@
 import org.quetzalvane.standins.harness.Await;
 import org.quetzalvane.standins.harness.CallerClient;
 import org.quetzalvane.standins.harness.LocalCluster;
-import org.quetzalvane.standins.harness.Records;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -56,15 +55,7 @@
     }
 
     private static void publish(LocalCluster cluster) throws IOException {
-        cluster.publishEndpoints();
-        cluster.publish(
-                Records.caller("angler", TOKEN),
-                Records.rule("r1", "angler", "adapter:*"),
-                Records.adapter("a1", LocalCluster.BASE_MODEL),
-                Records.version("a1", 1),
-                Records.adapter("a2", LocalCluster.BASE_MODEL),
-                Records.version("a2", 1));
-        cluster.awaitOwners();
+        cluster.publishAll(TOKEN, "a1", "a2");
     }
 
     private static String owner(LocalCluster cluster) {
--- a/proofs/src/test/java/org/quetzalvane/proofs/MetricsTest.java
+++ b/proofs/src/test/java/org/quetzalvane/proofs/MetricsTest.java
@@ -13,7 +13,6 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalvane.standins.harness.Await;
 import org.quetzalvane.standins.harness.LocalCluster;
-import org.quetzalvane.standins.harness.Records;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -26,13 +25,7 @@
     @BeforeAll
     static void serveOneRequestAndRefuseNone() throws IOException {
         cluster = LocalCluster.builder().nodes(1).engines(1).start();
-        cluster.publishEndpoints();
-        cluster.publish(
-                Records.caller("c", TOKEN),
-                Records.rule("r", "c", "adapter:*"),
-                Records.adapter("a", LocalCluster.BASE_MODEL),
-                Records.version("a", 1));
-        cluster.awaitOwners();
+        cluster.publishAll(TOKEN, "a");
         assertThat(cluster.caller(TOKEN).complete("a", 1, "hello", 5).isWhole()).isTrue();
     }
 
--- a/proofs/src/test/java/org/quetzalvane/proofs/PlannedStopTest.java
+++ b/proofs/src/test/java/org/quetzalvane/proofs/PlannedStopTest.java
@@ -19,7 +19,6 @@
 import org.quetzalvane.standins.harness.Await;
 import org.quetzalvane.standins.harness.CallerClient;
 import org.quetzalvane.standins.harness.LocalCluster;
-import org.quetzalvane.standins.harness.Records;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -36,15 +35,7 @@
     @BeforeAll
     static void start() throws IOException {
         cluster = LocalCluster.builder().nodes(3).engines(2).start();
-        cluster.publishEndpoints();
-        cluster.publish(
-                Records.caller("angler", TOKEN),
-                Records.rule("r1", "angler", "adapter:*"),
-                Records.adapter("a1", LocalCluster.BASE_MODEL),
-                Records.version("a1", 1),
-                Records.adapter("a2", LocalCluster.BASE_MODEL),
-                Records.version("a2", 1));
-        cluster.awaitOwners();
+        cluster.publishAll(TOKEN, "a1", "a2");
     }
 
     @AfterAll
--- a/proofs/src/test/java/org/quetzalvane/proofs/WholePathTest.java
+++ b/proofs/src/test/java/org/quetzalvane/proofs/WholePathTest.java
@@ -24,15 +24,8 @@
     @BeforeAll
     static void start() throws IOException {
         cluster = LocalCluster.builder().nodes(3).engines(2).start();
-        cluster.publishEndpoints();
-        cluster.publish(
-                Records.caller("angler", TOKEN),
-                Records.rule("r1", "angler", "adapter:*"),
-                Records.rule("r2", "angler", "service:booking"),
-                Records.adapter("a1", LocalCluster.BASE_MODEL),
-                Records.version("a1", 1),
-                Records.version("a1", 2));
-        cluster.awaitOwners();
+        cluster.publishAll(TOKEN, "a1");
+        cluster.publish(Records.version("a1", 2));
     }
 
     @AfterAll
--- a/standins/src/main/java/org/quetzalvane/standins/harness/LocalCluster.java
+++ b/standins/src/main/java/org/quetzalvane/standins/harness/LocalCluster.java
@@ -2,12 +2,9 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -39,9 +36,9 @@
     private static final int OPERATORS_PORT = 7002;
     private static final int PEERS_PORT = 7003;
 
-    private final Builder settings;
+    private final ClusterBuilder settings;
     private final Path directory;
-    private final String subnet;
+    private final Subnet subnet;
     private final HttpCalls calls = HttpCalls.start();
     private final Map<String, Child> children = new LinkedHashMap<>();
     private final Thread atExit = new Thread(this::endChildren, "end-children");
@@ -53,73 +50,15 @@
         Child start() throws IOException;
     }
 
-    /** Collects the sizes of a cluster. Not thread-safe. */
-    public static final class Builder {
-        private int nodes = 3;
-        private int engines = 2;
-        private int slots = 2;
-        private boolean checksFencing;
-        private long leaseMillis = 2000;
-        private long readMillis = 30_000;
-        private long snapshotSeconds = 3600;
-
-        public Builder nodes(int n) {
-            nodes = n;
-            return this;
-        }
-
-        public Builder engines(int n) {
-            engines = n;
-            return this;
-        }
-
-        public Builder slots(int n) {
-            slots = n;
-            return this;
-        }
-
-        public Builder checksFencing(boolean checks) {
-            checksFencing = checks;
-            return this;
-        }
-
-        public Builder leaseMillis(long millis) {
-            leaseMillis = millis;
-            return this;
-        }
-
-        public Builder readMillis(long millis) {
-            readMillis = millis;
-            return this;
-        }
-
-        public Builder snapshotSeconds(long seconds) {
-            snapshotSeconds = seconds;
-            return this;
-        }
-
-        /** Starts all processes and waits until every node is ready. */
-        public LocalCluster start() throws IOException {
-            LocalCluster cluster = new LocalCluster(this);
-            try {
-                cluster.open();
-                return cluster;
-            } catch (IOException | RuntimeException e) {
-                cluster.close();
-                throw e;
-            }
-        }
-    }
-
-    private LocalCluster(Builder settings) throws IOException {
+    LocalCluster(ClusterBuilder settings) throws IOException {
         this.settings = settings;
         this.directory = Files.createTempDirectory("quetzalvane-cluster");
-        this.subnet = freeSubnet();
+        this.subnet = Subnet.free(PORT);
         Runtime.getRuntime().addShutdownHook(atExit);
     }
 
-    public static Builder builder() {
-        return new Builder();
+    public static ClusterBuilder builder() {
+        return new ClusterBuilder();
     }
 
     // Public API
@@ -136,7 +75,7 @@
     /** Names of the nodes, {@code n1} and so on. */
     public List<String> nodes() {
         List<String> names = new ArrayList<>();
-        for (int i = 1; i <= settings.nodes; i++) {
+        for (int i = 1; i <= settings.nodes(); i++) {
             names.add("n" + i);
         }
         return names;
@@ -186,7 +125,7 @@
         List<ObjectNode> records = new ArrayList<>();
         records.add(Records.baseModel(BASE_MODEL));
         records.add(Records.limits(REGION, 20, 8));
-        for (int i = 1; i <= settings.engines; i++) {
+        for (int i = 1; i <= settings.engines(); i++) {
             records.add(engineRecord("e" + i));
         }
         ObjectNode service = Json.object()
@@ -197,6 +136,24 @@
         publish(records.toArray(new ObjectNode[0]));
     }
 
+    /**
+     * Publishes the endpoints, a caller that may use every adapter and the service, and adapters with a version 1 each;
+     * waits until every engine has an owner.
+     */
+    public void publishAll(String token, String... adapters) throws IOException {
+        publishEndpoints();
+        List<ObjectNode> records = new ArrayList<>();
+        records.add(Records.caller("angler", token));
+        records.add(Records.rule("adapters", "angler", "adapter:*"));
+        records.add(Records.rule("bookings", "angler", "service:booking"));
+        for (String adapter : adapters) {
+            records.add(Records.adapter(adapter, BASE_MODEL));
+            records.add(Records.version(adapter, 1));
+        }
+        publish(records.toArray(new ObjectNode[0]));
+        awaitOwners();
+    }
+
     /** A caller that asks the live nodes. */
     public CallerClient caller(String token) {
         List<String> addresses = nodes().stream()
@@ -235,7 +192,7 @@
 
     /** Waits until every engine has an owner that has read the engine's own list. */
     public void awaitOwners() {
-        Await.until("owners", START_LIMIT, () -> ownedEngines() == settings.engines);
+        Await.until("owners", START_LIMIT, () -> ownedEngines() == settings.engines());
     }
 
     public String callers(String node) {
@@ -309,12 +266,12 @@
         }
     }
 
-    private void open() throws IOException {
+    void open() throws IOException {
         standIn("log", logUrl());
         standIn("hosts", hostsUrl());
         standIn("store", storeUrl());
         standIn("service", serviceUrl());
-        for (int i = 1; i <= settings.engines; i++) {
+        for (int i = 1; i <= settings.engines(); i++) {
             startEngine("e" + i);
         }
         for (Map.Entry<String, String> e : standInUrls().entrySet()) {
@@ -331,8 +288,8 @@
 
     private void startEngine(String engine) throws IOException {
         List<String> options =
-                new ArrayList<>(List.of("--store", storeUrl(), "--slots", Integer.toString(settings.slots)));
-        if (settings.checksFencing) {
+                new ArrayList<>(List.of("--store", storeUrl(), "--slots", Integer.toString(settings.slots())));
+        if (settings.checksFencing()) {
             options.add("--checks-fencing");
         }
         standIn("engine", engine, engineUrl(engine), options);
@@ -355,7 +312,7 @@
         urls.put("hosts", hostsUrl());
         urls.put("store", storeUrl());
         urls.put("service", serviceUrl());
-        for (int i = 1; i <= settings.engines; i++) {
+        for (int i = 1; i <= settings.engines(); i++) {
             urls.put("e" + i, engineUrl("e" + i));
         }
         return urls;
@@ -367,9 +324,9 @@
                 .put("host", "host-" + engine)
                 .put("dataCentre", REGION + "/a")
                 .put("baseModel", BASE_MODEL)
-                .put("slots", settings.slots)
+                .put("slots", settings.slots())
                 .put("batchSize", 8)
-                .put("checksFencing", settings.checksFencing);
+                .put("checksFencing", settings.checksFencing());
         return Records.record("engine", engine, 0, value);
     }
 
@@ -392,12 +349,12 @@
                 "log = \"" + logUrl() + "\"",
                 "hosts = \"" + hostsUrl() + "\"",
                 "[timing]",
-                "lease_millis = " + settings.leaseMillis,
+                "lease_millis = " + settings.leaseMillis(),
                 "poll_millis = 100",
-                "snapshot_seconds = " + settings.snapshotSeconds,
+                "snapshot_seconds = " + settings.snapshotSeconds(),
                 "answer_millis = 1000",
                 "[limits]",
-                "read_millis = " + settings.readMillis,
+                "read_millis = " + settings.readMillis(),
                 "");
         return Files.writeString(directory.resolve(node + ".toml"), toml);
     }
@@ -425,27 +382,14 @@
     }
 
     private String nodeIp(String node) {
-        return subnet + "." + (10 + number(node));
+        return subnet.ip(10 + number(node));
     }
 
     private String address(int last) {
-        return subnet + "." + last + ":" + PORT;
+        return subnet.ip(last) + ":" + PORT;
     }
 
     private static int number(String name) {
         return Integer.parseInt(name.substring(1));
     }
-
-    private static String freeSubnet() throws IOException {
-        SecureRandom random = new SecureRandom();
-        for (int i = 0; i < 20; i++) {
-            String candidate = "127." + (1 + random.nextInt(254)) + "." + random.nextInt(255);
-            try (ServerSocket probe = new ServerSocket(PORT, 1, InetAddress.getByName(candidate + ".2"))) {
-                return probe.isBound() ? candidate : "";
-            } catch (IOException e) {
-                continue;
-            }
-        }
-        throw new IOException("no free loopback subnet found");
-    }
 }
