Count every numbered error that callers are answered with

Cause: refusals before the queue, such as an unknown token or no engine, were in no counter. MetricsTest.refusalBeforeTheQueueIsCounted failed first (nothing counted within its limit) and passes with a counter answered.CODE at the callers' server.

--- a/adapters/src/main/java/org/quetzalvane/adapters/http/Exchange.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/http/Exchange.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.IntConsumer;
 
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Request;
@@ -18,14 +19,16 @@
     private final Response response;
     private final Callback callback;
     private final int bodyLimitBytes;
+    private final IntConsumer errors;
     private boolean answered;
     private GoneWatch watch;
 
-    Exchange(Request request, Response response, Callback callback, int bodyLimitBytes) {
+    Exchange(Request request, Response response, Callback callback, int bodyLimitBytes, IntConsumer errors) {
         this.request = request;
         this.response = response;
         this.callback = callback;
         this.bodyLimitBytes = bodyLimitBytes;
+        this.errors = errors;
     }
 
     public String method() {
@@ -67,6 +70,9 @@
 
     /** Answers with a JSON value. */
     public void reply(int status, Object value) {
+        if (value instanceof ErrorBody) {
+            errors.accept(((ErrorBody) value).code());
+        }
         reply(status, "application/json", Json.bytes(value));
     }
 
--- a/adapters/src/main/java/org/quetzalvane/adapters/http/HttpService.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/http/HttpService.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.IntConsumer;
 
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -45,6 +46,7 @@
         private Duration idleTimeout = IDLE_TIMEOUT;
         private Duration stopTimeout = STOP_TIMEOUT;
         private int maxThreads = 32;
+        private IntConsumer errors = code -> {};
 
         public Builder route(String method, String path, Route route) {
             routes.put(method + " " + path, route);
@@ -67,6 +69,12 @@
             return this;
         }
 
+        /** Sets what hears the number of every error answered; it must not block. */
+        public Builder errors(IntConsumer listener) {
+            errors = listener;
+            return this;
+        }
+
         public Builder maxThreads(int threads) {
             maxThreads = threads;
             return this;
@@ -93,7 +101,7 @@
         connector.setPort(Integer.parseInt(address.substring(colon + 1)));
         connector.setIdleTimeout(b.idleTimeout.toMillis());
         server.addConnector(connector);
-        server.setHandler(new GracefulHandler(new Dispatch(Map.copyOf(b.routes), b.bodyLimitBytes)));
+        server.setHandler(new GracefulHandler(new Dispatch(Map.copyOf(b.routes), b.bodyLimitBytes, b.errors)));
         server.setStopTimeout(b.stopTimeout.toMillis());
     }
 
@@ -127,15 +135,17 @@
     private static final class Dispatch extends Handler.Abstract {
         private final Map<String, Route> routes;
         private final int bodyLimitBytes;
+        private final IntConsumer errors;
 
-        Dispatch(Map<String, Route> routes, int bodyLimitBytes) {
+        Dispatch(Map<String, Route> routes, int bodyLimitBytes, IntConsumer errors) {
             this.routes = routes;
             this.bodyLimitBytes = bodyLimitBytes;
+            this.errors = errors;
         }
 
         @Override
         public boolean handle(Request request, Response response, Callback callback) {
-            Exchange exchange = new Exchange(request, response, callback, bodyLimitBytes);
+            Exchange exchange = new Exchange(request, response, callback, bodyLimitBytes, errors);
             Route route = find(exchange.method(), exchange.path());
             try {
                 if (route == null) {
--- a/node/src/main/java/org/quetzalvane/node/NodeRuntime.java
+++ b/node/src/main/java/org/quetzalvane/node/NodeRuntime.java
@@ -80,7 +80,9 @@
         coordinator = new Coordinator(context, nodeConfig(settings), ports, new MetricStats(metrics));
         handler.complete(coordinator.peerRouter());
         NodeMetrics.register(metrics, coordinator, platformBytes);
-        callerServer = new CallerApi(coordinator).routes(server(settings)).start(self.callerAddress());
+        callerServer = new CallerApi(coordinator)
+                .routes(server(settings).errors(this::countError))
+                .start(self.callerAddress());
         operatorServer = new OperatorApi(coordinator, metrics)
                 .routes(HttpService.builder())
                 .start(listen.operators());
@@ -130,6 +132,10 @@
                 .stopTimeout(settings.timing().drain());
     }
 
+    private void countError(int code) {
+        metrics.counter("answered." + code).inc();
+    }
+
     private void close() {
         try {
             callerServer.close();
--- a/proofs/src/test/java/org/quetzalvane/proofs/MetricsTest.java
+++ b/proofs/src/test/java/org/quetzalvane/proofs/MetricsTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.standins.harness.Await;
 import org.quetzalvane.standins.harness.LocalCluster;
 
@@ -73,6 +74,12 @@
         Await.until(name, LIMIT, () -> number(name) == 0);
     }
 
+    @Test
+    void refusalBeforeTheQueueIsCounted() {
+        assertThat(cluster.caller("wrong").resolve("a", 1).code()).isEqualTo(ResultCode.UNAUTHENTICATED.number());
+        Await.until("counted", LIMIT, () -> number("answered." + ResultCode.UNAUTHENTICATED.number()) > 0);
+    }
+
     @Test
     void histogramsHoldTheRequest() {
         JsonNode h = metrics().path("histograms");
