--- a/core/src/main/java/org/quetzalvane/core/ownership/Ownership.java
+++ b/core/src/main/java/org/quetzalvane/core/ownership/Ownership.java
@@ -49,7 +49,7 @@
 
     /** Hears which engines this node gained and lost. Called without locks held. */
     public interface Listener {
-        /** This node holds the engine; may be called again for the same fencing number. */
+        /** This node holds the engine; called again for the same fencing number, also with a changed record. */
         void gained(Engine engine, long fencing);
 
         /** This node does not hold the engine; may be called for engines it never held. */
