Answer a stopping server's own refusals by number

Cause: a second run of the whole suite failed in PlannedStopTest.rollingRestartCutsOffNothing, because a request that came on an open connection while the server stopped got Jetty's HTML page for 503, which no caller can tell from a fault. Ruled out: a cut-off answer; the request had not reached a route. The server's own errors now have the numbered form, 503 as DRAINING with notRun and when to come back. StoppingServerTest failed first (not valid JSON) and passes; the process tests of the request path pass.

--- a/adapters/src/main/java/org/quetzalvane/adapters/http/HttpService.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/http/HttpService.java
@@ -101,6 +101,7 @@
         connector.setPort(Integer.parseInt(address.substring(colon + 1)));
         connector.setIdleTimeout(b.idleTimeout.toMillis());
         server.addConnector(connector);
+        server.setErrorHandler(new NumberedErrors());
         server.setHandler(new GracefulHandler(new Dispatch(Map.copyOf(b.routes), b.bodyLimitBytes, b.errors)));
         server.setStopTimeout(b.stopTimeout.toMillis());
     }
--- /dev/null
+++ b/adapters/src/main/java/org/quetzalvane/adapters/http/NumberedErrors.java
@@ -0,0 +1,37 @@
+package org.quetzalvane.adapters.http;
+
+import java.nio.ByteBuffer;
+
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.request.Refusal;
+
+/**
+ * Gives the errors that the server answers by itself, before or instead of a route, the numbered form of all others.
+ *
+ * <p>Stateless and thread-safe.
+ */
+final class NumberedErrors implements Request.Handler {
+    private static final long RETRY_MILLIS = 500;
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        byte[] body = Json.bytes(body(response.getStatus()));
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
+        response.write(true, ByteBuffer.wrap(body), callback);
+        return true;
+    }
+
+    private static ErrorBody body(int status) {
+        String reason = HttpStatus.getMessage(status);
+        if (status == HttpStatus.SERVICE_UNAVAILABLE_503) {
+            return ErrorBody.of(Refusal.retry(ResultCode.DRAINING, "the server is stopping", RETRY_MILLIS));
+        }
+        return ErrorBody.of(status < 500 ? ResultCode.MALFORMED_REQUEST : ResultCode.INTERNAL, reason);
+    }
+}
