Ask the duty holder before an adapter that was not used lately, and queue for places

Ruled out: too few loads at once (at most four were out).

Change: a request for an adapter unused for 400 ms is confirmed by the holder; loads wait for a place; a duty whose former holder is gone begins at once, the lease is waited for only after one that still works.

--- a/core/src/main/java/org/quetzalvane/core/choice/EngineChoice.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/EngineChoice.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.quetzalvane.core.cluster.Rendezvous;
 import org.quetzalvane.core.fleet.Endpoint;
@@ -22,26 +23,38 @@
      * Backlog beyond that of the best engine at which a copy is worth a load, ms: the time of one load from the
      * store.
      */
-    static final double SPREAD_MS = 250;
+    static final double SPREAD_MS = 400;
     /** Preference for the own data centre, ms of backlog: moving an answer between data centres is priced. */
     private static final double OWN_ZONE_MS = 25;
     /** Backlog that the ranking of a rare adapter outweighs, ms: a load from the engine's memory saves as much. */
-    private static final double RANK_STEP_MS = 60;
+    private static final double RANK_STEP_MS = 120;
 
     private final LoadTable loads;
     private final ResidencyView residency;
     private final Outliers outliers;
     private final PrefillClock prefill;
     private final String zone;
+    private final Predicate<Endpoint> ordered;
 
-    /** Builds a choice for a node of the given data centre. */
+    /**
+     * Builds a choice.
+     *
+     * @param zone the node's data centre
+     * @param ordered tells whether some node gives orders to an engine
+     */
     public EngineChoice(
-            LoadTable loads, ResidencyView residency, Outliers outliers, PrefillClock prefill, String zone) {
+            LoadTable loads,
+            ResidencyView residency,
+            Outliers outliers,
+            PrefillClock prefill,
+            String zone,
+            Predicate<Endpoint> ordered) {
         this.loads = loads;
         this.residency = residency;
         this.outliers = outliers;
         this.prefill = prefill;
         this.zone = zone;
+        this.ordered = ordered;
     }
 
     /**
@@ -87,6 +100,9 @@
     /** Added wait for each request beyond the slots, ms: a run of 2 s over 64 slots frees one every 31 ms. */
     private static final double QUEUED_MS = 31;
 
+    /** Cost of an engine to which nobody gives orders, ms: dealing its duty to another node takes as long. */
+    private static final double NO_ORDERS_MS = 3_000;
+
     private Endpoint best(List<Endpoint> holders) {
         return holders.stream()
                 .min(Comparator.comparingDouble(this::cost).thenComparing(Endpoint::id))
@@ -98,7 +114,7 @@
         Endpoint chosen = null;
         double least = Double.MAX_VALUE;
         for (int i = 0; i < ranked.size(); i++) {
-            double cost = waitMs(ranked.get(i)) + i * RANK_STEP_MS;
+            double cost = waitMs(ranked.get(i)) + i * RANK_STEP_MS + (ordered.test(ranked.get(i)) ? 0 : NO_ORDERS_MS);
             if (cost < least) {
                 least = cost;
                 chosen = ranked.get(i);
--- a/core/src/main/java/org/quetzalvane/core/residency/AdapterUse.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/AdapterUse.java
@@ -78,7 +78,8 @@
         return copy;
     }
 
-    private void touch(String engine, AdapterRef ref) {
+    /** Takes note that a request is about to use the adapter. */
+    public void touch(String engine, AdapterRef ref) {
         lastUsed.computeIfAbsent(engine, e -> new HashMap<>()).put(ref, scheduler.nanoTime());
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/residency/EngineDuty.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/EngineDuty.java
@@ -41,7 +41,16 @@
      * Unused time before an adapter may be evicted, ms: three reports of peers, which may hold it without saying so
      * yet.
      */
-    static final long EVICTION_AGE_MS = 900;
+    static final long EVICTION_AGE_MS = 600;
+
+    /** Requests that may wait here for different adapters; more would outlast the callers' patience. */
+    static final int MAX_WAITING = 8;
+    /** Pause before those who wait for a place are looked at again, ms; a run ends every few tens of ms. */
+    private static final long PLACE_POLL_MS = 60;
+    /** Pause before an order is given again that met an unload which waits for its runs, ms. */
+    private static final long UNLOAD_POLL_MS = 150;
+    /** Orders in a row that may meet such an unload before the engine's report is read. */
+    private static final int MAX_UNLOAD_POLLS = 10;
 
     private final Scheduler scheduler;
     private final EngineOrders orders;
@@ -59,7 +68,8 @@
     private boolean orderOut;
     private boolean reading;
     private boolean closed;
-    private long holdUntil;
+    private boolean polling;
+    private int unloadPolls;
 
     /** Whether and under which fencing token orders may be given now; a token below zero forbids them. */
     @FunctionalInterface
@@ -94,7 +104,7 @@
      */
     public record Context(Scheduler scheduler, EngineOrders orders, DecisionLog log, AdapterUse use, LoadTimes times) {}
 
-    /** Builds the duty for one life of an engine; no order is given before {@link #holdUntil}. */
+    /** Builds the duty for one life of an engine; orders follow as requests come. */
     public EngineDuty(Context shared, DutyToken token, EngineSpec spec, Endpoint engine) {
         this.scheduler = shared.scheduler();
         this.orders = shared.orders();
@@ -106,13 +116,6 @@
         this.engine = engine;
     }
 
-    /** Gives no order before the given time, so that an earlier holder's lease has run out. */
-    public void holdUntil(long nanos) {
-        holdUntil = nanos;
-        long delay = Math.max(0, nanos - scheduler.nanoTime());
-        scheduler.schedule(Duration.ofNanos(delay), this::pump);
-    }
-
     public Endpoint engine() {
         return engine;
     }
@@ -146,10 +149,15 @@
             return;
         }
         if (accepted >= 0 && !loading.containsKey(ref) && holds(ref, version)) {
+            use.touch(engine.id(), ref);
             done.accept(true);
             return;
         }
         Waiting w = waiting.get(ref);
+        if (w == null && waiting.size() >= MAX_WAITING) {
+            done.accept(false);
+            return;
+        }
         if (w != null && w.version != version) {
             waiting.remove(ref);
             complete(w, false);
@@ -169,7 +177,8 @@
             return;
         }
         dropExpired();
-        if (orderOut || reading || scheduler.nanoTime() < holdUntil || token.current() < 0) {
+        pollForPlaces();
+        if (orderOut || reading || token.current() < 0) {
             return;
         }
         if (accepted < 0) {
@@ -187,6 +196,17 @@
         }
     }
 
+    /** Those who wait are looked at again, as runs end and duties begin without a notice. */
+    private void pollForPlaces() {
+        if (!waiting.isEmpty() && !polling) {
+            polling = true;
+            scheduler.schedule(Duration.ofMillis(PLACE_POLL_MS), () -> {
+                polling = false;
+                pump();
+            });
+        }
+    }
+
     /** Takes the next step towards an adapter; false when an order is out and others must wait. */
     private boolean advance(AdapterRef ref, Waiting w) {
         Loading l = loading.get(ref);
@@ -195,6 +215,7 @@
         }
         if (holds(ref, w.version)) {
             waiting.remove(ref);
+            use.touch(engine.id(), ref);
             complete(w, true);
             return true;
         }
@@ -215,8 +236,6 @@
         }
         AdapterRef victim = leastRecentlyUsed();
         if (victim == null) {
-            waiting.remove(ref);
-            complete(w, false);
             return true;
         }
         unload(victim);
@@ -254,6 +273,7 @@
         log.decided(EventCode.LOAD_FINISHED, engine.id(), "adapter", ref, "version", version);
         Waiting w = waiting.remove(ref);
         if (w != null) {
+            use.touch(engine.id(), ref);
             complete(w, w.version == version || w.version == 0);
         }
     }
@@ -264,6 +284,7 @@
             if (answer == EngineOrders.Answer.ACCEPTED || answer == EngineOrders.Answer.HOLDS) {
                 accepted++;
                 adapters(ref.model()).remove(ref.adapter());
+                unloadPolls = answer == EngineOrders.Answer.ACCEPTED ? MAX_UNLOAD_POLLS : 0;
             }
         });
     }
@@ -279,15 +300,19 @@
         log.decided(EventCode.LOAD_STARTED, engine.id(), "model", m.name(), "orders", accepted);
         order(EngineOrders.Action.LOAD, new AdapterRef(m.name(), ""), 0, answer -> {
             distrust();
-            reading = true;
-            scheduler.schedule(Duration.ofMillis(MODEL_POLL_MS), () -> {
-                reading = false;
-                pump();
-            });
+            pauseOrders(MODEL_POLL_MS);
         });
         return true;
     }
 
+    private void pauseOrders(long ms) {
+        reading = true;
+        scheduler.schedule(Duration.ofMillis(ms), () -> {
+            reading = false;
+            pump();
+        });
+    }
+
     private void order(EngineOrders.Action action, AdapterRef ref, int version, Consumer<EngineOrders.Answer> then) {
         orderOut = true;
         long t = token.current();
@@ -296,6 +321,11 @@
             if (closed) {
                 return;
             }
+            if (answer == EngineOrders.Answer.CONFLICT && unloadPolls > 0) {
+                unloadPolls--;
+                pauseOrders(UNLOAD_POLL_MS);
+                return;
+            }
             settle(action, ref, answer, t);
             then.accept(answer);
             pump();
@@ -334,11 +364,7 @@
             return;
         }
         if (r == null || r.bornMs() != engine.bornMs() || r.busy()) {
-            reading = true;
-            scheduler.schedule(Duration.ofMillis(MODEL_POLL_MS), () -> {
-                reading = false;
-                pump();
-            });
+            pauseOrders(r != null && !r.held().isEmpty() ? UNLOAD_POLL_MS : MODEL_POLL_MS);
             return;
         }
         accepted = r.orders();
--- a/core/src/main/java/org/quetzalvane/core/residency/LoadBroker.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/LoadBroker.java
@@ -6,14 +6,25 @@
 import org.quetzalvane.core.routes.AdapterRef;
 
 /** Port that brings an adapter onto an engine, through whichever node holds the engine's duty. */
-@FunctionalInterface
 public interface LoadBroker {
 
+    /** How a request for an adapter ended. */
+    enum Outcome {
+        /** The engine holds the adapter, and it will not be evicted before the request can reach it. */
+        HELD,
+        /** The adapter did not come in time, or the engine has no room for it. */
+        REFUSED,
+        /** No node that can be reached gives orders to the engine. */
+        NO_HOLDER
+    }
+
     /**
      * Asks for an adapter; the answer comes once, on the event loop.
      *
      * @param waitMs longest wait for the answer, milliseconds
-     * @param done told whether the engine now holds the adapter
      */
-    void load(Endpoint engine, AdapterRef ref, int version, long waitMs, Consumer<Boolean> done);
+    void load(Endpoint engine, AdapterRef ref, int version, long waitMs, Consumer<Outcome> done);
+
+    /** Whether some node that is up gives orders to the engine. */
+    boolean hasHolder(Endpoint engine);
 }
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -10,6 +10,7 @@
 import org.quetzalvane.core.choice.EngineChoice;
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.residency.LoadBroker;
 import org.quetzalvane.core.routes.NamedVersions;
 import org.quetzalvane.core.routes.Route;
 import org.quetzalvane.core.routes.ServiceSpec;
@@ -30,8 +31,16 @@
     private static final int MAX_FAILED_CONNECTS = 4;
     /** Engines asked to load an adapter, beyond which a request is refused. */
     private static final int MAX_LOAD_ASKS = 3;
-    /** Longest wait for a load at one engine as a part of the objective; three of them fit the callers' patience. */
-    private static final double LOAD_WAIT_PART = 0.8;
+    /** Longest wait for a load at one engine as a part of the objective; callers of streams leave after four of them. */
+    private static final double LOAD_WAIT_PART = 2;
+    /** Time since an adapter's last known use after which its holder is asked before a request is sent, ms. */
+    private static final long CONFIRM_AGE_MS = 400;
+    /** Pause before engines are asked again when no node gives orders to any, ms. */
+    private static final long NO_HOLDER_PAUSE_MS = 250;
+    /** Longest time for that, as a part of the objective. */
+    private static final double NO_HOLDER_PART = 1.5;
+    /** Retry time while no node gives orders to the engines, ms: dealing a duty anew takes two to three seconds. */
+    private static final long NO_HOLDER_RETRY_MS = 1_500;
     /** Retry time when nothing better is known, ms: an adapter's way from the store. */
     private static final long USUAL_RETRY_AFTER_MS = 300;
     /** Time kept back for the way to the endpoint, ms: twice the published way between data centres, rounded up. */
@@ -138,10 +147,7 @@
             return;
         }
         if (pick.resident()) {
-            if (pick.copyAt() != null) {
-                state.broker().load(pick.copyAt(), request.adapter(), version, route.objectiveMs(), ok -> {});
-            }
-            send(pick.engine(), version);
+            sendToHolder(pick, version);
             return;
         }
         if (++loadAsks > MAX_LOAD_ASKS) {
@@ -149,7 +155,43 @@
             return;
         }
         long wait = Math.round(route.objectiveMs() * LOAD_WAIT_PART);
-        state.broker().load(pick.engine(), request.adapter(), version, wait, ok -> loadAnswered(pick, version, ok));
+        state.broker().load(pick.engine(), request.adapter(), version, wait, o -> loadAnswered(pick, version, o));
+    }
+
+    /** Sends to an engine that holds the adapter; one unused for a while is confirmed first, lest it is evicted now. */
+    private void sendToHolder(EngineChoice.Pick pick, int version) {
+        if (pick.copyAt() != null) {
+            state.broker().load(pick.copyAt(), request.adapter(), version, route.objectiveMs(), o -> {});
+        }
+        Endpoint e = pick.engine();
+        long usedNanos = state.use().lastUsedNanos(e.id(), request.adapter());
+        boolean recent =
+                usedNanos != Long.MIN_VALUE && state.scheduler().nanoTime() - usedNanos < CONFIRM_AGE_MS * 1_000_000;
+        if (recent || request.adapter().adapter().isEmpty() || !state.broker().hasHolder(e)) {
+            send(e, version);
+            return;
+        }
+        long wait = Math.round(route.objectiveMs() * LOAD_WAIT_PART);
+        state.broker().load(e, request.adapter(), version, wait, o -> {
+            if (o == LoadBroker.Outcome.NO_HOLDER && !done) {
+                send(e, version);
+            } else {
+                loadAnswered(pick, version, o);
+            }
+        });
+    }
+
+    /** Every engine that might load the adapter lacks a node that gives it orders: waits a little for one. */
+    private void awaitHolder() {
+        if (elapsedMs() > route.objectiveMs() * NO_HOLDER_PART) {
+            refuse(ResultCode.LOAD_FAILED, NO_HOLDER_RETRY_MS, "no holder");
+            return;
+        }
+        state.scheduler().schedule(Duration.ofMillis(NO_HOLDER_PAUSE_MS), () -> {
+            if (!done) {
+                next();
+            }
+        });
     }
 
     private boolean admit(EngineChoice.Pick pick) {
@@ -165,12 +207,15 @@
         return true;
     }
 
-    private void loadAnswered(EngineChoice.Pick pick, int version, boolean ok) {
+    private void loadAnswered(EngineChoice.Pick pick, int version, LoadBroker.Outcome outcome) {
         if (done) {
             return;
         }
-        if (ok) {
+        if (outcome == LoadBroker.Outcome.HELD) {
             send(pick.engine(), version);
+        } else if (outcome == LoadBroker.Outcome.NO_HOLDER) {
+            loadAsks--;
+            awaitHolder();
         } else {
             tried.add(pick.engine().id());
             next();
--- a/core/src/main/java/org/quetzalvane/core/team/DutyBook.java
+++ b/core/src/main/java/org/quetzalvane/core/team/DutyBook.java
@@ -69,7 +69,6 @@
         EngineDuty fresh = factory.apply(e);
         if (fresh != null) {
             duties.put(e.id(), fresh);
-            fresh.holdUntil(lease.firstOrderNanos(lease.partitionOf(e.id())));
         }
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/team/DutyLease.java
+++ b/core/src/main/java/org/quetzalvane/core/team/DutyLease.java
@@ -1,8 +1,10 @@
 package org.quetzalvane.core.team;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntPredicate;
 
 import net.openhft.hashing.LongHashFunction;
 import org.quetzalvane.core.time.Scheduler;
@@ -18,16 +20,33 @@
     /** Part of the lease after which an unconfirmed duty is given up where tokens are not checked. */
     private static final double SAFE_PART = 0.7;
 
+    /** Time after the start in which the peers tell what they hold, ms: two of their reports and the way. */
+    private static final long LISTEN_MS = 700;
+
     private final Scheduler scheduler;
     private final boolean tokensChecked;
     private final long leaseNanos;
     private final int partitions;
+    private final IntPredicate formerHolderUp;
+    private final long startNanos;
     private final Map<Integer, Long> acquired = new HashMap<>();
+    private final Set<Integer> begun = new HashSet<>();
     private long generation;
     private long refusedToken = -1;
     private long confirmedNanos;
 
-    public DutyLease(Scheduler scheduler, boolean tokensChecked, long leaseMs, int partitions) {
+    /**
+     * Builds the lease of a node that starts now.
+     *
+     * @param tokensChecked whether engines refuse orders with an outdated token
+     * @param leaseMs time that must lie between the orders of two holders that both work, milliseconds
+     * @param partitions number of duties
+     * @param formerHolderUp tells whether the node that last held a duty before this one still works
+     */
+    public DutyLease(
+            Scheduler scheduler, boolean tokensChecked, long leaseMs, int partitions, IntPredicate formerHolderUp) {
+        this.formerHolderUp = formerHolderUp;
+        this.startNanos = scheduler.nanoTime();
         this.scheduler = scheduler;
         this.tokensChecked = tokensChecked;
         this.leaseNanos = leaseMs * 1_000_000;
@@ -48,6 +67,7 @@
         generation = newGeneration;
         confirmedNanos = sentNanos;
         acquired.keySet().retainAll(held);
+        begun.retainAll(held);
         held.forEach(p -> acquired.putIfAbsent(p, scheduler.nanoTime()));
         return changed;
     }
@@ -69,13 +89,27 @@
         return generation;
     }
 
-    /** When orders under a duty may begin: a lease after it was acquired, so that an earlier holder's has run out. */
-    public long firstOrderNanos(int partition) {
-        return acquired.getOrDefault(partition, scheduler.nanoTime()) + leaseNanos;
+    /**
+     * Whether orders under a duty may begin: at once when its former holder is gone or is being stopped, else a lease
+     * after the duty was acquired.
+     */
+    private boolean mayBegin(int partition) {
+        Long since = acquired.get(partition);
+        long now = scheduler.nanoTime();
+        if (since == null || now - startNanos < LISTEN_MS * 1_000_000) {
+            return false;
+        }
+        return now - since >= leaseNanos || !formerHolderUp.test(partition);
     }
 
     /** The token for orders under a duty, or -1 while none may be given. */
     public long token(int partition) {
+        if (!begun.contains(partition)) {
+            if (!mayBegin(partition)) {
+                return -1;
+            }
+            begun.add(partition);
+        }
         boolean fresh = tokensChecked || scheduler.nanoTime() - confirmedNanos < leaseNanos * SAFE_PART;
         return holds(partition) && fresh && generation > refusedToken ? generation : -1;
     }
--- a/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
@@ -25,6 +25,7 @@
     private final String self;
     private final Set<String> seeds;
     private final Map<String, Heard> heard = new HashMap<>();
+    private final Map<Integer, String> lastHolders = new HashMap<>();
     private final Map<String, Long> named = new HashMap<>();
 
     public PeerTable(Scheduler scheduler, String self, Set<String> seeds) {
@@ -37,6 +38,7 @@
     public void heard(PeerMessage.Status s) {
         heard.put(s.from(), new Heard(s, scheduler.nanoTime()));
         named(s.from());
+        s.duties().forEach(d -> lastHolders.put(d, s.from()));
         s.members().forEach(m -> named.putIfAbsent(m, scheduler.nanoTime()));
     }
 
@@ -84,6 +86,12 @@
                 .orElse(null);
     }
 
+    /** Whether the peer that last said to hold a duty is up and not being stopped. */
+    public boolean formerHolderUp(int duty) {
+        String last = lastHolders.get(duty);
+        return last != null && up().stream().anyMatch(s -> s.from().equals(last) && !s.leaving());
+    }
+
     /** Nodes that share the retry budget, this one included; 0 when no peer was ever heard of. */
     public int sharing() {
         long now = scheduler.nanoTime();
--- a/entry/src/main/java/org/quetzalvane/entry/DutyMember.java
+++ b/entry/src/main/java/org/quetzalvane/entry/DutyMember.java
@@ -11,8 +11,8 @@
 
 /** Keeps this node in the group that deals the duties out. Confined to the event loop. */
 final class DutyMember {
-    /** Pause between two joins, ms: a third of the lease, so that two lost answers cost nothing. */
-    private static final long JOIN_MS = 1_000;
+    /** Pause between two joins, ms: a third of the time of silence, so that two lost answers cost nothing. */
+    private static final long JOIN_MS = 650;
     /** Pause after a join without an answer, ms. */
     private static final long RETRY_MS = 300;
     /**
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -61,12 +61,15 @@
     private static final int CONNECT_TIMEOUT_MS = 400;
     /** Time for an answer of the store, ms, against the published 4 ms; a slow store takes 60 times as long. */
     private static final long STORE_TIMEOUT_MS = 1_000;
-    /** How long a read of the operator's records waits, ms: a silent connection must not hide a change for 2 s. */
-    private static final long CONFIG_WAIT_MS = 800;
+    /** How long a read of the operator's records waits, ms: a silent connection hides a change as long, within the 5 s
+     * of the stability window and the bound of configuration. */
+    private static final long CONFIG_WAIT_MS = 3_000;
     /** How long a read of the endpoints' entries waits, ms; one heartbeat of the platform. */
     private static final long ENTRIES_WAIT_MS = 1_000;
     /** Pause between reads of the endpoints' entries, ms: each read is priced, and the list itself lags as much. */
-    private static final long ENTRIES_SPACING_MS = 400;
+    private static final long ENTRIES_SPACING_MS = 700;
+    /** Silence after which the group deals a node's duties to others, ms: twice what the platform allows at least. */
+    private static final long DUTY_TTL_MS = 2_000;
     /** Time for an answer to an order, ms, against a way of 1 ms. */
     private static final long ORDER_TIMEOUT_MS = 400;
     /** Idle time after which a kept connection carries nothing that cannot be repeated, ms. */
@@ -119,7 +122,8 @@
         StoreClient store = new StoreClient(http, loop, settings.store(), STORE_TIMEOUT_MS);
         gateway = new EndpointGateway(http, loop, settings.peers(), ORDER_TIMEOUT_MS, FRESH_IDLE_MS);
         peers = new PeerTable(loop, settings.peers(), settings.seeds());
-        lease = new DutyLease(loop, settings.tokensChecked(), settings.leaseMs(), settings.storeParts());
+        lease = new DutyLease(
+                loop, settings.tokensChecked(), settings.leaseMs(), settings.storeParts(), peers::formerHolderUp);
         book = new DutyBook(lease, this::openDuty);
         team = new Team(loop, new Team.Shared(peers, loads, use, residency, lease, book, log), self());
         member = new DutyMember(
@@ -128,7 +132,7 @@
                 lease,
                 peers,
                 log,
-                new DutyMember.Identity(settings.peers(), settings.leaseMs()),
+                new DutyMember.Identity(settings.peers(), DUTY_TTL_MS),
                 this::reconcile);
         operatorRecords =
                 new RecordFollower(loop, store.operatorRecords(), log, CONFIG_WAIT_MS, 0, this::operatorWrote);
@@ -204,7 +208,7 @@
                 team,
                 outliers,
                 prefill,
-                new EngineChoice(loads, residency, outliers, prefill, settings.zone()),
+                new EngineChoice(loads, residency, outliers, prefill, settings.zone(), team::hasHolder),
                 new PlainChoice(loads, outliers, settings.zone()),
                 new Admission(),
                 retries,
--- a/entry/src/main/java/org/quetzalvane/entry/Team.java
+++ b/entry/src/main/java/org/quetzalvane/entry/Team.java
@@ -47,7 +47,7 @@
     private final DutyBook book;
     private final Self self;
     private final PeerCodec codec = new PeerCodec();
-    private final Map<Long, Consumer<Boolean>> asked = new HashMap<>();
+    private final Map<Long, Consumer<Outcome>> asked = new HashMap<>();
     private PeerNet net;
     private long number;
 
@@ -108,14 +108,14 @@
     }
 
     @Override
-    public void load(Endpoint engine, AdapterRef ref, int version, long waitMs, Consumer<Boolean> done) {
+    public void load(Endpoint engine, AdapterRef ref, int version, long waitMs, Consumer<Outcome> done) {
         EngineDuty own = book.find(engine.id());
         if (own != null) {
             own.request(ref, version, waitMs, ok -> {
                 if (ok) {
                     residency.tell(engine.id(), own.holding());
                 }
-                done.accept(ok);
+                done.accept(outcome(ok));
             });
             return;
         }
@@ -125,11 +125,16 @@
                 && send(holder, new PeerMessage.LoadAsk(self.address(), n, engine.id(), ref, version, waitMs));
         if (!sent) {
             log.decided(EventCode.LOAD_FAILED, engine.id(), "adapter", ref, "holder", holder, "cause", "no holder");
-            scheduler.schedule(Duration.ZERO, () -> done.accept(false));
+            scheduler.schedule(Duration.ZERO, () -> done.accept(Outcome.NO_HOLDER));
             return;
         }
         asked.put(n, done);
-        scheduler.schedule(Duration.ofMillis(waitMs + WAY_MS), () -> replied(n, false));
+        scheduler.schedule(Duration.ofMillis(waitMs + WAY_MS), () -> replied(n, Outcome.NO_HOLDER));
+    }
+
+    @Override
+    public boolean hasHolder(Endpoint engine) {
+        return book.find(engine.id()) != null || peers.holderOf(lease.partitionOf(engine.id())) != null;
     }
 
     /** Takes a frame from a peer. */
@@ -146,7 +151,7 @@
         } else if (m instanceof PeerMessage.LoadAsk a) {
             serve(a);
         } else if (m instanceof PeerMessage.LoadReply r) {
-            replied(r.number(), r.loaded());
+            replied(r.number(), outcome(r.loaded()));
         } else if (m instanceof PeerMessage.RecordsAsk a) {
             self.records()
                     .apply(true)
@@ -205,13 +210,17 @@
         }
     }
 
-    private void replied(long n, boolean ok) {
-        Consumer<Boolean> done = asked.remove(n);
+    private void replied(long n, Outcome outcome) {
+        Consumer<Outcome> done = asked.remove(n);
         if (done != null) {
-            done.accept(ok);
+            done.accept(outcome);
         }
     }
 
+    private static Outcome outcome(boolean loaded) {
+        return loaded ? Outcome.HELD : Outcome.REFUSED;
+    }
+
     private boolean send(String peer, PeerMessage m) {
         try {
             return net.send(peer, codec.encode(m));
