Load copies only for adapters in demand, and where the adapter was before

A start after a kill took 1.35 s, of which a third was class loading.

Change: copies need three requests in four seconds at a node; a load goes to the engine that held the adapter, else by rank, crowded engines last; silent endpoints are left for another where that is allowed; class archive in the build.

--- a/core/src/main/java/org/quetzalvane/core/choice/EngineChoice.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/EngineChoice.java
@@ -7,6 +7,7 @@
 
 import org.quetzalvane.core.cluster.Rendezvous;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.residency.AdapterUse;
 import org.quetzalvane.core.residency.ResidencyView;
 import org.quetzalvane.core.routes.AdapterRef;
 
@@ -26,10 +27,20 @@
     static final double SPREAD_MS = 400;
     /** Preference for the own data centre, ms of backlog: moving an answer between data centres is priced. */
     private static final double OWN_ZONE_MS = 25;
-    /** Backlog that the ranking of a rare adapter outweighs, ms: a load from the engine's memory saves as much. */
-    private static final double RANK_STEP_MS = 120;
+    /** Backlog that the ranking of a rare adapter outweighs, ms: about what the credit of a load
+     * from the store is worth against a late first event. */
+    private static final double RANK_STEP_MS = 200;
+
+    /** Idle adapters below which an engine counts as crowded; as many loads may be on their way to it. */
+    private static final int SPARE_PLACES = 4;
+    /** Cost of each idle adapter that is missing then, ms: a run of 2 s on each of 17 places frees one every 120 ms. */
+    private static final double CROWD_STEP_MS = 120;
+    /** Requests for an adapter within the memory of {@link AdapterDemand} that make a copy worth its load. */
+    private static final int COPY_DEMAND = 3;
 
     private final LoadTable loads;
+    private final AdapterUse use;
+    private final AdapterDemand demand;
     private final ResidencyView residency;
     private final Outliers outliers;
     private final PrefillClock prefill;
@@ -42,21 +53,35 @@
      * @param zone the node's data centre
      * @param ordered tells whether some node gives orders to an engine
      */
-    public EngineChoice(
-            LoadTable loads,
-            ResidencyView residency,
-            Outliers outliers,
-            PrefillClock prefill,
-            String zone,
-            Predicate<Endpoint> ordered) {
-        this.loads = loads;
-        this.residency = residency;
-        this.outliers = outliers;
-        this.prefill = prefill;
+    public EngineChoice(View view, String zone, Predicate<Endpoint> ordered) {
+        this.loads = view.loads();
+        this.use = view.use();
+        this.demand = view.demand();
+        this.residency = view.residency();
+        this.outliers = view.outliers();
+        this.prefill = view.prefill();
         this.zone = zone;
         this.ordered = ordered;
     }
 
+    /**
+     * What the choice looks at.
+     *
+     * @param loads work in progress
+     * @param use adapters in use
+     * @param demand how often adapters are asked for
+     * @param residency what engines hold
+     * @param outliers endpoints passed over
+     * @param prefill expected waits
+     */
+    public record View(
+            LoadTable loads,
+            AdapterUse use,
+            AdapterDemand demand,
+            ResidencyView residency,
+            Outliers outliers,
+            PrefillClock prefill) {}
+
     /**
      * A chosen engine. Immutable.
      *
@@ -86,7 +111,7 @@
         if (holder == null) {
             return target == null ? null : new Pick(target, waitMs(target), false, null);
         }
-        boolean spread = target != null && waitMs(holder) > waitMs(target) + SPREAD_MS;
+        boolean spread = target != null && inDemand(ref) && waitMs(holder) > waitMs(target) + SPREAD_MS;
         return new Pick(holder, waitMs(holder), true, spread ? target : null);
     }
 
@@ -114,15 +139,28 @@
         Endpoint chosen = null;
         double least = Double.MAX_VALUE;
         for (int i = 0; i < ranked.size(); i++) {
-            double cost = waitMs(ranked.get(i)) + i * RANK_STEP_MS + (ordered.test(ranked.get(i)) ? 0 : NO_ORDERS_MS);
+            Endpoint e = ranked.get(i);
+            double rank = residency.heldBefore(e, ref) ? 0 : 1 + i;
+            double cost = waitMs(e) + rank * RANK_STEP_MS + crowdMs(e) + (ordered.test(e) ? 0 : NO_ORDERS_MS);
             if (cost < least) {
                 least = cost;
-                chosen = ranked.get(i);
+                chosen = e;
             }
         }
         return chosen;
     }
 
+    /** Expected wait for a place at an engine most of whose adapters are in use, ms. */
+    private double crowdMs(Endpoint e) {
+        int idle = residency.holding(e).adapters() - use.inUseCount(e.id());
+        return Math.max(0, SPARE_PLACES - idle) * CROWD_STEP_MS;
+    }
+
+    /** Whether enough requests ask this node for an adapter that a second copy pays. */
+    private boolean inDemand(AdapterRef ref) {
+        return demand.recent(ref) >= COPY_DEMAND;
+    }
+
     private double cost(Endpoint e) {
         double slots = loads.total(e.id()).requests() * 1.0;
         return waitMs(e) + slots + (e.zone().equals(zone) ? 0 : OWN_ZONE_MS);
--- a/core/src/main/java/org/quetzalvane/core/residency/AdapterUse.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/AdapterUse.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.core.residency;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 
@@ -66,6 +67,13 @@
                 .anyMatch(m -> m.getOrDefault(engine, Set.of()).contains(ref));
     }
 
+    /** Number of different adapters that requests run on at an engine. */
+    public int inUseCount(String engine) {
+        Set<AdapterRef> all = new HashSet<>(own.getOrDefault(engine, Map.of()).keySet());
+        peers.values().forEach(m -> all.addAll(m.getOrDefault(engine, Set.of())));
+        return all.size();
+    }
+
     /** When a request last used the adapter there, on the scheduler's clock; {@link Long#MIN_VALUE} if never. */
     public long lastUsedNanos(String engine, AdapterRef ref) {
         return lastUsed.getOrDefault(engine, Map.of()).getOrDefault(ref, Long.MIN_VALUE);
--- a/core/src/main/java/org/quetzalvane/core/residency/EngineHolding.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/EngineHolding.java
@@ -18,6 +18,11 @@
         held = Map.copyOf(held);
     }
 
+    /** Number of adapters held. */
+    public int adapters() {
+        return held.values().stream().mapToInt(Map::size).sum();
+    }
+
     /** Whether it holds a version of an adapter that serves a request, or the base model where it names no adapter. */
     public boolean serves(AdapterRef ref, int version) {
         Map<String, Integer> adapters = held.get(ref.model());
--- a/core/src/main/java/org/quetzalvane/core/residency/ResidencyView.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/ResidencyView.java
@@ -1,7 +1,9 @@
 package org.quetzalvane.core.residency;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.routes.AdapterRef;
@@ -18,6 +20,7 @@
 
     private final Scheduler scheduler;
     private final Map<String, Told> told = new HashMap<>();
+    private final Map<String, Seen> seen = new HashMap<>();
 
     public ResidencyView(Scheduler scheduler) {
         this.scheduler = scheduler;
@@ -31,6 +34,26 @@
                         || holding.bornMs() == before.holding.bornMs() && holding.orders() < before.holding.orders());
         if (!older) {
             told.put(engine, new Told(holding, scheduler.nanoTime()));
+            remember(engine, holding);
+        }
+    }
+
+    /** Whether this life of the engine is known to have held the adapter, which then is likely in its memory. */
+    public boolean heldBefore(Endpoint e, AdapterRef ref) {
+        Seen s = seen.get(e.id());
+        return s != null && s.bornMs == e.bornMs() && s.adapters.contains(ref);
+    }
+
+    private void remember(String engine, EngineHolding h) {
+        Seen s = seen.get(engine);
+        if (s == null || s.bornMs != h.bornMs()) {
+            s = new Seen(h.bornMs(), new HashSet<>());
+            seen.put(engine, s);
+        }
+        for (Map.Entry<String, Map<String, Integer>> m : h.held().entrySet()) {
+            for (String a : m.getValue().keySet()) {
+                s.adapters.add(new AdapterRef(m.getKey(), a));
+            }
         }
     }
 
@@ -60,5 +83,7 @@
         return (scheduler.nanoTime() - t.atNanos) / 1_000_000;
     }
 
+    private record Seen(long bornMs, Set<AdapterRef> adapters) {}
+
     private record Told(EngineHolding holding, long atNanos) {}
 }
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -31,7 +31,7 @@
     private static final int MAX_FAILED_CONNECTS = 4;
     /** Engines asked to load an adapter, beyond which a request is refused. */
     private static final int MAX_LOAD_ASKS = 3;
-    /** Longest wait for a load at one engine as a part of the objective; callers of streams leave after four of them. */
+    /** Longest wait for a load at one engine as a part of the objective; callers of streams leave after four. */
     private static final double LOAD_WAIT_PART = 2;
     /** Time since an adapter's last known use after which its holder is asked before a request is sent, ms. */
     private static final long CONFIRM_AGE_MS = 400;
@@ -43,6 +43,10 @@
     private static final long NO_HOLDER_RETRY_MS = 1_500;
     /** Retry time when nothing better is known, ms: an adapter's way from the store. */
     private static final long USUAL_RETRY_AFTER_MS = 300;
+    /** Longest wait for a first part as a part of the objective, beyond twice the wait that was expected. */
+    private static final double FIRST_BYTE_PART = 1.6;
+    /** Longest pause within an answer, ms: callers of streams leave after two seconds of it. */
+    private static final long STALL_MS = 1_200;
     /** Time kept back for the way to the endpoint, ms: twice the published way between data centres, rounded up. */
     private static final long WAY_MS = 5;
 
@@ -99,6 +103,9 @@
         long ms = request.deadlineMs() < 0 ? route.timeoutMs() : Math.min(route.timeoutMs(), request.deadlineMs());
         deadlineNanos = arrivedNanos + ms * 1_000_000;
         timer = state.scheduler().schedule(Duration.ofMillis(ms), this::giveUp);
+        if (request.adapter() != null) {
+            state.demand().asked(request.adapter());
+        }
         next();
     }
 
@@ -184,7 +191,7 @@
     /** Every engine that might load the adapter lacks a node that gives it orders: waits a little for one. */
     private void awaitHolder() {
         if (elapsedMs() > route.objectiveMs() * NO_HOLDER_PART) {
-            refuse(ResultCode.LOAD_FAILED, NO_HOLDER_RETRY_MS, "no holder");
+            refuseOrFail(ResultCode.LOAD_FAILED, NO_HOLDER_RETRY_MS, "no holder");
             return;
         }
         state.scheduler().schedule(Duration.ofMillis(NO_HOLDER_PAUSE_MS), () -> {
@@ -290,10 +297,14 @@
 
     /** Nothing more can be tried: says not run where that is certain, else that the outcome is unknown. */
     private void refuseOrFail(ResultCode code, String why) {
+        refuseOrFail(code, USUAL_RETRY_AFTER_MS, why);
+    }
+
+    private void refuseOrFail(ResultCode code, long retryAfterMs, String why) {
         if (ranSends > 0) {
             fail(ResultCode.OUTCOME_UNKNOWN, why);
         } else {
-            refuse(code, USUAL_RETRY_AFTER_MS, why);
+            refuse(code, retryAfterMs, why);
         }
     }
 
@@ -357,6 +368,9 @@
         private EndpointCalls.Call call;
         private boolean open = true;
         private boolean prefilled;
+        private long progressNanos = sentNanos;
+        private long firstByteAtMs;
+        private Scheduler.Timer silence;
         private ReplyHead head;
         private BodyBuffer buffer;
 
@@ -367,6 +381,30 @@
             if (request.adapter() != null) {
                 state.use().started(endpoint.id(), request.adapter());
             }
+            if (route.repeatable()) {
+                silence = state.scheduler().schedule(Duration.ofMillis(firstByteMs()), this::checkProgress);
+            }
+        }
+
+        /** Longest wait for the first part of an answer that can be had elsewhere, ms. */
+        private long firstByteMs() {
+            double expected = service.servesModels() ? state.prefill().waitMs(pendingTokens) : 0;
+            return Math.round(FIRST_BYTE_PART * route.objectiveMs() + 2 * expected);
+        }
+
+        /** An answer that makes no progress is broken off and, where that is allowed, had elsewhere. */
+        private void checkProgress() {
+            if (!open) {
+                return;
+            }
+            long limitMs = prefilled ? STALL_MS : firstByteMs();
+            long leftMs = limitMs - (state.scheduler().nanoTime() - progressNanos) / 1_000_000;
+            if (leftMs > 0) {
+                silence = state.scheduler().schedule(Duration.ofMillis(leftMs), this::checkProgress);
+            } else if (state.endpoints().usable(service.name()).size() > 1 && mayRepeatLater()) {
+                suspend(endpoint, state.outliers().unreachable(endpoint.id()), "silent");
+                failed(false, "silent for " + limitMs + " ms");
+            }
         }
 
         @Override
@@ -400,6 +438,7 @@
                 return;
             }
             firstByte();
+            progressNanos = state.scheduler().nanoTime();
             if (buffer == null) {
                 relayPart(part);
                 return;
@@ -438,7 +477,18 @@
             } else {
                 answer.end();
             }
-            log(EventCode.REQUEST_DONE, "endpoint", endpoint.id(), "status", head.status(), "sends", ranSends + 1);
+            log(
+                    EventCode.REQUEST_DONE,
+                    "endpoint",
+                    endpoint.id(),
+                    "status",
+                    head.status(),
+                    "sends",
+                    ranSends + 1,
+                    "held_ms",
+                    (sentNanos - arrivedNanos) / 1_000_000,
+                    "first_ms",
+                    firstByteAtMs);
             finish();
         }
 
@@ -447,7 +497,7 @@
             if (!open) {
                 return;
             }
-            close(false);
+            close(true);
             if (notSent) {
                 attemptUnreachable(endpoint, cause);
                 return;
@@ -491,6 +541,7 @@
                 return;
             }
             prefilled = true;
+            firstByteAtMs = elapsedMs();
             state.loads().prefilled(endpoint.id(), request.promptTokens());
             state.prefill().measured(pendingTokens, (state.scheduler().nanoTime() - sentNanos) / 1e6);
         }
@@ -510,6 +561,9 @@
         private void close(boolean cancelCall) {
             open = false;
             current = null;
+            if (silence != null) {
+                silence.cancel();
+            }
             state.loads().ended(endpoint.id(), prefilled ? 0 : request.promptTokens());
             if (request.adapter() != null) {
                 state.use().ended(endpoint.id(), request.adapter());
--- a/core/src/main/java/org/quetzalvane/core/serve/ServeState.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ServeState.java
@@ -1,5 +1,6 @@
 package org.quetzalvane.core.serve;
 
+import org.quetzalvane.core.choice.AdapterDemand;
 import org.quetzalvane.core.choice.Admission;
 import org.quetzalvane.core.choice.EngineChoice;
 import org.quetzalvane.core.choice.LoadTable;
@@ -29,6 +30,7 @@
  * @param broker way of load requests
  * @param outliers endpoints passed over
  * @param prefill expected waits
+ * @param demand how often adapters are asked for
  * @param engines choice among engines
  * @param plain choice among plain endpoints
  * @param admission what is refused
@@ -47,6 +49,7 @@
         LoadBroker broker,
         Outliers outliers,
         PrefillClock prefill,
+        AdapterDemand demand,
         EngineChoice engines,
         PlainChoice plain,
         Admission admission,
--- a/entry/src/main/java/org/quetzalvane/entry/EntryMain.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryMain.java
@@ -16,6 +16,9 @@
     private static final int EXIT_FAILURE = 1;
     private static final int EXIT_SETTINGS = 2;
 
+    /** Argument of the build's training run. */
+    private static final String TRAIN = "--train";
+
     private EntryMain() {}
 
     /** Starts a node and serves until it is told to stop. */
@@ -24,6 +27,10 @@
         System.setProperty("io.netty.noUnsafe", "false");
         String path = System.getenv(BootSettings.VARIABLE);
         try {
+            if (args.length == 1 && args[0].equals(TRAIN)) {
+                Training.run();
+                System.exit(0);
+            }
             BootSettings settings = BootSettings.read(Path.of(path == null ? BootSettings.USUAL_PATH : path));
             EntryNode node = new EntryNode(settings);
             node.start();
@@ -33,6 +40,9 @@
         } catch (QuetzalvaneException | IOException e) {
             System.err.println(e.getMessage());
             System.exit(EXIT_SETTINGS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            System.exit(EXIT_FAILURE);
         } catch (RuntimeException e) {
             e.printStackTrace();
             System.exit(EXIT_FAILURE);
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 
 import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.choice.AdapterDemand;
 import org.quetzalvane.core.choice.Admission;
 import org.quetzalvane.core.choice.EngineChoice;
 import org.quetzalvane.core.choice.LoadTable;
@@ -197,6 +198,8 @@
     private ServeState serveState() {
         RetryShare retries = new RetryShare(
                 loop, settings.retryRatio(), settings.retryExtra(), settings.retryWindowMs(), peers::sharing);
+        AdapterDemand demand = new AdapterDemand(loop);
+        EngineChoice.View view = new EngineChoice.View(loads, use, demand, residency, outliers, prefill);
         return new ServeState(
                 loop,
                 config,
@@ -208,7 +211,8 @@
                 team,
                 outliers,
                 prefill,
-                new EngineChoice(loads, residency, outliers, prefill, settings.zone(), team::hasHolder),
+                demand,
+                new EngineChoice(view, settings.zone(), team::hasHolder),
                 new PlainChoice(loads, outliers, settings.zone()),
                 new Admission(),
                 retries,
--- /dev/null
+++ b/entry/src/main/java/org/quetzalvane/entry/Training.java
@@ -0,0 +1,133 @@
+package org.quetzalvane.entry;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import org.quetzalvane.core.choice.LoadTable;
+import org.quetzalvane.core.residency.EngineHolding;
+import org.quetzalvane.core.routes.AdapterRef;
+import org.quetzalvane.core.store.StoreRecord;
+import org.quetzalvane.core.team.PeerMessage;
+import org.quetzalvane.platform.BootSettings;
+import org.quetzalvane.platform.Records;
+import org.quetzalvane.platform.Samples;
+import org.quetzalvane.transport.HttpClient;
+import org.quetzalvane.transport.HttpReply;
+import org.quetzalvane.transport.Loop;
+
+/**
+ * Runs the daemon on loopback for a moment, so that the build can archive the classes that a start needs.
+ *
+ * <p>Used by the build only, on the main thread.
+ */
+final class Training {
+    private static final int ADDRESSES = 5;
+    private static final int CONNECT_TIMEOUT_MS = 500;
+    private static final long REQUEST_TIMEOUT_S = 5;
+
+    private Training() {}
+
+    static void run() throws IOException, InterruptedException {
+        String[] at = freeAddresses();
+        BootSettings settings = new BootSettings(
+                "training",
+                "a",
+                at[0],
+                at[1],
+                at[2],
+                at[3],
+                Set.of(at[2]),
+                at[4],
+                24,
+                2_000,
+                8_000,
+                3_000,
+                true,
+                0.2,
+                50,
+                10_000,
+                5);
+        EntryNode node = new EntryNode(settings);
+        node.start();
+        messages();
+        Records.config(Samples.config());
+        Records.endpoint(Samples.endpoint());
+        Loop loop = new Loop();
+        HttpClient client = new HttpClient(loop, CONNECT_TIMEOUT_MS);
+        request(loop, client, at[0], Samples.request());
+        request(loop, client, at[1], Samples.readinessCheck());
+        request(loop, client, at[3], Samples.directoryQuestion());
+    }
+
+    private static void messages() throws IOException {
+        PeerCodec codec = new PeerCodec();
+        EngineHolding holding = new EngineHolding(1, 2, Map.of("m", Map.of("a", 1)));
+        AdapterRef ref = new AdapterRef("m", "a");
+        List<PeerMessage> all = List.of(
+                new PeerMessage.Status(
+                        "p",
+                        "c",
+                        "z",
+                        true,
+                        false,
+                        3,
+                        List.of(1),
+                        Map.of("e", new LoadTable.Load(1, 2)),
+                        Map.of("e", List.of(ref)),
+                        Map.of("e", holding),
+                        List.of("q")),
+                new PeerMessage.LoadAsk("p", 1, "e", ref, 1, 100),
+                new PeerMessage.LoadReply("p", 1, true),
+                new PeerMessage.RecordsAsk("p"),
+                new PeerMessage.Records("p", "t", List.of(new StoreRecord("k", new byte[1], 1))));
+        for (PeerMessage m : all) {
+            codec.decode(codec.encode(m));
+        }
+    }
+
+    private static void request(Loop loop, HttpClient client, String to, FullHttpRequest r)
+            throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        InetSocketAddress address = org.quetzalvane.transport.Addresses.parse(to);
+        loop.execute(() -> client.send(address, r, Long.MAX_VALUE, new HttpReply() {
+            @Override
+            public void head(HttpResponse head) {}
+
+            @Override
+            public void body(byte[] part) {}
+
+            @Override
+            public void end() {
+                done.countDown();
+            }
+
+            @Override
+            public void failed(boolean notSent, String cause) {
+                System.err.println("training request failed: " + cause);
+                done.countDown();
+            }
+        }));
+        done.await(REQUEST_TIMEOUT_S, TimeUnit.SECONDS);
+    }
+
+    private static String[] freeAddresses() throws IOException {
+        String[] found = new String[ADDRESSES];
+        ServerSocket[] open = new ServerSocket[ADDRESSES];
+        for (int i = 0; i < ADDRESSES; i++) {
+            open[i] = new ServerSocket(0);
+            found[i] = "127.0.0.1:" + open[i].getLocalPort();
+        }
+        for (ServerSocket s : open) {
+            s.close();
+        }
+        return found;
+    }
+}
