--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.choice.AdapterDemand;
@@ -81,8 +83,10 @@
     private static final long ASK_PEERS_MS = 500;
     /** Kept back from the grace period for ending the process, ms. */
     private static final long STOP_MARGIN_MS = 700;
-    /** Time for which a stopping node goes on accepting, ms: callers keep an answer three times its life. */
-    private static final long ACCEPT_AFTER_STOP_MS = 3_000;
+    /**
+     * Time for which a stopping node takes requests, ms: those sent up to 3 s after the signal may be cut at the end.
+     */
+    private static final long ACCEPT_AFTER_STOP_MS = 2_500;
     /** One in so many successful requests is logged. */
     private static final int LOGGED_SUCCESSES = 16;
 
@@ -113,6 +117,7 @@
     private final HttpServer callers;
     private final HttpServer readiness;
     private final HttpServer directory;
+    private final CountDownLatch notAccepting = new CountDownLatch(1);
     private boolean leaving;
 
     EntryNode(BootSettings settings) {
@@ -172,11 +177,12 @@
             callers.drain();
             member.leave();
             team.report();
+            loop.schedule(Duration.ofMillis(ACCEPT_AFTER_STOP_MS), this::stopAccepting);
         });
         long limitMs = settings.graceMs() - STOP_MARGIN_MS;
-        java.util.concurrent.CountDownLatch idle = new java.util.concurrent.CountDownLatch(1);
+        CountDownLatch idle = new CountDownLatch(1);
         loop.execute(() -> awaitIdle(start, idle));
-        idle.await(limitMs, java.util.concurrent.TimeUnit.MILLISECONDS);
+        idle.await(limitMs, TimeUnit.MILLISECONDS);
         log.decided(EventCode.NODE_STOPPED, settings.nodeName());
         try {
             lines.flush();
@@ -185,8 +191,23 @@
         }
     }
 
+    private void stopAccepting() {
+        callers.stopAccepting();
+        notAccepting.countDown();
+    }
+
+    /** Ends at once, without regard to what runs. */
+    void close() {
+        loop.close();
+    }
+
+    /** Waits until a stopping node has closed its address for callers. */
+    void awaitNotAccepting() throws InterruptedException {
+        notAccepting.await();
+    }
+
     /** Waits until callers have learned of other hosts and nothing is left to answer. */
-    private void awaitIdle(long start, java.util.concurrent.CountDownLatch idle) {
+    private void awaitIdle(long start, CountDownLatch idle) {
         boolean accepted = loop.nanoTime() - start > ACCEPT_AFTER_STOP_MS * 1_000_000;
         if (accepted && callers.unanswered() == 0) {
             idle.countDown();
@@ -238,6 +259,11 @@
     private void serveCaller(ServerExchange x) {
         CallerRequest request = Ingress.decode(x);
         CallerAnswer answer = Ingress.answer(x);
+        if (!callers.accepting()) {
+            log.decided(EventCode.REQUEST_REFUSED, request == null ? "" : request.id(), "why", "stopping");
+            answer.refuse(ResultCode.DRAINING, 0);
+            return;
+        }
         if (request == null) {
             log.decided(EventCode.BAD_INPUT, "caller", "target", x.head().uri());
             answer.refuse(ResultCode.MALFORMED_REQUEST, -1);
--- /dev/null
+++ b/entry/src/test/java/org/quetzalvane/entry/EntryNodeTest.java
@@ -0,0 +1,245 @@
+package org.quetzalvane.entry;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.quetzalvane.platform.BootSettings;
+import org.quetzalvane.platform.standin.Caller;
+import org.quetzalvane.platform.standin.EndpointStandIn;
+import org.quetzalvane.platform.standin.PlatformStandIn;
+import org.quetzalvane.transport.ServerExchange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/** One node over loopback, with stand-ins of the platform's store and endpoints. */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class EntryNodeTest {
+    private static final String CONFIG =
+            """
+            {"version":%d,"routes":[
+            {"name":"once","host":"h.example","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":5000,
+             "target_latency_ms":300,"priority":2,"service":"plain","max_attempts":1},
+            {"name":"again","host":"h.example","path_prefix":"/again/","kind":"idempotent","timeout_ms":5000,
+             "target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2},
+            {"name":"events","host":"h.example","path_prefix":"/events/","kind":"streaming","resumable":true,
+             "timeout_ms":8000,"target_latency_ms":800,"priority":1,"service":"engines","max_attempts":2}],
+            "services":[{"name":"plain","max_connections":10},{"name":"engines","max_connections":10,"engine":
+            {"slots":4,"kv_cache_tokens":10000,"models":[{"name":"m","weights_mb":10,"adapter_mb":1}],
+             "weights_mb":20,"adapter_slots":4}}],"limits":{}}
+            """;
+
+    private static final long POLL_MS = 20;
+
+    private final PlatformStandIn store = new PlatformStandIn();
+    private final List<EndpointStandIn> endpoints = new ArrayList<>();
+    private BootSettings settings;
+    private EntryNode node;
+
+    @BeforeEach
+    void configure() throws IOException {
+        store.writeConfig(CONFIG.formatted(1));
+        String[] at = new String[4];
+        for (int i = 0; i < at.length; i++) {
+            try (ServerSocket s = new ServerSocket(0)) {
+                at[i] = "127.0.0.1:" + s.getLocalPort();
+            }
+        }
+        settings = new BootSettings(
+                "n1",
+                "a",
+                at[0],
+                at[1],
+                at[2],
+                at[3],
+                Set.of(at[2]),
+                store.address(),
+                24,
+                2_000,
+                8_000,
+                3_000,
+                true,
+                0.2,
+                50,
+                10_000,
+                5);
+    }
+
+    @AfterEach
+    void close() {
+        endpoints.forEach(EndpointStandIn::close);
+        store.close();
+        if (node != null) {
+            node.close();
+        }
+    }
+
+    @Test
+    void plainAnswerIsPassedOnWholeWithItsSignature() throws Exception {
+        EndpointStandIn e = endpoint("plain-1", "plain", (self, x) -> self.answerWhole(x, "bulletin"));
+        start();
+        String answer = Caller.ask(settings.callers(), "POST", "/once/x", "id-1", null);
+        assertThat(answer).startsWith("HTTP/1.1 200").containsIgnoringCase("x-response-signature: signed");
+        assertThat(answer).endsWith("bulletin");
+        assertThat(e.ran()).containsExactly("id-1");
+    }
+
+    @Test
+    void refusedRequestGoesToAnotherEndpointAndRunsOnce() throws Exception {
+        endpoint("plain-1", "plain", EndpointStandIn::refuse);
+        EndpointStandIn sound = endpoint("plain-2", "plain", (self, x) -> self.answerWhole(x, "ok"));
+        start();
+        for (int i = 0; i < 4; i++) {
+            Caller.ask(settings.callers(), "GET", "/again/x", "id-" + i, null);
+        }
+        assertThat(sound.ran()).doesNotHaveDuplicates().isNotEmpty();
+    }
+
+    @Test
+    void lostAnswerOfWhatMayNotBeRepeatedIsNeverCalledNotRun() throws Exception {
+        EndpointStandIn e = endpoint("plain-1", "plain", (self, x) -> {
+            self.answerEvents(x, 1, 0, false);
+        });
+        endpoint("plain-2", "plain", (self, x) -> self.answerEvents(x, 1, 0, false));
+        start();
+        String answer = Caller.ask(settings.callers(), "POST", "/once/x", "id-1", null);
+        assertThat(answer).doesNotStartWith("HTTP/1.1 503").doesNotStartWith("HTTP/1.1 429");
+        assertThat(e.ran().size() + endpoints.get(1).ran().size()).isEqualTo(1);
+    }
+
+    @Test
+    void brokenStreamGoesOnAtAnotherEngineWithEachEventOnce() throws Exception {
+        for (int n = 1; n <= 2; n++) {
+            endpoint("engine-" + n, "engines", (self, x) -> {
+                int last = EndpointStandIn.lastEvent(x);
+                if (last == 0) {
+                    self.answerEvents(x, 1, 3, false);
+                } else {
+                    self.answerEvents(x, last + 1, 6, true);
+                }
+            });
+        }
+        start();
+        String answer = Caller.ask(settings.callers(), "POST", "/events/x", "id-1", "m/a1");
+        assertThat(answer).startsWith("HTTP/1.1 200").doesNotContain("half an");
+        for (int i = 1; i <= 6; i++) {
+            assertThat(answer.split("data: event " + i + "\n", -1))
+                    .as("event %s", i)
+                    .hasSize(2);
+        }
+        assertThat(answer).endsWith("0\r\n\r\n");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a\r\nContent-Length: 4\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /once/hidden HTTP/1.1\r\n\r\n",
+                "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a\r\nContent-Length: 4\r\n"
+                        + "Content-Length: 40\r\n\r\nabcd",
+                "POST /once/x HTTP/1.1\r\nHost: h.example\r\nHost: other\r\nX-Attempt-Id: a\r\n\r\n",
+                "POST /once/x HTTP/1.1\nHost: h.example\nX-Attempt-Id: a\nContent-Length: 0\n\n",
+            })
+    void ambiguousRequestIsRefusedAndRunsNowhere(String bytes) throws Exception {
+        EndpointStandIn e = endpoint("plain-1", "plain", (self, x) -> self.answerWhole(x, "no"));
+        start();
+        assertThat(Caller.exchange(settings.callers(), bytes)).startsWith("HTTP/1.1 400");
+        assertThat(e.ran()).isEmpty();
+    }
+
+    @Test
+    void unknownPathIsAnsweredNotFound() throws Exception {
+        endpoint("plain-1", "plain", (self, x) -> self.answerWhole(x, "no"));
+        start();
+        assertThat(Caller.ask(settings.callers(), "GET", "/nowhere/", "id-1", null))
+                .startsWith("HTTP/1.1 404");
+    }
+
+    @Test
+    void nodeWithoutConfigurationRefusesAndIsNotReady() throws Exception {
+        store.down(true);
+        node = new EntryNode(settings);
+        node.start();
+        assertThat(Caller.ask(settings.callers(), "GET", "/again/x", "id-1", null))
+                .startsWith("HTTP/1.1 503")
+                .containsIgnoringCase("retry-after");
+        assertThat(readiness()).startsWith("HTTP/1.1 503");
+        assertThat(directory()).startsWith("HTTP/1.1 503");
+    }
+
+    @Test
+    void readyNodeNamesItselfInTheDirectory() throws Exception {
+        endpoint("plain-1", "plain", (self, x) -> self.answerWhole(x, "no"));
+        start();
+        assertThat(directory()).contains(settings.callers());
+    }
+
+    /** A request taken late in the grace period could not end within it; so none is taken then. */
+    @Test
+    void stoppingNodeTakesNothingLongAfterTheSignal() throws Exception {
+        EndpointStandIn e = endpoint("plain-1", "plain", (self, x) -> {
+            if (x.head().uri().endsWith("slow")) {
+                return;
+            }
+            self.answerWhole(x, "ok");
+        });
+        start();
+        Thread slow = new Thread(() -> {
+            try {
+                Caller.ask(settings.callers(), "POST", "/once/slow", "id-slow", null);
+            } catch (IOException ex) {
+                // The node ends while this request is unanswered, as its grace period is over.
+                Thread.currentThread().interrupt();
+            }
+        });
+        slow.start();
+        Thread stop = new Thread(() -> {
+            try {
+                node.stop();
+            } catch (InterruptedException ex) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        stop.start();
+        node.awaitNotAccepting();
+        assertThatThrownBy(() -> Caller.ask(settings.callers(), "POST", "/once/x", "id-late", null))
+                .isInstanceOf(ConnectException.class);
+        assertThat(e.ran()).doesNotContain("id-late");
+        stop.join();
+    }
+
+    private EndpointStandIn endpoint(String id, String service, BiConsumer<EndpointStandIn, ServerExchange> behaviour) {
+        EndpointStandIn e = new EndpointStandIn(id, service, behaviour);
+        endpoints.add(e);
+        store.writeEndpoint(id, e.entry());
+        return e;
+    }
+
+    private void start() throws Exception {
+        node = new EntryNode(settings);
+        node.start();
+        while (!readiness().startsWith("HTTP/1.1 200")) {
+            TimeUnit.MILLISECONDS.sleep(POLL_MS);
+        }
+    }
+
+    private String readiness() throws IOException {
+        return Caller.readiness(settings.readiness());
+    }
+
+    private String directory() throws IOException {
+        return Caller.directory(settings.directory());
+    }
+}
--- a/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
@@ -29,7 +29,9 @@
     private final Supplier<ServerLimits> limits;
     private final Consumer<ServerExchange> handler;
     private final Set<ServerConnection> connections = new HashSet<>();
+    private Channel listener;
     private boolean draining;
+    private boolean accepting = true;
 
     public HttpServer(Loop loop, Supplier<ServerLimits> limits, Consumer<ServerExchange> handler) {
         this.loop = loop;
@@ -38,8 +40,8 @@
     }
 
     /** Binds the address; waits until it is bound. */
-    public Channel listen(InetSocketAddress at) {
-        return loop.server()
+    public InetSocketAddress listen(InetSocketAddress at) {
+        listener = loop.server()
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
@@ -49,6 +51,18 @@
                 .bind(at)
                 .syncUninterruptibly()
                 .channel();
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    /** Closes the listening address and idle connections; what still arrives is for the handler to refuse. */
+    public void stopAccepting() {
+        accepting = false;
+        listener.close();
+        List.copyOf(connections).forEach(ServerConnection::closeIfIdle);
+    }
+
+    public boolean accepting() {
+        return accepting;
     }
 
     /** From now on every answer closes its connection, and idle connections are closed. */
