--- a/core/src/main/java/org/quetzalvane/core/fleet/EndpointTable.java
+++ b/core/src/main/java/org/quetzalvane/core/fleet/EndpointTable.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import org.quetzalvane.core.time.Scheduler;
@@ -21,6 +22,11 @@
     /** A leaving endpoint may still be sent to this long, ms: half of the platform's usual drain bound of 2 s. */
     public static final long LAST_RESORT_MS = 1_000;
 
+    /** A removed endpoint is remembered this long, ns, so that an entry read late does not bring it back. */
+    private static final long FORGET_NANOS = 60_000_000_000L;
+
+    private static final long NOT_LEAVING = Long.MIN_VALUE;
+
     private final Scheduler scheduler;
     private final Map<String, Slot> slots = new HashMap<>();
     private final List<Consumer<Endpoint>> newLifeListeners = new ArrayList<>();
@@ -41,11 +47,11 @@
         if (s != null && !newLife && !s.endpoint.ready() && e.ready()) {
             return;
         }
-        long leavingSince = s == null || newLife ? 0 : s.leavingSince;
-        if (!e.ready() && leavingSince == 0) {
+        long leavingSince = s == null || newLife ? NOT_LEAVING : s.leavingSince;
+        if (!e.ready() && leavingSince == NOT_LEAVING) {
             leavingSince = scheduler.nanoTime();
         }
-        slots.put(e.id(), new Slot(e, e.ready() ? 0 : leavingSince));
+        slots.put(e.id(), new Slot(e, e.ready() ? NOT_LEAVING : leavingSince));
         if (newLife) {
             newLifeListeners.forEach(l -> l.accept(e));
         }
@@ -54,13 +60,13 @@
     /** Takes note that an endpoint's entry was removed. */
     public void remove(String id) {
         Slot s = slots.get(id);
-        if (s != null && s.leavingSince == 0) {
+        if (s != null && s.leavingSince == NOT_LEAVING) {
             slots.put(id, new Slot(s.endpoint, scheduler.nanoTime()));
         }
     }
 
     /** Takes a whole listing: endpoints that it lacks are removed. */
-    public void retainOnly(java.util.Set<String> ids) {
+    public void retainOnly(Set<String> ids) {
         for (String id : List.copyOf(slots.keySet())) {
             if (!ids.contains(id)) {
                 remove(id);
@@ -85,7 +91,7 @@
                     i.remove();
                 }
             } else if (Objects.equals(s.endpoint.service(), service)) {
-                (s.leavingSince == 0 ? ready : leaving).add(s.endpoint);
+                (s.leavingSince == NOT_LEAVING ? ready : leaving).add(s.endpoint);
             }
         }
         return ready.isEmpty() ? leaving : ready;
@@ -94,17 +100,14 @@
     /** Every endpoint whose entry says that it is ready. */
     public List<Endpoint> ready() {
         return slots.values().stream()
-                .filter(s -> s.leavingSince == 0)
+                .filter(s -> s.leavingSince == NOT_LEAVING)
                 .map(s -> s.endpoint)
                 .toList();
     }
 
     private boolean expired(Slot s) {
-        return s.leavingSince != 0 && scheduler.nanoTime() - s.leavingSince > LAST_RESORT_MS * 1_000_000;
+        return s.leavingSince != NOT_LEAVING && scheduler.nanoTime() - s.leavingSince > LAST_RESORT_MS * 1_000_000;
     }
 
-    /** A removed endpoint is remembered this long, ns, so that an entry read late does not bring it back. */
-    private static final long FORGET_NANOS = 60_000_000_000L;
-
     private record Slot(Endpoint endpoint, long leavingSince) {}
 }
--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/choice/RetryShareTest.java
@@ -0,0 +1,59 @@
+package org.quetzalvane.core.choice;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.quetzalvane.core.time.ManualScheduler;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** The load pattern of a failing endpoint under full load, where every request wants a second send. */
+class RetryShareTest {
+    private static final double RATIO = 0.2;
+    private static final double EXTRA = 58;
+    private static final int WINDOW_S = 10;
+
+    @ParameterizedTest
+    @CsvSource({"1, 200", "9, 50", "9, 1", "64, 3"})
+    void nodesTogetherStayWithinTheBudgetInEveryWindow(int nodes, int requestsPerNodeAndSecond) {
+        ManualScheduler clock = new ManualScheduler();
+        List<RetryShare> shares = new ArrayList<>();
+        for (int n = 0; n < nodes; n++) {
+            shares.add(new RetryShare(clock, RATIO, EXTRA, WINDOW_S * 1_000, () -> nodes));
+        }
+        List<Integer> granted = new ArrayList<>();
+        for (int second = 0; second < 4 * WINDOW_S; second++) {
+            int now = 0;
+            for (RetryShare s : shares) {
+                for (int i = 0; i < requestsPerNodeAndSecond; i++) {
+                    s.counted("service");
+                    now += s.tryTake("service") ? 1 : 0;
+                }
+            }
+            granted.add(now);
+            clock.advance(Duration.ofSeconds(1));
+        }
+        double budget = RATIO * nodes * requestsPerNodeAndSecond * WINDOW_S + EXTRA;
+        for (int from = 0; from + WINDOW_S <= granted.size(); from++) {
+            int sum = granted.subList(from, from + WINDOW_S).stream()
+                    .mapToInt(i -> i)
+                    .sum();
+            assertThat(sum).as("window from second %s", from).isLessThanOrEqualTo((int) budget);
+        }
+        assertThat(granted.stream().mapToInt(i -> i).sum()).isPositive();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 0", "1, 46", "9, 5"})
+    void nodeThatKnowsNoPeersTakesTheSmallestPart(int known, int expected) {
+        RetryShare share = new RetryShare(new ManualScheduler(), RATIO, EXTRA, WINDOW_S * 1_000, () -> known);
+        int granted = 0;
+        while (share.tryTake("service")) {
+            granted++;
+        }
+        assertThat(granted).isEqualTo(expected);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/residency/EngineDutyTest.java
@@ -0,0 +1,200 @@
+package org.quetzalvane.core.residency;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.routes.AdapterRef;
+import org.quetzalvane.core.routes.BaseModel;
+import org.quetzalvane.core.routes.EngineSpec;
+import org.quetzalvane.core.time.ManualScheduler;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EngineDutyTest {
+    private static final EngineSpec SPEC = new EngineSpec(4, 1_000, List.of(new BaseModel("m", 10, 1)), 100, 3);
+
+    private final ManualScheduler clock = new ManualScheduler();
+    private final AdapterUse use = new AdapterUse(clock);
+    private final FakeEngine engine = new FakeEngine();
+    private final List<String> answers = new ArrayList<>();
+    private long token = 5;
+    private EngineDuty duty;
+
+    private static AdapterRef adapter(int n) {
+        return new AdapterRef("m", "a" + n);
+    }
+
+    @BeforeEach
+    void open() {
+        Endpoint e = new Endpoint("e1", "s", "127.0.0.1", 1, "a", Endpoint.State.READY, 4, 1, Map.of(), 0);
+        EngineDuty.Context shared = new EngineDuty.Context(clock, engine, (c, s, f) -> {}, use, new LoadTimes(clock));
+        duty = new EngineDuty(shared, () -> token, SPEC, e);
+    }
+
+    private void ask(int n) {
+        duty.request(adapter(n), 0, 2_000, ok -> answers.add("a" + n + "=" + ok));
+    }
+
+    private void pass(long ms) {
+        clock.advance(Duration.ofMillis(ms));
+    }
+
+    @Test
+    void callersOfOneRareAdapterWaitForOneLoad() {
+        for (int i = 0; i < 5; i++) {
+            ask(9);
+        }
+        pass(600);
+        assertThat(engine.log).containsExactly("LOAD a9 expect 0 token 5");
+        assertThat(answers).hasSize(5).containsOnly("a9=true");
+    }
+
+    @Test
+    void leastRecentlyUsedIdleAdapterMakesWay() {
+        engine.held.putAll(Map.of("a1", 1, "a2", 1, "a3", 1));
+        use.touch("e1", adapter(1));
+        pass(700);
+        use.touch("e1", adapter(2));
+        use.started("e1", adapter(3));
+        ask(9);
+        pass(800);
+        assertThat(engine.log).containsExactly("UNLOAD a1 expect 0 token 5", "LOAD a9 expect 1 token 5");
+        assertThat(answers).containsExactly("a9=true");
+    }
+
+    @Test
+    void adapterInUseIsNeverEvictedAndTheLoadWaitsForAPlace() {
+        engine.held.putAll(Map.of("a1", 1, "a2", 1, "a3", 1));
+        for (int n = 1; n <= 3; n++) {
+            use.started("e1", adapter(n));
+        }
+        ask(9);
+        pass(1_000);
+        assertThat(engine.log).isEmpty();
+        use.ended("e1", adapter(2));
+        pass(EngineDuty.EVICTION_AGE_MS + 400);
+        assertThat(engine.log).containsExactly("UNLOAD a2 expect 0 token 5", "LOAD a9 expect 1 token 5");
+    }
+
+    @Test
+    void adapterThatAPeerReportsInUseIsNotEvicted() {
+        engine.held.putAll(Map.of("a1", 1, "a2", 1, "a3", 1));
+        use.reported("peer", Map.of("e1", Set.of(adapter(1), adapter(2), adapter(3))));
+        ask(9);
+        pass(1_900);
+        assertThat(engine.log).isEmpty();
+        pass(200);
+        assertThat(answers).containsExactly("a9=false");
+    }
+
+    @Test
+    void noOrderGoesOutWithoutAToken() {
+        token = -1;
+        ask(9);
+        pass(1_900);
+        assertThat(engine.log).isEmpty();
+        token = 6;
+        pass(90);
+        pass(400);
+        assertThat(engine.log).isEmpty();
+        ask(9);
+        pass(600);
+        assertThat(engine.log).containsExactly("LOAD a9 expect 0 token 6");
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = EngineOrders.Answer.class,
+            names = {"CONFLICT", "UNKNOWN", "FENCED"})
+    void orderInDoubtIsFollowedByAReportBeforeTheNext(EngineOrders.Answer answer) {
+        engine.next.add(answer);
+        ask(9);
+        pass(400);
+        int reports = engine.reports;
+        pass(400);
+        assertThat(reports).isEqualTo(2);
+        assertThat(engine.log).hasSize(2);
+        assertThat(answers).containsExactly("a9=true");
+    }
+
+    @Test
+    void orderCarriedOutLateIsSeenThroughTheReport() {
+        engine.next.add(EngineOrders.Answer.UNKNOWN);
+        ask(9);
+        pass(160);
+        engine.held.put("a9", 1);
+        engine.accepted = 1;
+        pass(400);
+        assertThat(engine.log).containsExactly("LOAD a9 expect 0 token 5");
+        assertThat(answers).containsExactly("a9=true");
+    }
+
+    @Test
+    void floodOfRareAdaptersNeverTakesMoreThanThePlacesAndIsRefusedBeyondTheQueue() {
+        for (int n = 10; n < 30; n++) {
+            ask(n);
+        }
+        assertThat(answers).hasSize(20 - EngineDuty.MAX_WAITING).allMatch(a -> a.endsWith("=false"));
+        pass(5_000);
+        assertThat(engine.most).isLessThanOrEqualTo(SPEC.adapterSlots());
+        assertThat(answers).hasSize(20);
+    }
+
+    @Test
+    void emptyEngineIsGivenTheBaseModelFirst() {
+        engine.models.clear();
+        duty.refresh(duty.engine());
+        pass(300);
+        assertThat(engine.log).containsExactly("LOAD m expect 0 token 5");
+    }
+
+    /** Carries orders out at once and answers as told; otherwise as accepted. */
+    private static final class FakeEngine implements EngineOrders {
+        private final Map<String, Integer> held = new HashMap<>();
+        private final Set<String> models = new java.util.HashSet<>(Set.of("m"));
+        private final Deque<Answer> next = new ArrayDeque<>();
+        private final List<String> log = new ArrayList<>();
+        private long accepted;
+        private int reports;
+        private int most;
+
+        @Override
+        public void order(Endpoint e, Order o, Consumer<Answer> done) {
+            String name = o.target().adapter().isEmpty()
+                    ? o.target().model()
+                    : o.target().adapter();
+            log.add(o.action() + " " + name + " expect " + o.expectedOrders() + " token " + o.fencingToken());
+            Answer a = next.isEmpty() ? Answer.ACCEPTED : next.remove();
+            if (a == Answer.ACCEPTED) {
+                accepted++;
+                if (o.action() == Action.LOAD) {
+                    held.put(name, Math.max(1, o.version()));
+                } else {
+                    held.remove(name);
+                }
+                most = Math.max(most, held.size());
+            }
+            done.accept(a);
+        }
+
+        @Override
+        public void report(Endpoint e, Consumer<Report> done) {
+            reports++;
+            Map<String, Map<String, Integer>> all = new HashMap<>();
+            models.forEach(m -> all.put(m, Map.copyOf(held)));
+            done.accept(new Report(1, accepted, false, all, Set.of()));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/serve/EventSplitterTest.java
@@ -0,0 +1,31 @@
+package org.quetzalvane.core.serve;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EventSplitterTest {
+    private static final String EVENTS =
+            "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nx-weight-versions: 2\nid: 3\ndata: c\n\n";
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 7, 20, 1_000})
+    void wholeEventsAreGivenInOrderHoweverTheBytesArrive(int size) {
+        EventSplitter s = new EventSplitter(null);
+        byte[] all = (EVENTS + "id: 4\ndata: ha").getBytes(StandardCharsets.US_ASCII);
+        StringBuilder out = new StringBuilder();
+        for (int i = 0; i < all.length; i += size) {
+            out.append(new String(s.feed(Arrays.copyOfRange(all, i, Math.min(all.length, i + size)))));
+        }
+        assertThat(out).hasToString(EVENTS);
+        assertThat(s.lastId()).isEqualTo("3");
+        assertThat(s.midEvent()).isTrue();
+        s.dropPart();
+        assertThat(s.midEvent()).isFalse();
+        assertThat(s.lastId()).isEqualTo("3");
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/store/RecordFollowerTest.java
@@ -0,0 +1,103 @@
+package org.quetzalvane.core.store;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Consumer;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalvane.core.time.ManualScheduler;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RecordFollowerTest {
+    private final ManualScheduler clock = new ManualScheduler();
+    private final ScriptedTopic topic = new ScriptedTopic();
+    private final List<String> taken = new ArrayList<>();
+    private final List<String> logged = new ArrayList<>();
+    private final RecordFollower follower = new RecordFollower(
+            clock,
+            topic,
+            (code, subject, fields) -> logged.add(code.name()),
+            1_000,
+            100,
+            r -> taken.add(r.key() + "=" + (r.value() == null ? "-" : new String(r.value()))));
+
+    private static StoreRecord record(String key, String value, long offset) {
+        return new StoreRecord(key, value == null ? null : value.getBytes(), offset);
+    }
+
+    @BeforeEach
+    void start() {
+        follower.start();
+        topic.answer(KeyedTopic.Page.ok(List.of(record("a", "1", 0), record("b", "1", 1)), 2));
+    }
+
+    @Test
+    void eachNewerRecordIsTakenOnceAndNoOlderOne() {
+        topic.answer(KeyedTopic.Page.ok(List.of(record("a", "2", 2)), 3));
+        clock.advance(Duration.ofMillis(100));
+        topic.answer(KeyedTopic.Page.expired());
+        topic.answer(KeyedTopic.Page.ok(List.of(record("a", "1", 0), record("b", "1", 1)), 2));
+        assertThat(taken).containsExactly("a=1", "b=1", "a=2");
+        assertThat(topic.lastOffset).isEqualTo(3);
+    }
+
+    @Test
+    void keyThatANewerListingLacksIsDropped() {
+        topic.answer(KeyedTopic.Page.expired());
+        topic.answer(KeyedTopic.Page.ok(List.of(record("a", "9", 7)), 8));
+        assertThat(taken).containsExactly("a=1", "b=1", "a=9", "b=-");
+    }
+
+    @Test
+    void knowledgeIsKeptThroughAnOutageThatIsSaidOnce() {
+        for (int i = 0; i < 5; i++) {
+            topic.answer(KeyedTopic.Page.failed("status 503"));
+            clock.advance(Duration.ofSeconds(1));
+        }
+        assertThat(follower.records()).hasSize(2);
+        topic.answer(KeyedTopic.Page.ok(List.of(), 2));
+        assertThat(logged).containsExactly("STORE_LOST", "STORE_BACK");
+    }
+
+    @Test
+    void peerHelpsANodeThatStartsInAnOutageWithoutTakingItBack() {
+        RecordFollower fresh =
+                new RecordFollower(clock, new ScriptedTopic(), (c, s, f) -> {}, 1_000, 100, r -> taken.add(r.key()));
+        assertThat(fresh.loaded()).isFalse();
+        fresh.offer(List.of(record("a", "5", 9)));
+        fresh.offer(List.of(record("a", "4", 8)));
+        assertThat(fresh.loaded()).isTrue();
+        assertThat(fresh.records()).extracting(StoreRecord::offset).containsExactly(9L);
+    }
+
+    /** Holds each call until the test answers it. */
+    private static final class ScriptedTopic implements KeyedTopic {
+        private final Deque<Consumer<Page>> open = new ArrayDeque<>();
+        private long lastOffset;
+
+        void answer(Page p) {
+            open.remove().accept(p);
+        }
+
+        @Override
+        public String name() {
+            return "topic";
+        }
+
+        @Override
+        public void newest(Consumer<Page> done) {
+            open.add(done);
+        }
+
+        @Override
+        public void read(long offset, long waitMs, Consumer<Page> done) {
+            lastOffset = offset;
+            open.add(done);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/team/DutyLeaseTest.java
@@ -0,0 +1,60 @@
+package org.quetzalvane.core.team;
+
+import java.time.Duration;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.quetzalvane.core.time.ManualScheduler;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class DutyLeaseTest {
+    private static final int LEASE_MS = 3_000;
+    private final ManualScheduler clock = new ManualScheduler();
+
+    private DutyLease lease(boolean checked, boolean formerUp) {
+        DutyLease l = new DutyLease(clock, checked, LEASE_MS, 24, p -> formerUp);
+        clock.advance(Duration.ofSeconds(1));
+        return l;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true, 2900, -1", "true, 3000, 7", "false, 0, 7"})
+    void ordersBeginAtOnceOnlyAfterAHolderThatIsGone(boolean formerUp, long waitedMs, long token) {
+        DutyLease l = lease(true, formerUp);
+        l.confirmed(7, Set.of(3), clock.nanoTime());
+        clock.advance(Duration.ofMillis(waitedMs));
+        assertThat(l.token(3)).isEqualTo(token);
+        assertThat(l.token(4)).isEqualTo(-1);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true, 7", "false, -1"})
+    void unconfirmedDutyGoesOnOnlyWhereEnginesCheckTokens(boolean checked, long token) {
+        DutyLease l = lease(checked, false);
+        l.confirmed(7, Set.of(3), clock.nanoTime());
+        assertThat(l.token(3)).isEqualTo(7);
+        clock.advance(Duration.ofMinutes(1));
+        assertThat(l.token(3)).isEqualTo(token);
+    }
+
+    @Test
+    void refusedTokenIsNotUsedAgainUntilTheGroupGivesAnother() {
+        DutyLease l = lease(true, false);
+        l.confirmed(7, Set.of(3), clock.nanoTime());
+        l.refused(7);
+        assertThat(l.token(3)).isEqualTo(-1);
+        l.confirmed(9, Set.of(3), clock.nanoTime());
+        assertThat(l.token(3)).isEqualTo(9);
+    }
+
+    @Test
+    void answerOfAnOlderGenerationChangesNothing() {
+        DutyLease l = lease(true, false);
+        l.confirmed(9, Set.of(3), clock.nanoTime());
+        assertThat(l.confirmed(8, Set.of(4), clock.nanoTime())).isFalse();
+        assertThat(l.held()).containsExactly(3);
+    }
+}
