Send unanswered orders again at once, keep the place of an unload that waits, bound the wait for loads

A resumed stream was refused a load since its wait was counted from its arrival.

Change: resend under the same expectation; grant what is held for certain; the place of an accepted unload is counted until the engine says 200; confirmation after 100 ms; one bound on the wait for loads, anew after a send that may have run.

--- a/core/src/main/java/org/quetzalvane/core/residency/EngineDuty.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/EngineDuty.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -38,19 +39,19 @@
     /** Pause between looks at an engine that loads its base model, ms. */
     static final long MODEL_POLL_MS = 500;
     /**
-     * Unused time before an adapter may be evicted, ms: three reports of peers, which may hold it without saying so
-     * yet.
+     * Unused time before an adapter may be evicted, ms: a report of the peers, and the time for which they send without
+     * asking.
      */
-    static final long EVICTION_AGE_MS = 600;
+    static final long EVICTION_AGE_MS = 450;
 
-    /** Requests that may wait here for different adapters; more would outlast the callers' patience. */
-    static final int MAX_WAITING = 8;
+    /** Adapters that may be waited for at once; a place is freed two or three times a second, callers wait 1 to 2 s. */
+    static final int MAX_WAITING = 4;
     /** Pause before those who wait for a place are looked at again, ms; a run ends every few tens of ms. */
     private static final long PLACE_POLL_MS = 60;
-    /** Pause before an order is given again that met an unload which waits for its runs, ms. */
-    private static final long UNLOAD_POLL_MS = 150;
-    /** Orders in a row that may meet such an unload before the engine's report is read. */
-    private static final int MAX_UNLOAD_POLLS = 10;
+    /** Pause before an engine is asked whether an unload that waits for its runs is done, ms. */
+    private static final long UNLOAD_POLL_MS = 300;
+    /** Times that an order without an answer is sent again before the engine's report is read. */
+    private static final int MAX_RESENDS = 2;
 
     private final Scheduler scheduler;
     private final EngineOrders orders;
@@ -69,7 +70,9 @@
     private boolean reading;
     private boolean closed;
     private boolean polling;
-    private int unloadPolls;
+    private final Set<AdapterRef> unloading = new HashSet<>();
+    private boolean asksUnload;
+    private AdapterRef doubtful;
 
     /** Whether and under which fencing token orders may be given now; a token below zero forbids them. */
     @FunctionalInterface
@@ -148,7 +151,7 @@
             done.accept(false);
             return;
         }
-        if (accepted >= 0 && !loading.containsKey(ref) && holds(ref, version)) {
+        if (!ref.equals(doubtful) && !loading.containsKey(ref) && holds(ref, version)) {
             use.touch(engine.id(), ref);
             done.accept(true);
             return;
@@ -186,10 +189,12 @@
             return;
         }
         settleOverdueLoads();
-        if (accepted < 0 || orderMissingModel()) {
+        if (accepted < 0 || orderMissingModel() || orderWaitingUnload()) {
             return;
         }
-        for (Map.Entry<AdapterRef, Waiting> e : List.copyOf(waiting.entrySet())) {
+        List<Map.Entry<AdapterRef, Waiting>> byCallers = new ArrayList<>(waiting.entrySet());
+        byCallers.sort(Comparator.comparingInt(e -> -e.getValue().callbacks.size()));
+        for (Map.Entry<AdapterRef, Waiting> e : byCallers) {
             if (!advance(e.getKey(), e.getValue())) {
                 return;
             }
@@ -219,6 +224,9 @@
             complete(w, true);
             return true;
         }
+        if (unloading.contains(ref)) {
+            return true;
+        }
         boolean replaces = adapters(ref.model()).containsKey(ref.adapter());
         if (replaces && use.inUse(engine.id(), ref) || !held.containsKey(ref.model())) {
             waiting.remove(ref);
@@ -284,11 +292,31 @@
             if (answer == EngineOrders.Answer.ACCEPTED || answer == EngineOrders.Answer.HOLDS) {
                 accepted++;
                 adapters(ref.model()).remove(ref.adapter());
-                unloadPolls = answer == EngineOrders.Answer.ACCEPTED ? MAX_UNLOAD_POLLS : 0;
+                awaitUnload(ref, answer == EngineOrders.Answer.HOLDS);
             }
         });
     }
 
+    /** An unload that was accepted but waits for runs keeps its place until the engine says that it is done. */
+    private void awaitUnload(AdapterRef ref, boolean over) {
+        if (over) {
+            unloading.remove(ref);
+        } else {
+            unloading.add(ref);
+            scheduler.schedule(Duration.ofMillis(UNLOAD_POLL_MS), () -> asksUnload = true);
+        }
+    }
+
+    /** Asks whether an unload that waited for runs is done. */
+    private boolean orderWaitingUnload() {
+        if (!asksUnload || unloading.isEmpty()) {
+            return false;
+        }
+        asksUnload = false;
+        unload(unloading.iterator().next());
+        return true;
+    }
+
     private boolean orderMissingModel() {
         if (spec.models().isEmpty() || !held.isEmpty()) {
             return false;
@@ -314,6 +342,12 @@
     }
 
     private void order(EngineOrders.Action action, AdapterRef ref, int version, Consumer<EngineOrders.Answer> then) {
+        order(action, ref, version, MAX_RESENDS, then);
+    }
+
+    /** An order without an answer is sent once more at once: of the two, the engine carries one out. */
+    private void order(
+            EngineOrders.Action action, AdapterRef ref, int version, int resends, Consumer<EngineOrders.Answer> then) {
         orderOut = true;
         long t = token.current();
         orders.order(engine, new EngineOrders.Order(action, ref, version, accepted, t), answer -> {
@@ -321,11 +355,12 @@
             if (closed) {
                 return;
             }
-            if (answer == EngineOrders.Answer.CONFLICT && unloadPolls > 0) {
-                unloadPolls--;
-                pauseOrders(UNLOAD_POLL_MS);
+            if (answer == EngineOrders.Answer.UNKNOWN && resends > 0 && token.current() >= 0) {
+                log.decided(EventCode.ORDER_IN_DOUBT, engine.id(), "order", action, "adapter", ref, "resends", resends);
+                order(action, ref, version, resends - 1, then);
                 return;
             }
+            doubtful = answer == EngineOrders.Answer.ACCEPTED || answer == EngineOrders.Answer.HOLDS ? null : ref;
             settle(action, ref, answer, t);
             then.accept(answer);
             pump();
@@ -368,6 +403,7 @@
             return;
         }
         accepted = r.orders();
+        doubtful = null;
         held.clear();
         r.held().forEach((m, a) -> held.put(m, new HashMap<>(a)));
         long now = scheduler.nanoTime();
@@ -425,6 +461,7 @@
     /** Places taken, those of adapters on their way included. */
     private int places() {
         Set<AdapterRef> all = new HashSet<>(loading.keySet());
+        all.addAll(unloading);
         held.forEach((m, a) -> a.keySet().forEach(n -> all.add(new AdapterRef(m, n))));
         return all.size();
     }
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -31,10 +31,14 @@
     private static final int MAX_FAILED_CONNECTS = 4;
     /** Engines asked to load an adapter, beyond which a request is refused. */
     private static final int MAX_LOAD_ASKS = 3;
-    /** Longest wait for a load at one engine as a part of the objective; callers of streams leave after four. */
-    private static final double LOAD_WAIT_PART = 2;
+    /** Longest time in which a request waits for loads, as a part of the objective; callers leave after four. */
+    private static final double LOAD_WAIT_PART = 1.6;
+    /** Least time for a load to be worth asking for, ms: an adapter's way from the store. */
+    private static final long LEAST_LOAD_WAIT_MS = 265;
+    /** Retry time when the engines' places are taken, ms: the runs of 2 to 3 s that hold them are over by then. */
+    private static final long PLACES_RETRY_MS = 3_000;
     /** Time since an adapter's last known use after which its holder is asked before a request is sent, ms. */
-    private static final long CONFIRM_AGE_MS = 400;
+    private static final long CONFIRM_AGE_MS = 100;
     /** Pause before engines are asked again when no node gives orders to any, ms. */
     private static final long NO_HOLDER_PAUSE_MS = 250;
     /** Longest time for that, as a part of the objective. */
@@ -54,6 +58,7 @@
     private final CallerRequest request;
     private final CallerAnswer answer;
     private final long arrivedNanos;
+    private long seekingSinceNanos;
 
     private Route route;
     private ServiceSpec service;
@@ -74,6 +79,7 @@
         this.request = request;
         this.answer = answer;
         this.arrivedNanos = state.scheduler().nanoTime();
+        this.seekingSinceNanos = arrivedNanos;
     }
 
     /** Decides what happens to the request; the answer may be given within this call. */
@@ -147,7 +153,12 @@
         int version = state.versions().required(request.adapter());
         EngineChoice.Pick pick = state.engines().pick(usable, request.adapter(), version, tried);
         if (pick == null) {
-            refuseOrFail(ResultCode.NO_ENGINE, "engines=" + usable.size() + " tried=" + tried.size());
+            String why = "engines=" + usable.size() + " tried=" + tried.size();
+            if (loadAsks > 0) {
+                refuseOrFail(ResultCode.LOAD_FAILED, PLACES_RETRY_MS, why);
+            } else {
+                refuseOrFail(ResultCode.NO_ENGINE, why);
+            }
             return;
         }
         if (!admitted && !admit(pick)) {
@@ -157,11 +168,11 @@
             sendToHolder(pick, version);
             return;
         }
-        if (++loadAsks > MAX_LOAD_ASKS) {
-            refuseOrFail(ResultCode.LOAD_FAILED, "asks=" + MAX_LOAD_ASKS);
+        long wait = loadWaitMs();
+        if (++loadAsks > MAX_LOAD_ASKS || wait < LEAST_LOAD_WAIT_MS) {
+            refuseOrFail(ResultCode.LOAD_FAILED, PLACES_RETRY_MS, "asks=" + loadAsks + " wait_ms=" + wait);
             return;
         }
-        long wait = Math.round(route.objectiveMs() * LOAD_WAIT_PART);
         state.broker().load(pick.engine(), request.adapter(), version, wait, o -> loadAnswered(pick, version, o));
     }
 
@@ -178,7 +189,7 @@
             send(e, version);
             return;
         }
-        long wait = Math.round(route.objectiveMs() * LOAD_WAIT_PART);
+        long wait = Math.max(LEAST_LOAD_WAIT_MS, loadWaitMs());
         state.broker().load(e, request.adapter(), version, wait, o -> {
             if (o == LoadBroker.Outcome.NO_HOLDER && !done) {
                 send(e, version);
@@ -188,9 +199,13 @@
         });
     }
 
+    private long loadWaitMs() {
+        return Math.round(route.objectiveMs() * LOAD_WAIT_PART) - seekingMs();
+    }
+
     /** Every engine that might load the adapter lacks a node that gives it orders: waits a little for one. */
     private void awaitHolder() {
-        if (elapsedMs() > route.objectiveMs() * NO_HOLDER_PART) {
+        if (seekingMs() > route.objectiveMs() * NO_HOLDER_PART) {
             refuseOrFail(ResultCode.LOAD_FAILED, NO_HOLDER_RETRY_MS, "no holder");
             return;
         }
@@ -273,6 +288,8 @@
     private void attemptFailed(Endpoint e, ResultCode code, String cause) {
         suspend(e, state.outliers().failed(e.id()), cause);
         ranSends++;
+        loadAsks = 0;
+        seekingSinceNanos = state.scheduler().nanoTime();
         tried.add(e.id());
         if (mayRepeat()) {
             boolean resumed = relay != null && relay.begun();
@@ -346,6 +363,11 @@
         }
     }
 
+    /** Time since the request began to look for an endpoint, anew after a send that may have run, ms. */
+    private long seekingMs() {
+        return (state.scheduler().nanoTime() - seekingSinceNanos) / 1_000_000;
+    }
+
     private long elapsedMs() {
         return (state.scheduler().nanoTime() - arrivedNanos) / 1_000_000;
     }
@@ -370,6 +392,7 @@
         private boolean prefilled;
         private long progressNanos = sentNanos;
         private long firstByteAtMs;
+        private long longestGapMs;
         private Scheduler.Timer silence;
         private ReplyHead head;
         private BodyBuffer buffer;
@@ -438,6 +461,7 @@
                 return;
             }
             firstByte();
+            longestGapMs = Math.max(longestGapMs, (state.scheduler().nanoTime() - progressNanos) / 1_000_000);
             progressNanos = state.scheduler().nanoTime();
             if (buffer == null) {
                 relayPart(part);
@@ -488,7 +512,9 @@
                     "held_ms",
                     (sentNanos - arrivedNanos) / 1_000_000,
                     "first_ms",
-                    firstByteAtMs);
+                    firstByteAtMs,
+                    "gap_ms",
+                    longestGapMs);
             finish();
         }
 
@@ -541,6 +567,7 @@
                 return;
             }
             prefilled = true;
+            progressNanos = state.scheduler().nanoTime();
             firstByteAtMs = elapsedMs();
             state.loads().prefilled(endpoint.id(), request.promptTokens());
             state.prefill().measured(pendingTokens, (state.scheduler().nanoTime() - sentNanos) / 1e6);
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -74,7 +74,7 @@
     /** Silence after which the group deals a node's duties to others, ms: twice what the platform allows at least. */
     private static final long DUTY_TTL_MS = 2_000;
     /** Time for an answer to an order, ms, against a way of 1 ms. */
-    private static final long ORDER_TIMEOUT_MS = 400;
+    private static final long ORDER_TIMEOUT_MS = 150;
     /** Idle time after which a kept connection carries nothing that cannot be repeated, ms. */
     private static final long FRESH_IDLE_MS = 1_500;
     /** How long callers may keep an answer of the directory, s. */
--- /dev/null
+++ b/transport/src/test/java/org/quetzalvane/transport/HttpClientTest.java
@@ -0,0 +1,187 @@
+package org.quetzalvane.transport;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Framing of answers by a server that does as the test says, byte for byte. */
+@Timeout(value = 30, unit = TimeUnit.SECONDS)
+class HttpClientTest {
+    private final Loop loop = new Loop();
+    private final HttpClient client = new HttpClient(loop, 2_000);
+    private final List<Socket> accepted = new ArrayList<>();
+    private final ServerSocket server = open();
+
+    private static ServerSocket open() {
+        try {
+            return new ServerSocket(0);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        server.close();
+        for (Socket s : accepted) {
+            s.close();
+        }
+        loop.close();
+    }
+
+    private static String answer(String id, String body) {
+        return "HTTP/1.1 200 OK\r\nid: " + id + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private CompletableFuture<String> call(String id) {
+        CompletableFuture<String> result = new CompletableFuture<>();
+        FullHttpRequest r = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/" + id);
+        InetSocketAddress to = new InetSocketAddress("127.0.0.1", server.getLocalPort());
+        loop.execute(() -> client.send(to, r, Long.MAX_VALUE, new Recorded(id, result)));
+        return result;
+    }
+
+    private Socket accept() throws IOException {
+        Socket s = server.accept();
+        accepted.add(s);
+        return s;
+    }
+
+    private static void readRequest(Socket s) throws IOException {
+        InputStream in = s.getInputStream();
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int b = in.read();
+            if (b < 0) {
+                throw new IOException("closed");
+            }
+            head.append((char) b);
+        }
+    }
+
+    private static void write(Socket s, String bytes) throws IOException {
+        s.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+        s.getOutputStream().flush();
+    }
+
+    @Test
+    void connectionIsKeptForTheNextCall() throws Exception {
+        CompletableFuture<String> first = call("1");
+        Socket s = accept();
+        readRequest(s);
+        write(s, answer("1", "one"));
+        assertThat(first.get()).isEqualTo("one");
+        CompletableFuture<String> second = call("2");
+        readRequest(s);
+        write(s, answer("2", "two"));
+        assertThat(second.get()).isEqualTo("two");
+    }
+
+    @Test
+    void answerOfAnEarlierRequestIsPassedOver() throws Exception {
+        CompletableFuture<String> c = call("2");
+        Socket s = accept();
+        readRequest(s);
+        write(s, answer("1", "another's") + answer("2", "mine"));
+        assertThat(c.get()).isEqualTo("mine");
+    }
+
+    @Test
+    void bytesAfterAWholeAnswerCloseTheConnection() throws Exception {
+        CompletableFuture<String> first = call("1");
+        Socket s = accept();
+        readRequest(s);
+        write(s, answer("1", "one"));
+        first.get();
+        write(s, answer("1", "one more"));
+        assertThat(s.getInputStream().read()).isEqualTo(-1);
+        CompletableFuture<String> second = call("2");
+        Socket fresh = accept();
+        readRequest(fresh);
+        write(fresh, answer("2", "two"));
+        assertThat(second.get()).isEqualTo("two");
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf', false, failed",
+        "'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n', false, failed",
+        "'HTTP/1.1 200 OK\r\n\r\nto the end', false, to the end",
+        "'HTTP/1.1 200 OK\r\n\r\nto the', true, failed",
+        "'no answer at all\r\n\r\n', false, failed",
+        "'', false, failed",
+    })
+    void bodyIsWholeOnlyByItsFraming(String bytes, boolean reset, String expected) throws Exception {
+        CompletableFuture<String> c = call("");
+        Socket s = accept();
+        readRequest(s);
+        write(s, bytes);
+        if (reset) {
+            TimeUnit.MILLISECONDS.sleep(RESET_PAUSE_MS);
+            s.setSoLinger(true, 0);
+        }
+        s.close();
+        assertThat(c.get()).isEqualTo(expected);
+    }
+
+    /** Lets the body arrive before the reset, which would else discard it. */
+    private static final long RESET_PAUSE_MS = 100;
+
+    @Test
+    void connectionThatIsRefusedIsKnownNotToHaveCarriedTheRequest() throws Exception {
+        server.close();
+        assertThat(call("1").get()).isEqualTo("not sent");
+    }
+
+    private record Recorded(String id, CompletableFuture<String> result) implements HttpReply {
+        private static final StringBuilder BODY = new StringBuilder();
+
+        Recorded {
+            BODY.setLength(0);
+        }
+
+        @Override
+        public boolean belongs(HttpResponse head) {
+            String v = head.headers().get("id");
+            return v == null || v.equals(id);
+        }
+
+        @Override
+        public void head(HttpResponse head) {}
+
+        @Override
+        public void body(byte[] part) {
+            BODY.append(new String(part, StandardCharsets.ISO_8859_1));
+        }
+
+        @Override
+        public void end() {
+            result.complete(BODY.toString());
+        }
+
+        @Override
+        public void failed(boolean notSent, String cause) {
+            result.complete(notSent ? "not sent" : "failed");
+        }
+    }
+}
