--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -0,0 +1,293 @@
+package org.quetzalvane.core.serve;
+
+import java.time.Duration;
+
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.routes.Route;
+import org.quetzalvane.core.time.Scheduler;
+
+/**
+ * One send of a request and what comes back of it, up to the first outcome that its {@link Owner} decides on.
+ *
+ * <p>After an outcome it hears nothing more and its work is no longer counted. Confined to the event loop.
+ */
+final class Attempt implements EndpointCalls.Listener {
+    /** Longest wait for a first part as a part of the objective, beyond twice the wait that was expected. */
+    private static final double FIRST_BYTE_PART = 1.6;
+    /** Longest pause within an answer, ms: callers of streams leave after two seconds of it. */
+    private static final long STALL_MS = 1_200;
+
+    /** The request that the send belongs to. */
+    interface Owner {
+        /** The endpoint states that it did not run the request. */
+        void refused(Attempt a, ReplyHead head);
+
+        /** No byte of the request can have reached the endpoint. */
+        void unreachable(Attempt a, String cause);
+
+        /**
+         * The request may have run and its answer is not whole; {@code repeatTaken} when a repeat was granted
+         * already.
+         */
+        void failed(Attempt a, ResultCode code, String cause, boolean repeatTaken);
+
+        /** The answer was passed on whole. */
+        void finished(Attempt a);
+
+        /** Whether the route allows one more send after this one. */
+        boolean mayRepeatAfterThis();
+
+        /** Takes the permission for a repeat from the budget. */
+        boolean takeRepeat();
+
+        /** The caller's side of an answer in parts, shared by all sends; null before the first part. */
+        StreamRelay relay();
+
+        void relay(StreamRelay begun);
+    }
+
+    private final ServeState state;
+    private final CallerRequest request;
+    private final Route route;
+    private final CallerAnswer answer;
+    private final Owner owner;
+    private final Endpoint endpoint;
+    private final boolean engine;
+    private final long sentNanos;
+    private final long pendingTokens;
+    private EndpointCalls.Call call;
+    private boolean open = true;
+    private boolean prefilled;
+    private long progressNanos;
+    private long firstByteNanos;
+    private long longestGapMs;
+    private Scheduler.Timer silence;
+    private ReplyHead head;
+    private BodyBuffer buffer;
+
+    /** What all sends of one request share. */
+    record Shared(ServeState state, CallerRequest request, Route route, CallerAnswer answer, Owner owner) {}
+
+    /** Counts the send; {@link #send} starts it. */
+    Attempt(Shared shared, Endpoint endpoint, boolean engine) {
+        this.state = shared.state();
+        this.request = shared.request();
+        this.route = shared.route();
+        this.answer = shared.answer();
+        this.owner = shared.owner();
+        this.endpoint = endpoint;
+        this.engine = engine;
+        this.sentNanos = state.scheduler().nanoTime();
+        this.progressNanos = sentNanos;
+        state.loads().started(endpoint.id(), request.promptTokens());
+        pendingTokens = state.loads().total(endpoint.id()).pendingTokens();
+        if (request.adapter() != null) {
+            state.use().started(endpoint.id(), request.adapter());
+        }
+    }
+
+    void send(Dispatch d) {
+        if (route.repeatable()) {
+            silence = state.scheduler().schedule(Duration.ofMillis(firstByteMs()), this::checkProgress);
+        }
+        call = state.calls().send(endpoint, d, this);
+    }
+
+    Endpoint endpoint() {
+        return endpoint;
+    }
+
+    int status() {
+        return head.status();
+    }
+
+    long sentNanos() {
+        return sentNanos;
+    }
+
+    long firstByteNanos() {
+        return firstByteNanos;
+    }
+
+    long longestGapMs() {
+        return longestGapMs;
+    }
+
+    /** The caller reads again. */
+    void resumeReading() {
+        if (call != null) {
+            call.reading(true);
+        }
+    }
+
+    /** Longest wait for the first part of an answer that can be had elsewhere, ms. */
+    private long firstByteMs() {
+        double expected = engine ? state.prefill().waitMs(pendingTokens) : 0;
+        return Math.round(FIRST_BYTE_PART * route.objectiveMs() + 2 * expected);
+    }
+
+    /** An answer that makes no progress is broken off and, where that is allowed, had elsewhere. */
+    private void checkProgress() {
+        if (!open) {
+            return;
+        }
+        long limitMs = prefilled ? STALL_MS : firstByteMs();
+        long leftMs = limitMs - (state.scheduler().nanoTime() - progressNanos) / 1_000_000;
+        if (leftMs > 0) {
+            silence = state.scheduler().schedule(Duration.ofMillis(leftMs), this::checkProgress);
+        } else if (hasAlternative()) {
+            Suspensions.note(state, endpoint, state.outliers().unreachable(endpoint.id()), "silent");
+            failed(false, "silent for " + limitMs + " ms");
+        }
+    }
+
+    @Override
+    public void head(ReplyHead h) {
+        if (!open) {
+            return;
+        }
+        head = h;
+        if (h.notRun()) {
+            close(true);
+            owner.refused(this, h);
+        } else if (h.success() && !h.genuine()) {
+            close(true);
+            owner.failed(this, ResultCode.WRONG_ECHO, "answer is not the endpoint's", false);
+        } else if (h.serverError() && !begun() && hasAlternative() && owner.takeRepeat()) {
+            close(true);
+            owner.failed(this, ResultCode.ENDPOINT_FAILED, "status=" + h.status(), true);
+        } else if (h.success() && h.events()) {
+            beginStream(h);
+        } else if (begun()) {
+            close(true);
+            owner.failed(this, ResultCode.STREAM_BROKEN, "resume status=" + h.status(), false);
+        } else {
+            buffer = new BodyBuffer();
+        }
+    }
+
+    @Override
+    public void body(byte[] part) {
+        if (!open) {
+            return;
+        }
+        firstByte();
+        longestGapMs = Math.max(longestGapMs, (state.scheduler().nanoTime() - progressNanos) / 1_000_000);
+        progressNanos = state.scheduler().nanoTime();
+        if (buffer == null) {
+            relayPart(part);
+            return;
+        }
+        byte[] flush = buffer.add(part);
+        if (flush == null) {
+            return;
+        }
+        if (!buffer.flushed()) {
+            buffer.markFlushed();
+            beginRelay(StreamRelay.opaque());
+        }
+        if (!answer.part(flush)) {
+            call.reading(false);
+        }
+    }
+
+    @Override
+    public void end() {
+        if (!open) {
+            return;
+        }
+        if (buffer == null && owner.relay().midEvent()) {
+            failed(false, "stream ended within an event");
+            return;
+        }
+        close(false);
+        if (head.serverError()) {
+            state.outliers().failed(endpoint.id());
+        } else {
+            state.outliers().succeeded(endpoint.id());
+        }
+        if (buffer != null && !buffer.flushed()) {
+            answer.whole(head, buffer.content());
+        } else {
+            answer.end();
+        }
+        owner.finished(this);
+    }
+
+    @Override
+    public void failed(boolean notSent, String cause) {
+        if (!open) {
+            return;
+        }
+        close(true);
+        if (notSent) {
+            owner.unreachable(this, cause);
+            return;
+        }
+        if (owner.relay() != null) {
+            owner.relay().dropPart();
+        }
+        owner.failed(this, begun() ? ResultCode.STREAM_BROKEN : ResultCode.OUTCOME_UNKNOWN, cause, false);
+    }
+
+    void cancel() {
+        if (open) {
+            close(true);
+        }
+    }
+
+    private void beginStream(ReplyHead h) {
+        if (owner.relay() == null) {
+            boolean resumable = route.repeatable();
+            beginRelay(resumable ? StreamRelay.ofEvents(request.lastEventId()) : StreamRelay.opaque());
+        }
+    }
+
+    private void beginRelay(StreamRelay relay) {
+        owner.relay(relay);
+        relay.begin(answer, head);
+    }
+
+    private void relayPart(byte[] part) {
+        byte[] whole = owner.relay().take(part);
+        if (whole.length > 0 && !answer.part(whole)) {
+            call.reading(false);
+        }
+    }
+
+    private void firstByte() {
+        if (prefilled) {
+            return;
+        }
+        prefilled = true;
+        progressNanos = state.scheduler().nanoTime();
+        firstByteNanos = progressNanos;
+        state.loads().prefilled(endpoint.id(), request.promptTokens());
+        state.prefill().measured(pendingTokens, (state.scheduler().nanoTime() - sentNanos) / 1e6);
+    }
+
+    private boolean begun() {
+        return owner.relay() != null;
+    }
+
+    /** Whether the request may be sent again after this send, and there is an endpoint for it. */
+    private boolean hasAlternative() {
+        return owner.mayRepeatAfterThis()
+                && state.endpoints().usable(endpoint.service()).size() > 1;
+    }
+
+    private void close(boolean cancelCall) {
+        open = false;
+        if (silence != null) {
+            silence.cancel();
+        }
+        state.loads().ended(endpoint.id(), prefilled ? 0 : request.promptTokens());
+        if (request.adapter() != null) {
+            state.use().ended(endpoint.id(), request.adapter());
+        }
+        if (cancelCall && call != null) {
+            call.cancel();
+        }
+    }
+}
--- a/core/src/main/java/org/quetzalvane/core/serve/StreamRelay.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/StreamRelay.java
@@ -7,7 +7,6 @@
  */
 final class StreamRelay {
     private final EventSplitter splitter;
-    private boolean begun;
 
     private StreamRelay(EventSplitter splitter) {
         this.splitter = splitter;
@@ -25,12 +24,12 @@
 
     /** Passes the head of the first endpoint's answer on. */
     void begin(CallerAnswer answer, ReplyHead head) {
-        begun = true;
         answer.begin(head);
     }
 
-    boolean begun() {
-        return begun;
+    /** Whether another endpoint's events may follow. */
+    boolean resumable() {
+        return splitter != null;
     }
 
     /** Takes bytes and gives those that may be passed on now. */
