--- a/cli/src/test/java/org/quetzalvane/cli/QuetzalvaneMainTest.java
+++ b/cli/src/test/java/org/quetzalvane/cli/QuetzalvaneMainTest.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.cli;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -96,7 +97,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"publish", "status", "timeline", "check-settings", "trace", "replay", "measure"})
+    @ValueSource(strings = {"publish", "status", "timeline", "explain", "check-settings", "trace", "replay", "measure"})
     void everySubcommandHasHelp(String command) {
         assertThat(QuetzalvaneMain.run(command, "--help")).isZero();
         assertThat(out.toString(StandardCharsets.UTF_8)).contains("--json");
@@ -154,6 +155,34 @@
                 .contains("node.name", "node.hots");
     }
 
+    @Test
+    void explainTellsARequestsStoryInOrderOfTime() throws IOException {
+        Path one = directory.resolve("one.log");
+        Path two = directory.resolve("two.log");
+        Files.writeString(
+                one,
+                """
+                {"at_ms":30,"node":"n1","event":5006,"name":"REQUEST_FAILED","subject":"r1","code":301,"endpoint":"e1"}
+                {"at_ms":10,"node":"n1","event":4008,"name":"ENDPOINT_CHANGED","subject":"e1","state":"DRAINING"}
+                {"at_ms":40,"node":"n1","event":4008,"name":"ENDPOINT_CHANGED","subject":"e1","state":"removed"}
+                """);
+        Files.writeString(
+                two,
+                """
+                not a line of ours
+                {"at_ms":20,"node":"n2","event":5005,"name":"REQUEST_REFUSED","subject":"r1","code":206}
+                {"at_ms":25,"node":"n2","event":5005,"name":"REQUEST_REFUSED","subject":"r2","code":206}
+                """);
+        assertThat(QuetzalvaneMain.run("explain", "r1", one.toString(), two.toString()))
+                .isZero();
+        assertThat(out.toString(StandardCharsets.UTF_8).lines())
+                .containsExactly(
+                        "10 n1 4008 ENDPOINT_CHANGED e1 state=DRAINING",
+                        "20 n2 5005 REQUEST_REFUSED r1 code=206",
+                        "30 n1 5006 REQUEST_FAILED r1 code=301 endpoint=e1");
+        assertThat(QuetzalvaneMain.run("explain", "r9", one.toString())).isEqualTo(1);
+    }
+
     @Test
     void replayPrintsItsReportAsJson() {
         String file = directory.resolve("t.jsonl").toString();
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -1,5 +1,7 @@
 package org.quetzalvane.entry;
 
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -8,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.choice.AdapterDemand;
 import org.quetzalvane.core.choice.Admission;
@@ -94,6 +97,7 @@
     private final Loop loop = new Loop();
     private final JsonLines lines;
     private final DecisionLog log;
+    private final NodeMetrics metrics = new NodeMetrics();
 
     private final ConfigBelief config = new ConfigBelief();
     private final NamedVersions versions = new NamedVersions();
@@ -410,7 +414,25 @@
         return new ServerLimits(l.maxHeaderBytes(), l.maxBodyBytes(), l.headerTimeoutMs(), l.idleTimeoutMs());
     }
 
+    /** Serves the metrics as text at a port of this host's address. */
+    void listenMetrics(int port) {
+        metrics.gauge("callers_unanswered", callers::unanswered);
+        metrics.gauge("operator_records_age_ms", operatorRecords::ageMs);
+        metrics.gauge("endpoint_entries_age_ms", entries::ageMs);
+        metrics.gauge("peers_up", () -> peers.up().size());
+        metrics.gauge("duties_held", () -> lease.held().size());
+        metrics.gauge("duty_generation", lease::generation);
+        InetSocketAddress own = Addresses.parse(settings.callers());
+        new HttpServer(loop, this::callerLimits, this::serveMetrics)
+                .listen(new InetSocketAddress(own.getAddress(), port));
+    }
+
+    private void serveMetrics(ServerExchange x) {
+        x.answer(200, EmptyHttpHeaders.INSTANCE, metrics.text().getBytes(StandardCharsets.UTF_8));
+    }
+
     private void logged(EventCode code, String subject, Object... fields) {
+        metrics.decided(code, fields);
         boolean sampledOut = code == EventCode.REQUEST_DONE && Math.floorMod(subject.hashCode(), LOGGED_SUCCESSES) != 0;
         if (!sampledOut) {
             lines.decided(code, subject, fields);
--- /dev/null
+++ b/entry/src/main/java/org/quetzalvane/entry/NodeMetrics.java
@@ -0,0 +1,72 @@
+package org.quetzalvane.entry;
+
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import com.codahale.metrics.UniformReservoir;
+import org.quetzalvane.core.event.EventCode;
+
+/**
+ * Counters and latency histograms of a node, fed by its decisions and read as text in the exposition format that
+ * operators' tools scrape. Thread-safe.
+ */
+final class NodeMetrics {
+    private static final String PREFIX = "quetzalvane_";
+    private static final double[] QUANTILES = {0.5, 0.9, 0.99};
+    /** Measurements kept of each phase; enough for a 99th percentile. */
+    private static final int KEPT = 1_028;
+
+    private final MetricRegistry registry = new MetricRegistry();
+
+    /** Counts a decision; fields are names and values in turn. */
+    void decided(EventCode code, Object... fields) {
+        counter("events_total{event=\"" + code.name().toLowerCase(Locale.ROOT) + "\"}")
+                .inc();
+        for (int i = 0; i + 1 < fields.length; i += 2) {
+            String name = String.valueOf(fields[i]);
+            if (name.equals("code")) {
+                counter("refused_total{code=\"" + fields[i + 1] + "\"}").inc();
+            } else if (code == EventCode.REQUEST_DONE && name.endsWith("ms")) {
+                phase(name).update(((Number) fields[i + 1]).longValue());
+            }
+        }
+    }
+
+    /** Shows a value that is asked for at each scrape. */
+    void gauge(String name, LongSupplier value) {
+        registry.register(PREFIX + name, (Gauge<Long>) value::getAsLong);
+    }
+
+    /** All metrics, a line each. */
+    String text() {
+        StringBuilder out = new StringBuilder();
+        registry.getCounters().forEach((name, c) -> line(out, name, c.getCount()));
+        registry.getGauges().forEach((name, g) -> line(out, name, ((Number) g.getValue()).longValue()));
+        for (Map.Entry<String, Histogram> h : registry.getHistograms().entrySet()) {
+            Snapshot s = h.getValue().getSnapshot();
+            for (double q : QUANTILES) {
+                line(out, h.getKey() + "{quantile=\"" + q + "\"}", Math.round(s.getValue(q)));
+            }
+            line(out, h.getKey() + "_count", h.getValue().getCount());
+        }
+        return out.toString();
+    }
+
+    private static void line(StringBuilder out, String name, long value) {
+        out.append(name).append(' ').append(value).append('\n');
+    }
+
+    private Counter counter(String name) {
+        return registry.counter(PREFIX + name);
+    }
+
+    private Histogram phase(String name) {
+        return registry.histogram(PREFIX + "request_" + name, () -> new Histogram(new UniformReservoir(KEPT)));
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/quetzalvane/entry/JsonLinesTest.java
@@ -0,0 +1,77 @@
+package org.quetzalvane.entry;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.quetzalvane.core.event.EventCode;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+@Timeout(value = 30, unit = TimeUnit.SECONDS)
+class JsonLinesTest {
+    private final ObjectMapper mapper = new ObjectMapper();
+
+    @Test
+    void oneDecisionIsOneLineWithItsFields() throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        JsonLines lines = new JsonLines("n1", () -> 42, out);
+        lines.decided(EventCode.REQUEST_REFUSED, "r\"1\n", "code", 206, "why", "no place", "again", false);
+        lines.flush();
+        List<String> written = out.toString(StandardCharsets.UTF_8).lines().toList();
+        assertThat(written).hasSize(1);
+        JsonNode n = mapper.readTree(written.get(0));
+        assertThat(n.path("at_ms").asLong()).isEqualTo(42);
+        assertThat(n.path("event").asInt()).isEqualTo(EventCode.REQUEST_REFUSED.number());
+        assertThat(n.path("subject").asText()).isEqualTo("r\"1\n");
+        assertThat(n.path("code").asInt()).isEqualTo(206);
+        assertThat(n.path("again").isBoolean()).isTrue();
+    }
+
+    @Test
+    void floodIsBoundedAndWhatWasDroppedIsSaid() throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        JsonLines lines = new JsonLines("n1", () -> 0, out);
+        for (int i = 0; i < JsonLines.CAPACITY + 500; i++) {
+            lines.decided(EventCode.REQUEST_REFUSED, "r" + i);
+        }
+        lines.flush();
+        List<String> written = out.toString(StandardCharsets.UTF_8).lines().toList();
+        assertThat(written).hasSize(JsonLines.CAPACITY + 1);
+        JsonNode last = mapper.readTree(written.get(JsonLines.CAPACITY));
+        assertThat(last.path("name").asText()).isEqualTo("LINES_DROPPED");
+        assertThat(last.path("lines").asInt()).isEqualTo(500);
+    }
+
+    @Test
+    void blockedOutputHoldsNobodyUp() throws InterruptedException {
+        CountDownLatch blocked = new CountDownLatch(1);
+        CountDownLatch free = new CountDownLatch(1);
+        JsonLines lines = new JsonLines("n1", () -> 0, new OutputStream() {
+            @Override
+            public void write(int b) {
+                blocked.countDown();
+                try {
+                    free.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        });
+        lines.start();
+        lines.decided(EventCode.REQUEST_REFUSED, "first");
+        blocked.await();
+        for (int i = 0; i < 3 * JsonLines.CAPACITY; i++) {
+            lines.decided(EventCode.REQUEST_REFUSED, "r" + i);
+        }
+        free.countDown();
+    }
+}
