Hold the place of an unload that waits for runs, and of a version that is replaced

A version loaded in place of an older one took an 18th place (newVersionNeverTakesAPlaceTooMany failed first). An unload that waits for runs is answered 202, and 200 when it is asked for again, so asking again does not show that its place is free. An answer that arrived after the state was distrusted was counted on an unknown number. Ruled out: the count of orders (contiguous from 27 to 62 on the engine concerned), late orders (their expectation is stale).

Change: the older version is unloaded first; a place behind a 202 stays taken for 10 s; no order is sent twice without a report between; answers after a distrust are dropped.

--- a/core/src/main/java/org/quetzalvane/core/residency/EngineDuty.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/EngineDuty.java
@@ -48,10 +48,10 @@
     static final int MAX_WAITING = 4;
     /** Pause before those who wait for a place are looked at again, ms; a run ends every few tens of ms. */
     private static final long PLACE_POLL_MS = 60;
-    /** Pause before an engine is asked whether an unload that waits for its runs is done, ms. */
-    private static final long UNLOAD_POLL_MS = 300;
-    /** Times that an order without an answer is sent again before the engine's report is read. */
-    private static final int MAX_RESENDS = 2;
+    /** Time for which the place of an unload that waits for runs stays taken, ms; the longest runs last as long. */
+    static final long VACATING_MS = 10_000;
+    /** Pause before the report of an engine that carries out an order is read again, ms. */
+    private static final long BUSY_POLL_MS = 300;
 
     private final Scheduler scheduler;
     private final EngineOrders orders;
@@ -70,9 +70,9 @@
     private boolean reading;
     private boolean closed;
     private boolean polling;
-    private final Set<AdapterRef> unloading = new HashSet<>();
-    private boolean asksUnload;
+    private final Map<AdapterRef, Long> vacating = new HashMap<>();
     private AdapterRef doubtful;
+    private boolean trusted;
 
     /** Whether and under which fencing token orders may be given now; a token below zero forbids them. */
     @FunctionalInterface
@@ -189,7 +189,7 @@
             return;
         }
         settleOverdueLoads();
-        if (accepted < 0 || orderMissingModel() || orderWaitingUnload()) {
+        if (accepted < 0 || orderMissingModel()) {
             return;
         }
         List<Map.Entry<AdapterRef, Waiting>> byCallers = new ArrayList<>(waiting.entrySet());
@@ -224,11 +224,11 @@
             complete(w, true);
             return true;
         }
-        if (unloading.contains(ref)) {
+        if (vacating.containsKey(ref)) {
             return true;
         }
-        boolean replaces = adapters(ref.model()).containsKey(ref.adapter());
-        if (replaces && use.inUse(engine.id(), ref) || !held.containsKey(ref.model())) {
+        boolean outdated = adapters(ref.model()).containsKey(ref.adapter());
+        if (outdated && use.inUse(engine.id(), ref) || !held.containsKey(ref.model())) {
             waiting.remove(ref);
             complete(w, false);
             return true;
@@ -236,9 +236,14 @@
         if (loading.size() >= MAX_LOADING) {
             return true;
         }
+        if (outdated) {
+            // A version on its way takes a place beside the one that it replaces.
+            unload(ref);
+            return false;
+        }
         BaseModel model = spec.model(ref.model()).orElse(null);
         int limit = model == null ? 0 : spec.adapterLimit(model);
-        if (replaces || places() < limit) {
+        if (places() < limit) {
             load(ref, w.version);
             return false;
         }
@@ -289,34 +294,17 @@
     private void unload(AdapterRef ref) {
         log.decided(EventCode.EVICTED, engine.id(), "adapter", ref, "orders", accepted);
         order(EngineOrders.Action.UNLOAD, ref, 0, answer -> {
+            if (answer == EngineOrders.Answer.ACCEPTED) {
+                // It waits for runs; only an unload that is done at once frees its place now.
+                vacating.put(ref, scheduler.nanoTime() + VACATING_MS * 1_000_000);
+            }
             if (answer == EngineOrders.Answer.ACCEPTED || answer == EngineOrders.Answer.HOLDS) {
                 accepted++;
                 adapters(ref.model()).remove(ref.adapter());
-                awaitUnload(ref, answer == EngineOrders.Answer.HOLDS);
             }
         });
     }
 
-    /** An unload that was accepted but waits for runs keeps its place until the engine says that it is done. */
-    private void awaitUnload(AdapterRef ref, boolean over) {
-        if (over) {
-            unloading.remove(ref);
-        } else {
-            unloading.add(ref);
-            scheduler.schedule(Duration.ofMillis(UNLOAD_POLL_MS), () -> asksUnload = true);
-        }
-    }
-
-    /** Asks whether an unload that waited for runs is done. */
-    private boolean orderWaitingUnload() {
-        if (!asksUnload || unloading.isEmpty()) {
-            return false;
-        }
-        asksUnload = false;
-        unload(unloading.iterator().next());
-        return true;
-    }
-
     private boolean orderMissingModel() {
         if (spec.models().isEmpty() || !held.isEmpty()) {
             return false;
@@ -342,27 +330,19 @@
     }
 
     private void order(EngineOrders.Action action, AdapterRef ref, int version, Consumer<EngineOrders.Answer> then) {
-        order(action, ref, version, MAX_RESENDS, then);
-    }
-
-    /** An order without an answer is sent once more at once: of the two, the engine carries one out. */
-    private void order(
-            EngineOrders.Action action, AdapterRef ref, int version, int resends, Consumer<EngineOrders.Answer> then) {
         orderOut = true;
+        trusted = true;
         long t = token.current();
         orders.order(engine, new EngineOrders.Order(action, ref, version, accepted, t), answer -> {
             orderOut = false;
             if (closed) {
                 return;
             }
-            if (answer == EngineOrders.Answer.UNKNOWN && resends > 0 && token.current() >= 0) {
-                log.decided(EventCode.ORDER_IN_DOUBT, engine.id(), "order", action, "adapter", ref, "resends", resends);
-                order(action, ref, version, resends - 1, then);
-                return;
-            }
             doubtful = answer == EngineOrders.Answer.ACCEPTED || answer == EngineOrders.Answer.HOLDS ? null : ref;
             settle(action, ref, answer, t);
-            then.accept(answer);
+            if (trusted) {
+                then.accept(answer);
+            }
             pump();
         });
     }
@@ -384,6 +364,7 @@
 
     /** The state known is in doubt: the engine's report is read before the next order. */
     private void distrust() {
+        trusted = false;
         accepted = -1;
         loading.clear();
     }
@@ -399,7 +380,7 @@
             return;
         }
         if (r == null || r.bornMs() != engine.bornMs() || r.busy()) {
-            pauseOrders(r != null && !r.held().isEmpty() ? UNLOAD_POLL_MS : MODEL_POLL_MS);
+            pauseOrders(r != null && !r.held().isEmpty() ? BUSY_POLL_MS : MODEL_POLL_MS);
             return;
         }
         accepted = r.orders();
@@ -443,7 +424,10 @@
             for (String a : m.getValue().keySet()) {
                 AdapterRef ref = new AdapterRef(m.getKey(), a);
                 long used = Math.max(use.lastUsedNanos(engine.id(), ref), times.loadedNanos(engine.id(), ref));
-                boolean evictable = !use.inUse(engine.id(), ref) && !waiting.containsKey(ref) && used <= newestAllowed;
+                boolean evictable = !vacating.containsKey(ref)
+                        && !use.inUse(engine.id(), ref)
+                        && !waiting.containsKey(ref)
+                        && used <= newestAllowed;
                 if (evictable && used < oldest) {
                     oldest = used;
                     found = ref;
@@ -461,7 +445,8 @@
     /** Places taken, those of adapters on their way included. */
     private int places() {
         Set<AdapterRef> all = new HashSet<>(loading.keySet());
-        all.addAll(unloading);
+        vacating.values().removeIf(until -> until <= scheduler.nanoTime());
+        all.addAll(vacating.keySet());
         held.forEach((m, a) -> a.keySet().forEach(n -> all.add(new AdapterRef(m, n))));
         return all.size();
     }
