Count a load as done only after the time that the store needs under its present loads

Ruled out: eviction in between (the holder's lines show none).

Change: the expected time grows with the loads that all nodes report to be on their way.

--- a/core/src/main/java/org/quetzalvane/core/residency/EngineDuty.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/EngineDuty.java
@@ -30,7 +30,7 @@
  * wait for one load. Confined to the event loop.
  */
 public final class EngineDuty {
-    /** Adapters on their way to one engine at once; the platform's published limit. */
+    /** Adapters on their way to one engine at once; the platform allows no more. */
     static final int MAX_LOADING = 4;
     /** Longest wait for a load before its outcome is read from the engine, ms: four times the published 250 ms. */
     static final long LOAD_TIMEOUT_MS = 1_000;
@@ -263,7 +263,8 @@
                 adapters(ref.model()).remove(ref.adapter());
                 long now = scheduler.nanoTime();
                 loading.put(ref, new Loading(version, now));
-                scheduler.schedule(Duration.ofMillis(times.expectedMs(engine.id(), ref)), () -> loaded(ref, now));
+                long expectedMs = times.started(engine.id(), ref);
+                scheduler.schedule(Duration.ofMillis(expectedMs), () -> loaded(ref, now));
             } else if (answer == EngineOrders.Answer.HOLDS) {
                 resident(ref, version);
             }
--- a/core/src/main/java/org/quetzalvane/core/residency/LoadTimes.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/LoadTimes.java
@@ -1,23 +1,54 @@
 package org.quetzalvane.core.residency;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.IntSupplier;
 
 import org.quetzalvane.core.routes.AdapterRef;
 import org.quetzalvane.core.time.Scheduler;
 
-/** How long loads are expected to take, and when adapters were loaded. Confined to the event loop. */
+/**
+ * How long loads are expected to take, and when adapters were loaded.
+ *
+ * <p>Answers the pattern of many rare adapters at once: the store serves about one load for each engine at full
+ * speed, and more of them take longer in proportion, so a load counts as done only after that time. Confined to the
+ * event loop.
+ */
 public final class LoadTimes {
-    /** An adapter's way from the store, ms: the published 250 ms and the way of the order. */
-    private static final long FROM_STORE_MS = 265;
+    /** An adapter's way from the store at full speed, ms: the published 250 ms and the way of the order. */
+    static final long FROM_STORE_MS = 265;
     /** An adapter that the engine held before, ms: a tenth of the above and the way of the order. */
     private static final long FROM_MEMORY_MS = 35;
 
     private final Scheduler scheduler;
+    private final IntSupplier loadsOfPeers;
+    private final IntSupplier engines;
     private final Map<String, Map<AdapterRef, Long>> loaded = new HashMap<>();
+    private final List<Long> expectedEnds = new ArrayList<>();
 
-    public LoadTimes(Scheduler scheduler) {
+    /**
+     * Builds the times.
+     *
+     * @param loadsOfPeers loads from the store that the other nodes last reported to be on their way
+     * @param engines number of engines listed
+     */
+    public LoadTimes(Scheduler scheduler, IntSupplier loadsOfPeers, IntSupplier engines) {
         this.scheduler = scheduler;
+        this.loadsOfPeers = loadsOfPeers;
+        this.engines = engines;
+    }
+
+    /** Counts a load that was accepted; gives the time that it is expected to take, in milliseconds. */
+    long started(String engine, AdapterRef ref) {
+        if (loadedNanos(engine, ref) != Long.MIN_VALUE) {
+            return FROM_MEMORY_MS;
+        }
+        double share = (double) (1 + onTheWay() + loadsOfPeers.getAsInt()) / Math.max(1, engines.getAsInt());
+        long ms = Math.round(FROM_STORE_MS * Math.max(1, share));
+        expectedEnds.add(scheduler.nanoTime() + ms * 1_000_000);
+        return ms;
     }
 
     void loaded(String engine, AdapterRef ref) {
@@ -29,9 +60,11 @@
         return loaded.getOrDefault(engine, Map.of()).getOrDefault(ref, Long.MIN_VALUE);
     }
 
-    /** Expected time of a load, in milliseconds. */
-    long expectedMs(String engine, AdapterRef ref) {
-        return loadedNanos(engine, ref) == Long.MIN_VALUE ? FROM_STORE_MS : FROM_MEMORY_MS;
+    /** Loads from the store that this node's orders have on their way. */
+    public int onTheWay() {
+        long now = scheduler.nanoTime();
+        expectedEnds.removeIf(end -> end <= now);
+        return expectedEnds.size();
     }
 
     /** Drops all memory of an engine that began a new life. */
--- a/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
@@ -28,6 +28,7 @@
      * @param inUse adapters its requests run on, by engine
      * @param holdings what the engines of its duties hold
      * @param members addresses of the peers that it hears of
+     * @param loading loads from the store that its orders have on their way
      */
     record Status(
             String from,
@@ -40,7 +41,8 @@
             Map<String, LoadTable.Load> loads,
             Map<String, List<AdapterRef>> inUse,
             Map<String, EngineHolding> holdings,
-            List<String> members)
+            List<String> members,
+            int loading)
             implements PeerMessage {}
 
     /**
--- a/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
@@ -92,6 +92,11 @@
         return last != null && up().stream().anyMatch(s -> s.from().equals(last) && !s.leaving());
     }
 
+    /** Loads from the store that the peers that are up have on their way. */
+    public int loading() {
+        return up().stream().mapToInt(PeerMessage.Status::loading).sum();
+    }
+
     /** Nodes that share the retry budget, this one included; 0 when no peer was ever heard of. */
     public int sharing() {
         long now = scheduler.nanoTime();
--- a/core/src/test/java/org/quetzalvane/core/residency/EngineDutyTest.java
+++ b/core/src/test/java/org/quetzalvane/core/residency/EngineDutyTest.java
@@ -39,7 +39,8 @@
     @BeforeEach
     void open() {
         Endpoint e = new Endpoint("e1", "s", "127.0.0.1", 1, "a", Endpoint.State.READY, 4, 1, Map.of(), 0);
-        EngineDuty.Context shared = new EngineDuty.Context(clock, engine, (c, s, f) -> {}, use, new LoadTimes(clock));
+        EngineDuty.Context shared =
+                new EngineDuty.Context(clock, engine, (c, s, f) -> {}, use, new LoadTimes(clock, () -> 0, () -> 6));
         duty = new EngineDuty(shared, () -> token, SPEC, e);
     }
 
--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/residency/LoadTimesTest.java
@@ -0,0 +1,35 @@
+package org.quetzalvane.core.residency;
+
+import java.time.Duration;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.quetzalvane.core.routes.AdapterRef;
+import org.quetzalvane.core.time.ManualScheduler;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** The load pattern of many rare adapters at once, over all engines. */
+class LoadTimesTest {
+
+    @ParameterizedTest
+    @CsvSource({"6, 0, 1, 265", "6, 5, 1, 265", "6, 11, 1, 530", "6, 11, 7, 795", "42, 30, 1, 265"})
+    void loadsBeyondTheStoresSpeedTakeLongerInProportion(int engines, int ofPeers, int own, long expectedMs) {
+        LoadTimes times = new LoadTimes(new ManualScheduler(), () -> ofPeers, () -> engines);
+        long last = 0;
+        for (int i = 0; i < own; i++) {
+            last = times.started("e" + i, new AdapterRef("m", "a"));
+        }
+        assertThat(last).isEqualTo(expectedMs);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"264, 1", "265, 0"})
+    void loadsAreOnTheWayUntilTheirExpectedEnd(long passedMs, int onTheWay) {
+        ManualScheduler clock = new ManualScheduler();
+        LoadTimes times = new LoadTimes(clock, () -> 0, () -> 6);
+        times.started("e", new AdapterRef("m", "a"));
+        clock.advance(Duration.ofMillis(passedMs));
+        assertThat(times.onTheWay()).isEqualTo(onTheWay);
+    }
+}
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -107,7 +107,7 @@
     private final ResidencyView residency = new ResidencyView(loop);
     private final Outliers outliers = new Outliers(loop);
     private final PrefillClock prefill = new PrefillClock();
-    private final LoadTimes times = new LoadTimes(loop);
+    private final LoadTimes times;
 
     private final PeerTable peers;
     private final DutyLease lease;
@@ -132,10 +132,11 @@
         StoreClient store = new StoreClient(http, loop, settings.store(), STORE_TIMEOUT_MS);
         gateway = new EndpointGateway(http, loop, settings.peers(), ORDER_TIMEOUT_MS, FRESH_IDLE_MS);
         peers = new PeerTable(loop, settings.peers(), settings.seeds());
+        times = new LoadTimes(loop, peers::loading, this::enginesListed);
         lease = new DutyLease(
                 loop, settings.tokensChecked(), settings.leaseMs(), settings.storeParts(), peers::formerHolderUp);
         book = new DutyBook(lease, this::openDuty);
-        team = new Team(loop, new Team.Shared(peers, loads, use, residency, lease, book, log), self());
+        team = new Team(loop, new Team.Shared(peers, loads, use, residency, lease, book, times, log), self());
         member = new DutyMember(
                 loop,
                 store.duties(),
@@ -352,6 +353,10 @@
         }
     }
 
+    private int enginesListed() {
+        return (int) endpoints.ready().stream().filter(e -> !e.held().isEmpty()).count();
+    }
+
     private void newLife(Endpoint e) {
         outliers.reset(e.id());
         times.forgetEngine(e.id());
--- a/entry/src/main/java/org/quetzalvane/entry/Team.java
+++ b/entry/src/main/java/org/quetzalvane/entry/Team.java
@@ -19,6 +19,7 @@
 import org.quetzalvane.core.residency.AdapterUse;
 import org.quetzalvane.core.residency.EngineDuty;
 import org.quetzalvane.core.residency.LoadBroker;
+import org.quetzalvane.core.residency.LoadTimes;
 import org.quetzalvane.core.residency.ResidencyView;
 import org.quetzalvane.core.routes.AdapterRef;
 import org.quetzalvane.core.store.StoreRecord;
@@ -45,6 +46,7 @@
     private final ResidencyView residency;
     private final DutyLease lease;
     private final DutyBook book;
+    private final LoadTimes times;
     private final Self self;
     private final PeerCodec codec = new PeerCodec();
     private final Map<Long, Consumer<Outcome>> asked = new HashMap<>();
@@ -74,6 +76,7 @@
             ResidencyView residency,
             DutyLease lease,
             DutyBook book,
+            LoadTimes times,
             DecisionLog log) {}
 
     Team(Scheduler scheduler, Shared shared, Self self) {
@@ -85,6 +88,7 @@
         this.residency = shared.residency();
         this.lease = shared.lease();
         this.book = shared.book();
+        this.times = shared.times();
         this.self = self;
     }
 
@@ -188,7 +192,8 @@
                 loads.own(),
                 inUse,
                 book.holdings(),
-                members);
+                members,
+                times.onTheWay());
     }
 
     private void heard(PeerMessage.Status s) {
