--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -43,6 +43,7 @@
     private Scheduler.Timer timer;
     private boolean done;
     private Attempt current;
+    private String lastEndpoint;
     private StreamRelay relay;
     private final Set<String> tried = new HashSet<>();
     private int ranSends;
@@ -236,7 +237,8 @@
 
     private Endpoint ended(Attempt a) {
         current = null;
-        tried.add(a.endpoint().id());
+        lastEndpoint = a.endpoint().id();
+        tried.add(lastEndpoint);
         return a.endpoint();
     }
 
@@ -265,7 +267,19 @@
     }
 
     private void fail(ResultCode code, String why) {
-        log(EventCode.REQUEST_FAILED, "code", code.number(), "sends", ranSends, "why", why);
+        String endpoint = current == null ? lastEndpoint : current.endpoint().id();
+        log(
+                EventCode.REQUEST_FAILED,
+                "code",
+                code.number(),
+                "endpoint",
+                endpoint,
+                "sends",
+                ranSends,
+                "begun",
+                relay != null,
+                "why",
+                why);
         if (relay != null) {
             answer.abort();
         } else {
--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/choice/EngineChoiceTest.java
@@ -0,0 +1,114 @@
+package org.quetzalvane.core.choice;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.residency.AdapterUse;
+import org.quetzalvane.core.residency.EngineHolding;
+import org.quetzalvane.core.residency.ResidencyView;
+import org.quetzalvane.core.routes.AdapterRef;
+import org.quetzalvane.core.time.ManualScheduler;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** The load pattern of skewed popularity over engines with few places. */
+class EngineChoiceTest {
+    private final ManualScheduler clock = new ManualScheduler();
+    private final LoadTable loads = new LoadTable();
+    private final AdapterUse use = new AdapterUse(clock);
+    private final AdapterDemand demand = new AdapterDemand(clock);
+    private final ResidencyView residency = new ResidencyView(clock);
+    private final Outliers outliers = new Outliers(clock);
+    private final EngineChoice choice = new EngineChoice(
+            new EngineChoice.View(loads, use, demand, residency, outliers, new PrefillClock()), "a", e -> true);
+
+    private static AdapterRef adapter(int n) {
+        return new AdapterRef("m", "a" + n);
+    }
+
+    private static Endpoint engine(int n, Map<String, Integer> held) {
+        return new Endpoint("e" + n, "s", "127.0.0.1", n, "a", Endpoint.State.READY, 64, 1, Map.of("m", held), 0);
+    }
+
+    private EngineChoice.Pick pick(List<Endpoint> engines, AdapterRef ref) {
+        return choice.pick(engines, ref, 0, Set.of());
+    }
+
+    @Test
+    void holderGoesFirstEvenIfAnotherIsIdle() {
+        loads.started("e1", 2_000);
+        EngineChoice.Pick p = pick(List.of(engine(1, Map.of("a1", 1)), engine(2, Map.of())), adapter(1));
+        assertThat(p.engine().id()).isEqualTo("e1");
+        assertThat(p.resident()).isTrue();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, 20000, false", "5, 20000, true", "5, 2000, false"})
+    void copyIsLoadedOnlyForAnAdapterInDemandWhoseHolderIsBehind(int asked, long backlog, boolean copied) {
+        loads.started("e1", backlog);
+        for (int i = 0; i < asked; i++) {
+            demand.asked(adapter(1));
+        }
+        EngineChoice.Pick p = pick(List.of(engine(1, Map.of("a1", 1)), engine(2, Map.of())), adapter(1));
+        assertThat(p.copyAt() != null).isEqualTo(copied);
+    }
+
+    @Test
+    void rareAdapterReturnsToTheEngineThatHeldItBefore() {
+        List<Endpoint> engines = List.of(engine(1, Map.of()), engine(2, Map.of()), engine(3, Map.of()));
+        for (Endpoint before : engines) {
+            AdapterRef ref = adapter(100 + before.port());
+            residency.tell(before.id(), new EngineHolding(1, 1, Map.of("m", Map.of(ref.adapter(), 1))));
+            residency.tell(before.id(), new EngineHolding(1, 2, Map.of("m", Map.of())));
+            EngineChoice.Pick p = pick(engines, ref);
+            assertThat(p.engine().id()).isEqualTo(before.id());
+            assertThat(p.resident()).isFalse();
+        }
+    }
+
+    @Test
+    void rareAdaptersAreSpreadOverTheEngines() {
+        List<Endpoint> engines = List.of(engine(1, Map.of()), engine(2, Map.of()), engine(3, Map.of()));
+        Set<String> used = new HashSet<>();
+        for (int n = 0; n < 30; n++) {
+            used.add(pick(engines, adapter(n)).engine().id());
+        }
+        assertThat(used).hasSize(3);
+    }
+
+    @Test
+    void engineWhoseAdaptersAreAllInUseIsPassedOver() {
+        List<Endpoint> engines = new ArrayList<>();
+        for (int n = 1; n <= 3; n++) {
+            engines.add(engine(n, Map.of("b1", 1, "b2", 1, "b3", 1, "b4", 1, "b5", 1)));
+        }
+        String usual = pick(engines, adapter(7)).engine().id();
+        for (int n = 1; n <= 5; n++) {
+            use.started(usual, new AdapterRef("m", "b" + n));
+        }
+        assertThat(pick(engines, adapter(7)).engine().id()).isNotEqualTo(usual);
+    }
+
+    @Test
+    void olderVersionDoesNotServe() {
+        EngineChoice.Pick p = choice.pick(List.of(engine(1, Map.of("a1", 1))), adapter(1), 2, Set.of());
+        assertThat(p.resident()).isFalse();
+    }
+
+    @Test
+    void suspendedEngineIsPassedOverButTheLastOneIsNot() {
+        Endpoint one = engine(1, Map.of("a1", 1));
+        Endpoint two = engine(2, Map.of("a1", 1));
+        outliers.unreachable("e1");
+        outliers.unreachable("e1");
+        assertThat(pick(List.of(one, two), adapter(1)).engine().id()).isEqualTo("e2");
+        assertThat(pick(List.of(one), adapter(1)).engine().id()).isEqualTo("e1");
+    }
+}
