--- a/core/src/main/java/org/quetzalvane/core/choice/Outliers.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/Outliers.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 
 import org.quetzalvane.core.time.Scheduler;
 
@@ -69,7 +70,7 @@
     }
 
     /** The given endpoint ids without suspended ones, or all of them when every one is suspended. */
-    public <T> List<T> sound(List<T> endpoints, java.util.function.Function<T, String> id) {
+    public <T> List<T> sound(List<T> endpoints, Function<T, String> id) {
         long now = scheduler.nanoTime();
         List<T> sound = endpoints.stream()
                 .filter(e -> {
--- a/core/src/main/java/org/quetzalvane/core/serve/EventSplitter.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EventSplitter.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /**
  * Cuts the bytes of an event stream after whole events and remembers the id of the last one.
@@ -27,7 +28,7 @@
         if (end == 0) {
             return new byte[0];
         }
-        byte[] whole = java.util.Arrays.copyOf(all, end);
+        byte[] whole = Arrays.copyOf(all, end);
         pending = new ByteArrayOutputStream();
         pending.write(all, end, all.length - end);
         noteLastId(whole);
--- a/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
@@ -1,5 +1,6 @@
 package org.quetzalvane.core.team;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -81,7 +82,7 @@
     public String holderOf(int duty) {
         return up().stream()
                 .filter(s -> !s.leaving() && s.duties().contains(duty))
-                .max(java.util.Comparator.comparingLong(PeerMessage.Status::generation))
+                .max(Comparator.comparingLong(PeerMessage.Status::generation))
                 .map(PeerMessage.Status::from)
                 .orElse(null);
     }
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -4,9 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -22,32 +20,24 @@
 import org.quetzalvane.core.choice.RetryShare;
 import org.quetzalvane.core.event.DecisionLog;
 import org.quetzalvane.core.event.EventCode;
-import org.quetzalvane.core.exc.RecordException;
 import org.quetzalvane.core.fleet.Endpoint;
-import org.quetzalvane.core.fleet.EndpointTable;
 import org.quetzalvane.core.residency.AdapterUse;
 import org.quetzalvane.core.residency.EngineDuty;
 import org.quetzalvane.core.residency.LoadTimes;
 import org.quetzalvane.core.residency.ResidencyView;
-import org.quetzalvane.core.routes.ConfigBelief;
 import org.quetzalvane.core.routes.IngressLimits;
-import org.quetzalvane.core.routes.NamedVersions;
 import org.quetzalvane.core.routes.ServiceSpec;
 import org.quetzalvane.core.serve.CallerAnswer;
 import org.quetzalvane.core.serve.CallerRequest;
 import org.quetzalvane.core.serve.RequestFlow;
 import org.quetzalvane.core.serve.ServeState;
-import org.quetzalvane.core.store.RecordFollower;
-import org.quetzalvane.core.store.StoreRecord;
 import org.quetzalvane.core.team.DutyBook;
 import org.quetzalvane.core.team.DutyLease;
-import org.quetzalvane.core.team.PeerMessage;
 import org.quetzalvane.core.team.PeerTable;
 import org.quetzalvane.platform.BootSettings;
 import org.quetzalvane.platform.DirectoryWire;
 import org.quetzalvane.platform.EndpointGateway;
 import org.quetzalvane.platform.Ingress;
-import org.quetzalvane.platform.Records;
 import org.quetzalvane.platform.StoreClient;
 import org.quetzalvane.transport.Addresses;
 import org.quetzalvane.transport.HttpClient;
@@ -70,10 +60,6 @@
     /** How long a read of the operator's records waits, ms: a silent connection hides a change as long, within the 5 s
      * of the stability window and the bound of configuration. */
     private static final long CONFIG_WAIT_MS = 3_000;
-    /** How long a read of the endpoints' entries waits, ms; one heartbeat of the platform. */
-    private static final long ENTRIES_WAIT_MS = 1_000;
-    /** Pause between reads of the endpoints' entries, ms: each read is priced, and the list itself lags as much. */
-    private static final long ENTRIES_SPACING_MS = 700;
     /** Silence after which the group deals a node's duties to others, ms: twice what the platform allows at least. */
     private static final long DUTY_TTL_MS = 2_000;
     /** Time for an answer to an order, ms, against a way of 1 ms. */
@@ -99,9 +85,7 @@
     private final DecisionLog log;
     private final NodeMetrics metrics = new NodeMetrics();
 
-    private final ConfigBelief config = new ConfigBelief();
-    private final NamedVersions versions = new NamedVersions();
-    private final EndpointTable endpoints = new EndpointTable(loop);
+    private final PlatformBeliefs beliefs;
     private final LoadTable loads = new LoadTable();
     private final AdapterUse use = new AdapterUse(loop);
     private final ResidencyView residency = new ResidencyView(loop);
@@ -115,8 +99,6 @@
     private final Team team;
     private final DutyMember member;
     private final EndpointGateway gateway;
-    private final RecordFollower operatorRecords;
-    private final RecordFollower entries;
     private final ServeState state;
     private final HttpServer callers;
     private final HttpServer readiness;
@@ -130,9 +112,10 @@
         log = this::logged;
         HttpClient http = new HttpClient(loop, CONNECT_TIMEOUT_MS);
         StoreClient store = new StoreClient(http, loop, settings.store(), STORE_TIMEOUT_MS);
+        beliefs = new PlatformBeliefs(loop, store, log, this::reconcile);
         gateway = new EndpointGateway(http, loop, settings.peers(), ORDER_TIMEOUT_MS, FRESH_IDLE_MS);
         peers = new PeerTable(loop, settings.peers(), settings.seeds());
-        times = new LoadTimes(loop, peers::loading, this::enginesListed);
+        times = new LoadTimes(loop, peers::loading, beliefs::enginesListed);
         lease = new DutyLease(
                 loop, settings.tokensChecked(), settings.leaseMs(), settings.storeParts(), peers::formerHolderUp);
         book = new DutyBook(lease, this::openDuty);
@@ -145,15 +128,11 @@
                 log,
                 new DutyMember.Identity(settings.peers(), DUTY_TTL_MS),
                 this::reconcile);
-        operatorRecords =
-                new RecordFollower(loop, store.operatorRecords(), log, CONFIG_WAIT_MS, 0, this::operatorWrote);
-        entries = new RecordFollower(
-                loop, store.endpointEntries(), log, ENTRIES_WAIT_MS, ENTRIES_SPACING_MS, this::endpointWrote);
         state = serveState();
         callers = new HttpServer(loop, this::callerLimits, this::serveCaller);
         readiness = new HttpServer(loop, this::callerLimits, this::serveReadiness);
         directory = new HttpServer(loop, this::callerLimits, this::serveDirectory);
-        endpoints.onNewLife(this::newLife);
+        beliefs.endpoints().onNewLife(this::newLife);
     }
 
     void start() {
@@ -165,8 +144,7 @@
         readiness.listen(Addresses.parse(settings.readiness()));
         directory.listen(Addresses.parse(settings.directory()));
         loop.execute(() -> {
-            operatorRecords.start();
-            entries.start();
+            beliefs.start();
             member.start();
             team.start(net);
             loop.schedule(Duration.ofMillis(ASK_PEERS_MS), this::askPeers);
@@ -228,9 +206,9 @@
         EngineChoice.View view = new EngineChoice.View(loads, use, demand, residency, outliers, prefill);
         return new ServeState(
                 loop,
-                config,
-                versions,
-                endpoints,
+                beliefs.config(),
+                beliefs.versions(),
+                beliefs.endpoints(),
                 loads,
                 use,
                 residency,
@@ -253,12 +231,12 @@
                 settings.zone(),
                 this::ready,
                 () -> leaving,
-                all -> knownRecords(),
-                this::peerRecords);
+                beliefs::records,
+                beliefs::offered);
     }
 
     private boolean ready() {
-        return !leaving && config.current().isPresent() && entries.loaded();
+        return !leaving && beliefs.complete();
     }
 
     private void serveCaller(ServerExchange x) {
@@ -305,58 +283,6 @@
         }
     }
 
-    private void operatorWrote(StoreRecord r) {
-        if (r.value() == null) {
-            return;
-        }
-        try {
-            if (Records.isConfig(r)) {
-                if (config.offer(Records.config(r))) {
-                    log.decided(
-                            EventCode.CONFIG_MOVED,
-                            "config",
-                            "version",
-                            config.current().get().version(),
-                            "offset",
-                            r.offset());
-                    reconcile();
-                }
-            } else {
-                Records.namedVersion(r).ifPresent(v -> {
-                    if (versions.offer(v.adapter(), v.version())) {
-                        log.decided(EventCode.VERSION_NAMED, v.adapter().toString(), "version", v.version());
-                    }
-                });
-            }
-        } catch (RecordException e) {
-            log.decided(EventCode.BAD_RECORD, r.key(), "offset", r.offset(), "cause", e.getMessage());
-        }
-    }
-
-    private void endpointWrote(StoreRecord r) {
-        if (r.value() == null) {
-            log.decided(EventCode.ENDPOINT_CHANGED, r.key(), "state", "removed", "offset", r.offset());
-            endpoints.remove(r.key());
-            reconcile();
-            return;
-        }
-        try {
-            Endpoint e = Records.endpoint(r);
-            Endpoint before = endpoints.find(e.id());
-            endpoints.apply(e);
-            if (before == null || before.state() != e.state() || !before.sameLife(e)) {
-                log.decided(EventCode.ENDPOINT_CHANGED, e.id(), "state", e.state(), "born", e.bornMs());
-            }
-            reconcile();
-        } catch (RecordException ex) {
-            log.decided(EventCode.BAD_RECORD, r.key(), "offset", r.offset(), "cause", ex.getMessage());
-        }
-    }
-
-    private int enginesListed() {
-        return (int) endpoints.ready().stream().filter(e -> !e.held().isEmpty()).count();
-    }
-
     private void newLife(Endpoint e) {
         outliers.reset(e.id());
         times.forgetEngine(e.id());
@@ -364,12 +290,13 @@
     }
 
     private void reconcile() {
-        book.reconcile(endpoints.ready());
+        book.reconcile(beliefs.endpoints().ready());
     }
 
     /** Opens the duty for an engine; null for an endpoint of a plain service or before a configuration is known. */
     private EngineDuty openDuty(Endpoint e) {
-        ServiceSpec service = config.current().map(c -> c.service(e.service())).orElse(null);
+        ServiceSpec service =
+                beliefs.config().current().map(c -> c.service(e.service())).orElse(null);
         if (service == null || !service.servesModels()) {
             return null;
         }
@@ -395,35 +322,16 @@
         }
     }
 
-    private Map<String, List<StoreRecord>> knownRecords() {
-        Map<String, List<StoreRecord>> known = new HashMap<>();
-        if (config.current().isPresent()) {
-            known.put("operator", List.copyOf(operatorRecords.records()));
-        }
-        if (entries.loaded()) {
-            known.put("endpoints", List.copyOf(entries.records()));
-        }
-        return known;
-    }
-
-    private void peerRecords(PeerMessage.Records r) {
-        if (r.topic().equals("operator")) {
-            operatorRecords.offer(r.records());
-        } else {
-            entries.offer(r.records());
-        }
-    }
-
     private ServerLimits callerLimits() {
-        IngressLimits l = config.limits();
+        IngressLimits l = beliefs.config().limits();
         return new ServerLimits(l.maxHeaderBytes(), l.maxBodyBytes(), l.headerTimeoutMs(), l.idleTimeoutMs());
     }
 
     /** Serves the metrics as text at a port of this host's address. */
     void listenMetrics(int port) {
         metrics.gauge("callers_unanswered", callers::unanswered);
-        metrics.gauge("operator_records_age_ms", operatorRecords::ageMs);
-        metrics.gauge("endpoint_entries_age_ms", entries::ageMs);
+        metrics.gauge("operator_records_age_ms", beliefs::configAgeMs);
+        metrics.gauge("endpoint_entries_age_ms", beliefs::entriesAgeMs);
         metrics.gauge("peers_up", () -> peers.up().size());
         metrics.gauge("duties_held", () -> lease.held().size());
         metrics.gauge("duty_generation", lease::generation);
--- a/entry/src/main/java/org/quetzalvane/entry/Team.java
+++ b/entry/src/main/java/org/quetzalvane/entry/Team.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.Function;
+import java.util.function.Supplier;
 
 import org.quetzalvane.core.choice.LoadTable;
 import org.quetzalvane.core.event.DecisionLog;
@@ -65,7 +65,7 @@
             String zone,
             BooleanSupplier ready,
             BooleanSupplier leaving,
-            Function<Boolean, Map<String, List<StoreRecord>>> records,
+            Supplier<Map<String, List<StoreRecord>>> records,
             Consumer<PeerMessage.Records> taken) {}
 
     /** What is shared with the request path and the duties. */
@@ -158,7 +158,7 @@
             replied(r.number(), outcome(r.loaded()));
         } else if (m instanceof PeerMessage.RecordsAsk a) {
             self.records()
-                    .apply(true)
+                    .get()
                     .forEach((topic, records) ->
                             send(a.from(), new PeerMessage.Records(self.address(), topic, records)));
         } else if (m instanceof PeerMessage.Records r) {
