Give places that fall free to requests that can still be on time, urgent ranks first

Cause: whoever waited for an adapter stood in order of arrival, so under more rare adapters than free places urgent requests waited behind less urgent ones and behind those that were late anyway. LoadQueueTest replays that load. EngineDuty is split: PlaceTable (places taken), LoadQueue (order and refusal).

A thawed node of the own interface holds requests until it has read who owns their engine (LapsedHoldTest); the demonstration comes back as it is told.

--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -51,6 +51,9 @@
     ENDPOINT_CHANGED(4008, "An endpoint appeared, began a new life, drains or left the platform's list."),
     ENDPOINT_SUSPENDED(4009, "An endpoint failed or stayed silent and is passed over for a while."),
 
+    LOAD_REFUSED(4010, "The duty holder could not bring an adapter in the time that the request had."),
+    UNLOAD_WAITS(4011, "An unload waits for the runs of its adapter; the place stays taken meanwhile."),
+
     REQUEST_QUEUED(5001, "A request was queued."),
     REQUEST_DISPATCHED(5002, "A request was sent to an endpoint."),
     REQUEST_STREAMING(5003, "The first part of an answer arrived."),
--- a/core/src/main/java/org/quetzalvane/core/node/Coordinator.java
+++ b/core/src/main/java/org/quetzalvane/core/node/Coordinator.java
@@ -68,6 +68,7 @@
     private final Placement placement;
     private final Forwarding forwarding;
     private final Retries retries;
+    private final LapsedHold lapsedHold;
     private final ConfigFeed configFeed;
     private final ConfigPeers configPeers;
     private final LogFollower claimFollower;
@@ -113,6 +114,7 @@
         forwarding =
                 new Forwarding(context, ports.peers(), (request, avoid, sink) -> submit(request, avoid, sink, false)
                         .cancel());
+        lapsedHold = new LapsedHold(scheduler, settings.poll());
         retries = new Retries(context, (request, avoid, sink) -> submit(request, avoid, sink, true));
         forwarding.serveOn(peerRouter);
         heartbeats = new Heartbeats(context, membership, ports.peers(), this::heartbeat);
@@ -194,6 +196,9 @@
         }
         String engine = route.engine().name();
         EngineDispatcher dispatcher = dispatchers.find(engine).orElse(null);
+        if (dispatcher != null && mayForward && !ownership.leaseValid()) {
+            return new Retries.Started(engine, holdLapsed(request, avoid, sink, engine));
+        }
         if (dispatcher != null) {
             Ticket ticket = new Ticket(request, sink);
             dispatcher.submit(ticket);
@@ -208,6 +213,20 @@
         return new Retries.Started(engine, () -> {});
     }
 
+    private Runnable holdLapsed(InferenceRequest request, Set<String> avoid, AnswerSink sink, String engine) {
+        return lapsedHold.hold(
+                request,
+                () -> ownership.leaseValid() || dispatchers.find(engine).isEmpty(),
+                () -> takeHeld(request, avoid, sink));
+    }
+
+    /** Takes a held request; while the lease is still lapsed, the dispatcher refuses it. */
+    private Runnable takeHeld(InferenceRequest request, Set<String> avoid, AnswerSink sink) {
+        Route route = placement.route(request.version(), avoid).orElse(null);
+        boolean here = route != null && dispatchers.find(route.engine().name()).isPresent();
+        return submit(request, avoid, sink, !here).cancel();
+    }
+
     /** Waits until a configuration offset that a caller has shown is applied; false when it is not in time. */
     public CompletableFuture<Boolean> reachConfig(long offset) {
         if (offset > config.appliedOffset()) {
--- a/core/src/main/java/org/quetzalvane/core/residency/EngineDuty.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/EngineDuty.java
@@ -1,15 +1,6 @@
 package org.quetzalvane.core.residency;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 
 import org.quetzalvane.core.event.DecisionLog;
@@ -38,18 +29,8 @@
     static final long REPORT_PAUSE_MS = 150;
     /** Pause between looks at an engine that loads its base model, ms. */
     static final long MODEL_POLL_MS = 500;
-    /**
-     * Unused time before an adapter may be evicted, ms: a report of the peers, and the time for which they send without
-     * asking.
-     */
-    static final long EVICTION_AGE_MS = 450;
-
-    /** Adapters that may be waited for at once; a place is freed two or three times a second, callers wait 1 to 2 s. */
-    static final int MAX_WAITING = 4;
     /** Pause before those who wait for a place are looked at again, ms; a run ends every few tens of ms. */
     private static final long PLACE_POLL_MS = 60;
-    /** Time for which the place of an unload that waits for runs stays taken, ms; the longest runs last as long. */
-    static final long VACATING_MS = 10_000;
     /** Pause before the report of an engine that carries out an order is read again, ms. */
     private static final long BUSY_POLL_MS = 300;
 
@@ -62,15 +43,13 @@
     private final EngineSpec spec;
     private Endpoint engine;
 
-    private final Map<String, Map<String, Integer>> held = new HashMap<>();
-    private final Map<AdapterRef, Loading> loading = new HashMap<>();
-    private final Map<AdapterRef, Waiting> waiting = new LinkedHashMap<>();
+    private final PlaceTable places;
+    private final LoadQueue waiting;
     private long accepted = -1;
     private boolean orderOut;
     private boolean reading;
     private boolean closed;
     private boolean polling;
-    private final Map<AdapterRef, Long> vacating = new HashMap<>();
     private AdapterRef doubtful;
     private boolean trusted;
 
@@ -83,19 +62,6 @@
         default void refused(long token) {}
     }
 
-    private record Loading(int version, long sinceNanos) {}
-
-    private static final class Waiting {
-        private final int version;
-        private final long untilNanos;
-        private final List<Consumer<Boolean>> callbacks = new ArrayList<>();
-
-        Waiting(int version, long untilNanos) {
-            this.version = version;
-            this.untilNanos = untilNanos;
-        }
-    }
-
     /**
      * What all duties of a node share. Immutable.
      *
@@ -117,6 +83,8 @@
         this.token = token;
         this.spec = spec;
         this.engine = engine;
+        this.places = new PlaceTable(scheduler, use, times, engine.id());
+        this.waiting = new LoadQueue(scheduler);
     }
 
     public Endpoint engine() {
@@ -135,51 +103,55 @@
     /** Ends the duty; everyone who waits is told that the adapter did not come. */
     public void close() {
         closed = true;
-        List<Waiting> left = List.copyOf(waiting.values());
-        waiting.clear();
-        left.forEach(w -> complete(w, false));
+        waiting.close();
     }
 
     /** What the engine holds, once it has been read; null before. */
     public EngineHolding holding() {
-        return accepted < 0 ? null : new EngineHolding(engine.bornMs(), accepted, deepCopy(held));
+        return accepted < 0 ? null : new EngineHolding(engine.bornMs(), accepted, places.held());
     }
 
     /** Asks for an adapter; {@code done} is told once whether the engine holds it. */
-    public void request(AdapterRef ref, int version, long waitMs, Consumer<Boolean> done) {
+    public void request(LoadWish wish, Consumer<Boolean> done) {
         if (closed) {
             done.accept(false);
             return;
         }
-        if (!ref.equals(doubtful) && !loading.containsKey(ref) && holds(ref, version)) {
+        AdapterRef ref = wish.adapter();
+        if (!ref.equals(doubtful) && places.loading(ref) == null && places.holds(ref, wish.version())) {
             use.touch(engine.id(), ref);
             done.accept(true);
             return;
         }
-        Waiting w = waiting.get(ref);
-        if (w == null && waiting.size() >= MAX_WAITING) {
-            done.accept(false);
-            return;
-        }
-        if (w != null && w.version != version) {
-            waiting.remove(ref);
-            complete(w, false);
-            w = null;
-        }
-        if (w == null) {
-            w = new Waiting(version, scheduler.nanoTime() + waitMs * 1_000_000);
-            waiting.put(ref, w);
-            scheduler.schedule(Duration.ofMillis(waitMs), this::pump);
-        }
-        w.callbacks.add(done);
+        waiting.add(wish, ok -> answer(wish, ok, done));
+        scheduler.schedule(Duration.ofMillis(wish.waitMs()), this::pump);
         pump();
     }
 
+    private void answer(LoadWish wish, boolean ok, Consumer<Boolean> done) {
+        if (!ok) {
+            log.decided(
+                    EventCode.LOAD_REFUSED,
+                    engine.id(),
+                    "adapter",
+                    wish.adapter(),
+                    "rank",
+                    wish.rank(),
+                    "wait_ms",
+                    wish.waitMs(),
+                    "orders",
+                    accepted,
+                    "places",
+                    places.taken());
+        }
+        done.accept(ok);
+    }
+
     private void pump() {
         if (closed) {
             return;
         }
-        dropExpired();
+        waiting.expire();
         pollForPlaces();
         if (orderOut || reading || token.current() < 0) {
             return;
@@ -188,14 +160,16 @@
             readReport();
             return;
         }
-        settleOverdueLoads();
-        if (accepted < 0 || orderMissingModel()) {
+        if (places.hasOverdueLoad(LOAD_TIMEOUT_MS)) {
+            distrust();
+            readReport();
+            return;
+        }
+        if (orderMissingModel()) {
             return;
         }
-        List<Map.Entry<AdapterRef, Waiting>> byCallers = new ArrayList<>(waiting.entrySet());
-        byCallers.sort(Comparator.comparingInt(e -> -e.getValue().callbacks.size()));
-        for (Map.Entry<AdapterRef, Waiting> e : byCallers) {
-            if (!advance(e.getKey(), e.getValue())) {
+        for (AdapterRef ref : waiting.inOrder()) {
+            if (waiting.contains(ref) && !advance(ref, waiting.version(ref))) {
                 return;
             }
         }
@@ -213,27 +187,24 @@
     }
 
     /** Takes the next step towards an adapter; false when an order is out and others must wait. */
-    private boolean advance(AdapterRef ref, Waiting w) {
-        Loading l = loading.get(ref);
-        if (l != null) {
+    private boolean advance(AdapterRef ref, int version) {
+        if (places.loading(ref) != null) {
             return true;
         }
-        if (holds(ref, w.version)) {
-            waiting.remove(ref);
+        if (places.holds(ref, version)) {
             use.touch(engine.id(), ref);
-            complete(w, true);
+            waiting.finish(ref, true);
             return true;
         }
-        if (vacating.containsKey(ref)) {
+        if (places.isVacating(ref)) {
             return true;
         }
-        boolean outdated = adapters(ref.model()).containsKey(ref.adapter());
-        if (outdated && use.inUse(engine.id(), ref) || !held.containsKey(ref.model())) {
-            waiting.remove(ref);
-            complete(w, false);
+        boolean outdated = places.holdsAny(ref);
+        if (outdated && use.inUse(engine.id(), ref) || !places.hasModel(ref.model())) {
+            waiting.finish(ref, false);
             return true;
         }
-        if (loading.size() >= MAX_LOADING) {
+        if (places.loadingCount() >= MAX_LOADING) {
             return true;
         }
         if (outdated) {
@@ -241,13 +212,11 @@
             unload(ref);
             return false;
         }
-        BaseModel model = spec.model(ref.model()).orElse(null);
-        int limit = model == null ? 0 : spec.adapterLimit(model);
-        if (places() < limit) {
-            load(ref, w.version);
+        if (places.count() < placeLimit(ref)) {
+            load(ref, version);
             return false;
         }
-        AdapterRef victim = leastRecentlyUsed();
+        AdapterRef victim = places.leastRecentlyUsed(waiting::contains);
         if (victim == null) {
             return true;
         }
@@ -255,40 +224,40 @@
         return false;
     }
 
+    private int placeLimit(AdapterRef ref) {
+        return spec.model(ref.model()).map(spec::adapterLimit).orElse(0);
+    }
+
     private void load(AdapterRef ref, int version) {
         log.decided(EventCode.LOAD_STARTED, engine.id(), "adapter", ref, "version", version, "orders", accepted);
         order(EngineOrders.Action.LOAD, ref, version, answer -> {
             if (answer == EngineOrders.Answer.ACCEPTED) {
                 accepted++;
-                adapters(ref.model()).remove(ref.adapter());
-                long now = scheduler.nanoTime();
-                loading.put(ref, new Loading(version, now));
+                PlaceTable.Loading begun = places.startLoading(ref, version);
                 long expectedMs = times.started(engine.id(), ref);
-                scheduler.schedule(Duration.ofMillis(expectedMs), () -> loaded(ref, now));
+                scheduler.schedule(Duration.ofMillis(expectedMs), () -> loaded(ref, begun));
             } else if (answer == EngineOrders.Answer.HOLDS) {
                 resident(ref, version);
             }
         });
     }
 
-    private void loaded(AdapterRef ref, long since) {
-        Loading l = loading.get(ref);
-        if (closed || l == null || l.sinceNanos() != since) {
+    private void loaded(AdapterRef ref, PlaceTable.Loading begun) {
+        if (closed || places.loading(ref) != begun) {
             return;
         }
-        loading.remove(ref);
-        resident(ref, l.version());
+        places.stopLoading(ref);
+        resident(ref, begun.version());
         pump();
     }
 
     private void resident(AdapterRef ref, int version) {
-        adapters(ref.model()).put(ref.adapter(), version);
-        times.loaded(engine.id(), ref);
+        places.resident(ref, version);
         log.decided(EventCode.LOAD_FINISHED, engine.id(), "adapter", ref, "version", version);
-        Waiting w = waiting.remove(ref);
-        if (w != null) {
+        if (waiting.contains(ref)) {
             use.touch(engine.id(), ref);
-            complete(w, w.version == version || w.version == 0);
+            int wanted = waiting.version(ref);
+            waiting.finish(ref, wanted == version || wanted == 0);
         }
     }
 
@@ -297,17 +266,18 @@
         order(EngineOrders.Action.UNLOAD, ref, 0, answer -> {
             if (answer == EngineOrders.Answer.ACCEPTED) {
                 // It waits for runs; only an unload that is done at once frees its place now.
-                vacating.put(ref, scheduler.nanoTime() + VACATING_MS * 1_000_000);
-            }
-            if (answer == EngineOrders.Answer.ACCEPTED || answer == EngineOrders.Answer.HOLDS) {
                 accepted++;
-                adapters(ref.model()).remove(ref.adapter());
+                places.vacate(ref);
+                log.decided(EventCode.UNLOAD_WAITS, engine.id(), "adapter", ref, "orders", accepted);
+            } else if (answer == EngineOrders.Answer.HOLDS) {
+                accepted++;
+                places.drop(ref);
             }
         });
     }
 
     private boolean orderMissingModel() {
-        if (spec.models().isEmpty() || !held.isEmpty()) {
+        if (spec.models().isEmpty() || !places.isEmpty()) {
             return false;
         }
         BaseModel m = spec.models().get(0);
@@ -367,7 +337,7 @@
     private void distrust() {
         trusted = false;
         accepted = -1;
-        loading.clear();
+        places.forgetLoading();
     }
 
     private void readReport() {
@@ -386,84 +356,8 @@
         }
         accepted = r.orders();
         doubtful = null;
-        held.clear();
-        r.held().forEach((m, a) -> held.put(m, new HashMap<>(a)));
-        long now = scheduler.nanoTime();
-        r.pending().forEach(ref -> loading.put(ref, new Loading(-1, now)));
-        log.decided(EventCode.ENGINE_READ, engine.id(), "orders", accepted, "adapters", places());
+        places.reported(r);
+        log.decided(EventCode.ENGINE_READ, engine.id(), "orders", accepted, "adapters", places.count());
         pump();
     }
-
-    /** A load whose end was not seen keeps its place until the engine's report settles it. */
-    private void settleOverdueLoads() {
-        long now = scheduler.nanoTime();
-        for (Iterator<Loading> i = loading.values().iterator(); i.hasNext(); ) {
-            Loading l = i.next();
-            if (l.version() < 0 && now - l.sinceNanos() > LOAD_TIMEOUT_MS * 1_000_000) {
-                distrust();
-                readReport();
-                return;
-            }
-        }
-    }
-
-    private void dropExpired() {
-        long now = scheduler.nanoTime();
-        for (Map.Entry<AdapterRef, Waiting> e : List.copyOf(waiting.entrySet())) {
-            if (now >= e.getValue().untilNanos) {
-                waiting.remove(e.getKey());
-                complete(e.getValue(), false);
-            }
-        }
-    }
-
-    private AdapterRef leastRecentlyUsed() {
-        AdapterRef found = null;
-        long oldest = Long.MAX_VALUE;
-        long newestAllowed = scheduler.nanoTime() - EVICTION_AGE_MS * 1_000_000;
-        for (Map.Entry<String, Map<String, Integer>> m : held.entrySet()) {
-            for (String a : m.getValue().keySet()) {
-                AdapterRef ref = new AdapterRef(m.getKey(), a);
-                long used = Math.max(use.lastUsedNanos(engine.id(), ref), times.loadedNanos(engine.id(), ref));
-                boolean evictable = !vacating.containsKey(ref)
-                        && !use.inUse(engine.id(), ref)
-                        && !waiting.containsKey(ref)
-                        && used <= newestAllowed;
-                if (evictable && used < oldest) {
-                    oldest = used;
-                    found = ref;
-                }
-            }
-        }
-        return found;
-    }
-
-    private boolean holds(AdapterRef ref, int version) {
-        Integer v = adapters(ref.model()).get(ref.adapter());
-        return v != null && (version == 0 || version == v);
-    }
-
-    /** Places taken, those of adapters on their way included. */
-    private int places() {
-        Set<AdapterRef> all = new HashSet<>(loading.keySet());
-        vacating.values().removeIf(until -> until <= scheduler.nanoTime());
-        all.addAll(vacating.keySet());
-        held.forEach((m, a) -> a.keySet().forEach(n -> all.add(new AdapterRef(m, n))));
-        return all.size();
-    }
-
-    private Map<String, Integer> adapters(String model) {
-        Map<String, Integer> a = held.get(model);
-        return a == null ? Map.of() : a;
-    }
-
-    private static void complete(Waiting w, boolean ok) {
-        w.callbacks.forEach(c -> c.accept(ok));
-    }
-
-    private static Map<String, Map<String, Integer>> deepCopy(Map<String, Map<String, Integer>> from) {
-        Map<String, Map<String, Integer>> copy = new HashMap<>();
-        from.forEach((m, a) -> copy.put(m, Map.copyOf(a)));
-        return copy;
-    }
 }
--- a/core/src/main/java/org/quetzalvane/core/residency/LoadBroker.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/LoadBroker.java
@@ -3,7 +3,6 @@
 import java.util.function.Consumer;
 
 import org.quetzalvane.core.fleet.Endpoint;
-import org.quetzalvane.core.routes.AdapterRef;
 
 /** Port that brings an adapter onto an engine, through whichever node holds the engine's duty. */
 public interface LoadBroker {
@@ -19,11 +18,9 @@
     }
 
     /**
-     * Asks for an adapter; the answer comes once, on the event loop.
-     *
-     * @param waitMs longest wait for the answer, milliseconds
+     * Asks for an adapter; the answer comes once, on the event loop, within the wish's longest wait.
      */
-    void load(Endpoint engine, AdapterRef ref, int version, long waitMs, Consumer<Outcome> done);
+    void load(Endpoint engine, LoadWish wish, Consumer<Outcome> done);
 
     /** Whether some node that is up gives orders to the engine. */
     boolean hasHolder(Endpoint engine);
--- a/core/src/main/java/org/quetzalvane/core/serve/EngineSearch.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EngineSearch.java
@@ -8,6 +8,7 @@
 import org.quetzalvane.core.choice.EngineChoice;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.residency.LoadBroker;
+import org.quetzalvane.core.residency.LoadWish;
 import org.quetzalvane.core.routes.Route;
 
 /**
@@ -34,6 +35,9 @@
     /** Retry time while no node gives orders to the engines, ms: dealing a duty anew takes two to three seconds. */
     private static final long NO_HOLDER_RETRY_MS = 1_500;
 
+    /** Rank of a further copy of an adapter, below that of every route. */
+    private static final int COPY_RANK = Integer.MAX_VALUE;
+
     private final ServeState state;
     private final CallerRequest request;
     private final Route route;
@@ -53,6 +57,9 @@
         void searchAgain();
 
         boolean isDone();
+
+        /** Whether the request was sent before and may have run. */
+        boolean inProgress();
     }
 
     EngineSearch(ServeState state, CallerRequest request, Route route, Owner owner) {
@@ -94,14 +101,13 @@
             owner.giveUp(ResultCode.LOAD_FAILED, PLACES_RETRY_MS, "asks=" + loadAsks + " wait_ms=" + wait);
             return;
         }
-        state.broker()
-                .load(pick.engine(), request.adapter(), version, wait, o -> loadAnswered(pick, version, o, tried));
+        state.broker().load(pick.engine(), wish(version, wait), o -> loadAnswered(pick, version, o, tried));
     }
 
     /** Sends to an engine that holds the adapter; one unused for a while is confirmed first, lest it is evicted now. */
     private void sendToHolder(EngineChoice.Pick pick, int version, Set<String> tried) {
         if (pick.copyAt() != null) {
-            state.broker().load(pick.copyAt(), request.adapter(), version, route.objectiveMs(), o -> {});
+            state.broker().load(pick.copyAt(), copyWish(version), o -> {});
         }
         Endpoint e = pick.engine();
         long usedNanos = state.use().lastUsedNanos(e.id(), request.adapter());
@@ -112,7 +118,7 @@
             return;
         }
         long wait = Math.max(LEAST_LOAD_WAIT_MS, loadWaitMs());
-        state.broker().load(e, request.adapter(), version, wait, o -> {
+        state.broker().load(e, wish(version, wait), o -> {
             if (o == LoadBroker.Outcome.NO_HOLDER && !owner.isDone()) {
                 owner.send(e, version);
             } else {
@@ -121,6 +127,16 @@
         });
     }
 
+    private LoadWish wish(int version, long waitMs) {
+        int rank = owner.inProgress() ? LoadWish.IN_PROGRESS : route.priority();
+        return new LoadWish(request.adapter(), version, rank, route.objectiveMs() - seekingMs(), waitMs);
+    }
+
+    /** One more copy comes after all adapters that requests wait for. */
+    private LoadWish copyWish(int version) {
+        return new LoadWish(request.adapter(), version, COPY_RANK, 0, route.objectiveMs());
+    }
+
     private long loadWaitMs() {
         return Math.round(route.objectiveMs() * LOAD_WAIT_PART) - seekingMs();
     }
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -1,6 +1,8 @@
 package org.quetzalvane.core.serve;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -116,6 +118,11 @@
         return done;
     }
 
+    @Override
+    public boolean inProgress() {
+        return ranSends > 0;
+    }
+
     @Override
     public void searchAgain() {
         List<Endpoint> usable = state.endpoints().usable(service.name());
@@ -209,7 +216,7 @@
                 "held_ms",
                 (a.sentNanos() - arrivedNanos) / 1_000_000,
                 "first_ms",
-                (a.firstByteNanos() - arrivedNanos) / 1_000_000,
+                a.firstByteNanos() == 0 ? -1 : (a.firstByteNanos() - arrivedNanos) / 1_000_000,
                 "gap_ms",
                 a.longestGapMs());
         finish();
@@ -315,12 +322,11 @@
     }
 
     private void log(EventCode code, Object... fields) {
-        Object[] all = new Object[fields.length + 4];
-        System.arraycopy(fields, 0, all, 0, fields.length);
-        all[fields.length] = "route";
-        all[fields.length + 1] = route == null ? request.path() : route.name();
-        all[fields.length + 2] = "ms";
-        all[fields.length + 3] = elapsedMs();
-        state.log().decided(code, request.id(), all);
+        List<Object> all = new ArrayList<>(Arrays.asList(fields));
+        all.addAll(List.of("route", route == null ? request.path() : route.name(), "ms", elapsedMs()));
+        if (request.adapter() != null) {
+            all.addAll(List.of("adapter", request.adapter()));
+        }
+        state.log().decided(code, request.id(), all.toArray());
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
@@ -5,6 +5,7 @@
 
 import org.quetzalvane.core.choice.LoadTable;
 import org.quetzalvane.core.residency.EngineHolding;
+import org.quetzalvane.core.residency.LoadWish;
 import org.quetzalvane.core.routes.AdapterRef;
 import org.quetzalvane.core.store.StoreRecord;
 
@@ -51,12 +52,9 @@
      * @param from address of the sender for peers, IP:PORT
      * @param number ties the answer to its question
      * @param engine engine's id or the engine itself
-     * @param adapter adapter asked for
-     * @param version adapter version
-     * @param waitMs longest wait for the answer, milliseconds
+     * @param wish what is wanted and how urgently
      */
-    record LoadAsk(String from, long number, String engine, AdapterRef adapter, int version, long waitMs)
-            implements PeerMessage {}
+    record LoadAsk(String from, long number, String engine, LoadWish wish) implements PeerMessage {}
 
     /**
      * Answers {@link LoadAsk} of the same number.
--- a/core/src/test/java/org/quetzalvane/core/residency/EngineDutyTest.java
+++ b/core/src/test/java/org/quetzalvane/core/residency/EngineDutyTest.java
@@ -45,7 +45,7 @@
     }
 
     private void ask(int n) {
-        duty.request(adapter(n), 0, 2_000, ok -> answers.add("a" + n + "=" + ok));
+        duty.request(new LoadWish(adapter(n), 0, 1, 1_000, 2_000), ok -> answers.add("a" + n + "=" + ok));
     }
 
     private void pass(long ms) {
@@ -85,7 +85,7 @@
         pass(1_000);
         assertThat(engine.log).isEmpty();
         use.ended("e1", adapter(2));
-        pass(EngineDuty.EVICTION_AGE_MS + 400);
+        pass(PlaceTable.EVICTION_AGE_MS + 400);
         assertThat(engine.log).containsExactly("UNLOAD a2 expect 0 token 5", "LOAD a9 expect 1 token 5");
     }
 
@@ -161,7 +161,7 @@
         use.started("e1", adapter(2));
         use.started("e1", adapter(3));
         ask(9);
-        pass(EngineDuty.VACATING_MS - 500);
+        pass(PlaceTable.VACATING_MS - 500);
         assertThat(engine.log).containsExactly("UNLOAD a1 expect 0 token 5");
         engine.held.remove("a1");
         pass(1_000);
@@ -190,7 +190,7 @@
     @Test
     void newVersionNeverTakesAPlaceTooMany() {
         engine.held.putAll(Map.of("a1", 1, "a2", 1, "a3", 1));
-        duty.request(adapter(2), 2, 2_000, ok -> answers.add("a2@2=" + ok));
+        duty.request(new LoadWish(adapter(2), 2, 1, 1_000, 2_000), ok -> answers.add("a2@2=" + ok));
         pass(600);
         assertThat(engine.log).containsExactly("UNLOAD a2 expect 0 token 5", "LOAD a2 expect 1 token 5");
         assertThat(engine.most).isLessThanOrEqualTo(SPEC.adapterSlots());
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
@@ -25,6 +25,7 @@
 import org.quetzalvane.core.fleet.EndpointTable;
 import org.quetzalvane.core.residency.AdapterUse;
 import org.quetzalvane.core.residency.LoadBroker;
+import org.quetzalvane.core.residency.LoadWish;
 import org.quetzalvane.core.residency.ResidencyView;
 import org.quetzalvane.core.routes.AdapterRef;
 import org.quetzalvane.core.routes.ConfigBelief;
@@ -318,9 +319,9 @@
         }
 
         @Override
-        public void load(Endpoint engine, AdapterRef ref, int version, long waitMs, Consumer<Outcome> done) {
+        public void load(Endpoint engine, LoadWish wish, Consumer<Outcome> done) {
             engines.add(engine.id());
-            if (ref.equals(HELD)) {
+            if (wish.adapter().equals(HELD)) {
                 done.accept(Outcome.HELD);
             } else {
                 open.put(engines.size(), done);
--- a/entry/src/main/java/org/quetzalvane/entry/Team.java
+++ b/entry/src/main/java/org/quetzalvane/entry/Team.java
@@ -20,6 +20,7 @@
 import org.quetzalvane.core.residency.EngineDuty;
 import org.quetzalvane.core.residency.LoadBroker;
 import org.quetzalvane.core.residency.LoadTimes;
+import org.quetzalvane.core.residency.LoadWish;
 import org.quetzalvane.core.residency.ResidencyView;
 import org.quetzalvane.core.routes.AdapterRef;
 import org.quetzalvane.core.store.StoreRecord;
@@ -112,10 +113,10 @@
     }
 
     @Override
-    public void load(Endpoint engine, AdapterRef ref, int version, long waitMs, Consumer<Outcome> done) {
+    public void load(Endpoint engine, LoadWish wish, Consumer<Outcome> done) {
         EngineDuty own = book.find(engine.id());
         if (own != null) {
-            own.request(ref, version, waitMs, ok -> {
+            own.request(wish, ok -> {
                 if (ok) {
                     residency.tell(engine.id(), own.holding());
                 }
@@ -125,15 +126,22 @@
         }
         String holder = peers.holderOf(lease.partitionOf(engine.id()));
         long n = ++number;
-        boolean sent = holder != null
-                && send(holder, new PeerMessage.LoadAsk(self.address(), n, engine.id(), ref, version, waitMs));
+        boolean sent = holder != null && send(holder, new PeerMessage.LoadAsk(self.address(), n, engine.id(), wish));
         if (!sent) {
-            log.decided(EventCode.LOAD_FAILED, engine.id(), "adapter", ref, "holder", holder, "cause", "no holder");
+            log.decided(
+                    EventCode.LOAD_FAILED,
+                    engine.id(),
+                    "adapter",
+                    wish.adapter(),
+                    "holder",
+                    holder,
+                    "cause",
+                    "no holder");
             scheduler.schedule(Duration.ZERO, () -> done.accept(Outcome.NO_HOLDER));
             return;
         }
         asked.put(n, done);
-        scheduler.schedule(Duration.ofMillis(waitMs + WAY_MS), () -> replied(n, Outcome.NO_HOLDER));
+        scheduler.schedule(Duration.ofMillis(wish.waitMs() + WAY_MS), () -> replied(n, Outcome.NO_HOLDER));
     }
 
     @Override
@@ -211,7 +219,7 @@
         if (duty == null) {
             reply.accept(false);
         } else {
-            duty.request(a.adapter(), a.version(), a.waitMs(), reply);
+            duty.request(a.wish(), reply);
         }
     }
 
--- a/entry/src/main/java/org/quetzalvane/entry/Training.java
+++ b/entry/src/main/java/org/quetzalvane/entry/Training.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.quetzalvane.core.choice.LoadTable;
 import org.quetzalvane.core.residency.EngineHolding;
+import org.quetzalvane.core.residency.LoadWish;
 import org.quetzalvane.core.routes.AdapterRef;
 import org.quetzalvane.core.store.StoreRecord;
 import org.quetzalvane.core.team.PeerMessage;
@@ -85,7 +86,7 @@
                         Map.of("e", holding),
                         List.of("q"),
                         0),
-                new PeerMessage.LoadAsk("p", 1, "e", ref, 1, 100),
+                new PeerMessage.LoadAsk("p", 1, "e", new LoadWish(ref, 1, 0, 100, 100)),
                 new PeerMessage.LoadReply("p", 1, true),
                 new PeerMessage.RecordsAsk("p"),
                 new PeerMessage.Records("p", "t", List.of(new StoreRecord("k", new byte[1], 1))));
--- a/standins/src/main/java/org/quetzalvane/standins/harness/CallerClient.java
+++ b/standins/src/main/java/org/quetzalvane/standins/harness/CallerClient.java
@@ -35,6 +35,11 @@
         public boolean isWhole() {
             return code == ResultCode.OK.number();
         }
+
+        /** Milliseconds after which a refused request may come back; 0 when it was told no time. */
+        public long comeBackMillis() {
+            return body.path("retryAfterMillis").asLong();
+        }
     }
 
     CallerClient(HttpCalls calls, String token, List<String> addresses) {
@@ -66,6 +71,17 @@
                 : where;
     }
 
+    /** Asks for a streamed completion and comes back as told while it is refused with a time to come back at. */
+    public Result completeComingBack(String adapter, int version, String prompt, int tokens, Duration limit) {
+        long end = System.nanoTime() + limit.toNanos();
+        Result last = complete(adapter, version, prompt, tokens);
+        while (last.comeBackMillis() > 0 && System.nanoTime() - end < 0) {
+            Await.pause(Duration.ofMillis(last.comeBackMillis()));
+            last = complete(adapter, version, prompt, tokens);
+        }
+        return last;
+    }
+
     /** Asks a node for a streamed completion. */
     public Result completeAt(String address, String adapter, int version, String prompt, int tokens) {
         ObjectNode body = Json.object()
--- a/standins/src/main/java/org/quetzalvane/standins/harness/Demo.java
+++ b/standins/src/main/java/org/quetzalvane/standins/harness/Demo.java
@@ -88,7 +88,10 @@
         Map<String, CompletableFuture<CallerClient.Result>> running = new LinkedHashMap<>();
         for (int i = 1; i <= ADAPTERS; i++) {
             String adapter = "a" + i;
-            running.put(adapter, CompletableFuture.supplyAsync(() -> caller.complete(adapter, 1, "hello", TOKENS)));
+            running.put(
+                    adapter,
+                    CompletableFuture.supplyAsync(
+                            () -> caller.completeComingBack(adapter, 1, "hello", TOKENS, FAILOVER_LIMIT)));
         }
         running.forEach((adapter, answer) -> checkWhole(adapter, when, answer.join()));
     }
