Time loads by the store's published speed, two at a time for each engine, and keep loads under way through a doubt

Cause: a load counted as done only after its time grew with one load for each engine, while the store serves eight at full speed, so with six engines requests were held up to 0.4 s after their adapter was there. With four loads for each engine 24 shared the store, each three times slower, urgent ones too, and 4 of 17 places held nothing that serves.

--- a/core/src/main/java/org/quetzalvane/core/residency/EngineDuty.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/EngineDuty.java
@@ -21,8 +21,11 @@
  * wait for one load. Confined to the event loop.
  */
 public final class EngineDuty {
-    /** Adapters on their way to one engine at once; the platform allows no more. */
-    static final int MAX_LOADING = 4;
+    /**
+     * Adapters on their way to one engine at once; the platform allows four, but more than the store serves at full
+     * speed only hold places and let less urgent loads slow urgent ones.
+     */
+    static final int MAX_LOADING = 2;
     /** Longest wait for a load before its outcome is read from the engine, ms: four times the published 250 ms. */
     static final long LOAD_TIMEOUT_MS = 1_000;
     /** Pause before the engine's report is read, ms: reports are some hundred ms old. */
@@ -50,7 +53,7 @@
     private boolean reading;
     private boolean closed;
     private boolean polling;
-    private AdapterRef doubtful;
+    private Doubt doubt;
     private boolean trusted;
 
     /** Whether and under which fencing token orders may be given now; a token below zero forbids them. */
@@ -62,6 +65,9 @@
         default void refused(long token) {}
     }
 
+    /** An order without an answer, or refused on grounds that the holder did not know of. */
+    private record Doubt(EngineOrders.Action action, AdapterRef ref, int version, long sentNanos) {}
+
     /**
      * What all duties of a node share. Immutable.
      *
@@ -118,7 +124,7 @@
             return;
         }
         AdapterRef ref = wish.adapter();
-        if (!ref.equals(doubtful) && places.loading(ref) == null && places.holds(ref, wish.version())) {
+        if (!inDoubt(ref) && places.loading(ref) == null && places.holds(ref, wish.version())) {
             use.touch(engine.id(), ref);
             done.accept(true);
             return;
@@ -128,6 +134,10 @@
         pump();
     }
 
+    private boolean inDoubt(AdapterRef ref) {
+        return doubt != null && doubt.ref().equals(ref);
+    }
+
     private void answer(LoadWish wish, boolean ok, Consumer<Boolean> done) {
         if (!ok) {
             log.decided(
@@ -233,15 +243,19 @@
         order(EngineOrders.Action.LOAD, ref, version, answer -> {
             if (answer == EngineOrders.Answer.ACCEPTED) {
                 accepted++;
-                PlaceTable.Loading begun = places.startLoading(ref, version);
-                long expectedMs = times.started(engine.id(), ref);
-                scheduler.schedule(Duration.ofMillis(expectedMs), () -> loaded(ref, begun));
+                begun(ref, version);
             } else if (answer == EngineOrders.Answer.HOLDS) {
                 resident(ref, version);
             }
         });
     }
 
+    private void begun(AdapterRef ref, int version) {
+        PlaceTable.Loading l = places.startLoading(ref, version);
+        long expectedMs = times.started(engine.id(), ref);
+        scheduler.schedule(Duration.ofMillis(expectedMs), () -> loaded(ref, l));
+    }
+
     private void loaded(AdapterRef ref, PlaceTable.Loading begun) {
         if (closed || places.loading(ref) != begun) {
             return;
@@ -304,12 +318,14 @@
         orderOut = true;
         trusted = true;
         long t = token.current();
+        long sentNanos = scheduler.nanoTime();
         orders.order(engine, new EngineOrders.Order(action, ref, version, accepted, t), answer -> {
             orderOut = false;
             if (closed) {
                 return;
             }
-            doubtful = answer == EngineOrders.Answer.ACCEPTED || answer == EngineOrders.Answer.HOLDS ? null : ref;
+            boolean sure = answer == EngineOrders.Answer.ACCEPTED || answer == EngineOrders.Answer.HOLDS;
+            doubt = sure ? null : new Doubt(action, ref, version, sentNanos);
             settle(action, ref, answer, t);
             if (trusted) {
                 then.accept(answer);
@@ -337,12 +353,14 @@
     private void distrust() {
         trusted = false;
         accepted = -1;
-        places.forgetLoading();
     }
 
+    /** A report shows an order in doubt only some time after the order was sent. */
     private void readReport() {
         reading = true;
-        scheduler.schedule(Duration.ofMillis(REPORT_PAUSE_MS), () -> orders.report(engine, this::reported));
+        long sinceOrderMs = doubt == null ? 0 : (scheduler.nanoTime() - doubt.sentNanos()) / 1_000_000;
+        long pauseMs = Math.max(0, REPORT_PAUSE_MS - sinceOrderMs);
+        scheduler.schedule(Duration.ofMillis(pauseMs), () -> orders.report(engine, this::reported));
     }
 
     private void reported(EngineOrders.Report r) {
@@ -355,7 +373,12 @@
             return;
         }
         accepted = r.orders();
-        doubtful = null;
+        if (doubt != null
+                && doubt.action() == EngineOrders.Action.LOAD
+                && r.pending().contains(doubt.ref())) {
+            begun(doubt.ref(), doubt.version());
+        }
+        doubt = null;
         places.reported(r);
         log.decided(EventCode.ENGINE_READ, engine.id(), "orders", accepted, "adapters", places.count());
         pump();
--- a/core/src/main/java/org/quetzalvane/core/residency/LoadTimes.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/LoadTimes.java
@@ -12,9 +12,9 @@
 /**
  * How long loads are expected to take, and when adapters were loaded.
  *
- * <p>Answers the pattern of many rare adapters at once: the store serves about one load for each engine at full
- * speed, and more of them take longer in proportion, so a load counts as done only after that time. Confined to the
- * event loop.
+ * <p>Answers the pattern of many rare adapters at once: the store serves one load for each engine at full speed, at
+ * least eight, and more of them take longer in proportion, so a load counts as done only after that time. Confined to
+ * the event loop.
  */
 public final class LoadTimes {
     /** An adapter's way from the store at full speed, ms: the published 250 ms and the way of the order. */
@@ -22,6 +22,9 @@
     /** An adapter that the engine held before, ms: a tenth of the above and the way of the order. */
     private static final long FROM_MEMORY_MS = 35;
 
+    /** Loads that the store serves at full speed even for few engines, as published for the users' deployments. */
+    private static final int LEAST_AT_FULL_SPEED = 8;
+
     private final Scheduler scheduler;
     private final IntSupplier loadsOfPeers;
     private final IntSupplier engines;
@@ -45,7 +48,8 @@
         if (loadedNanos(engine, ref) != Long.MIN_VALUE) {
             return FROM_MEMORY_MS;
         }
-        double share = (double) (1 + onTheWay() + loadsOfPeers.getAsInt()) / Math.max(1, engines.getAsInt());
+        int fullSpeed = Math.max(LEAST_AT_FULL_SPEED, engines.getAsInt());
+        double share = (double) (1 + onTheWay() + loadsOfPeers.getAsInt()) / fullSpeed;
         long ms = Math.round(FROM_STORE_MS * Math.max(1, share));
         expectedEnds.add(scheduler.nanoTime() + ms * 1_000_000);
         return ms;
--- a/core/src/main/java/org/quetzalvane/core/residency/PlaceTable.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/PlaceTable.java
@@ -65,17 +65,24 @@
         this.engine = engine;
     }
 
-    /** Takes the engine's own word in place of what was known. */
+    /**
+     * Takes the engine's own word in place of what was known. It is some hundred milliseconds old: loads that were
+     * accepted or ended since keep what is known of them.
+     */
     void reported(EngineOrders.Report r) {
+        Map<String, Map<String, Integer>> before = held();
         held.clear();
         r.held().forEach((m, a) -> held.put(m, new HashMap<>(a)));
+        loading.values().removeIf(l -> l.version() < 0);
         long now = scheduler.nanoTime();
-        r.pending().forEach(ref -> loading.put(ref, new Loading(-1, now)));
-    }
-
-    /** Drops what is known of adapters on their way. */
-    void forgetLoading() {
-        loading.clear();
+        for (AdapterRef ref : r.pending()) {
+            Integer ended = before.getOrDefault(ref.model(), Map.of()).get(ref.adapter());
+            if (ended != null && held.containsKey(ref.model())) {
+                adapters(ref.model()).put(ref.adapter(), ended);
+            } else {
+                loading.putIfAbsent(ref, new Loading(-1, now));
+            }
+        }
     }
 
     boolean isEmpty() {
--- a/core/src/main/java/org/quetzalvane/core/routes/Route.java
+++ b/core/src/main/java/org/quetzalvane/core/routes/Route.java
@@ -32,6 +32,12 @@
         boolean resumable,
         long maxGapMs) {
 
+    /** Least silence after which callers of streams leave, ms; published with the other two factors. */
+    private static final long LEAST_PATIENCE_MS = 2_000;
+
+    private static final int PATIENCE_OBJECTIVES = 4;
+    private static final int PATIENCE_GAPS = 8;
+
     public Route {
         splits = List.copyOf(splits);
     }
@@ -52,6 +58,12 @@
         return splits.get(splits.size() - 1).service();
     }
 
+    /** Silence before or within a stream after which its caller leaves, ms. */
+    public long patienceMs() {
+        long byRoute = Math.max(PATIENCE_OBJECTIVES * objectiveMs, PATIENCE_GAPS * maxGapMs);
+        return Math.max(LEAST_PATIENCE_MS, byRoute);
+    }
+
     /** Whether a request may be sent again after an attempt that may have run. */
     public boolean repeatable() {
         return kind == RouteKind.IDEMPOTENT || kind == RouteKind.STREAMING && resumable;
--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -110,6 +110,11 @@
         return firstByteNanos;
     }
 
+    /** When the last part arrived, or the request was sent. */
+    long progressNanos() {
+        return progressNanos;
+    }
+
     long longestGapMs() {
         return longestGapMs;
     }
--- a/core/src/main/java/org/quetzalvane/core/serve/EngineSearch.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EngineSearch.java
@@ -22,6 +22,10 @@
     private static final int MAX_LOAD_ASKS = 3;
     /** Longest time in which a request waits for loads, as a part of the objective; callers leave after four. */
     private static final double LOAD_WAIT_PART = 1.6;
+    /** The same for an answer that has begun, as a part of its caller's patience; the rest is for the first event. */
+    private static final double IN_PROGRESS_PART = 0.85;
+    /** Pause before an engine without a place is asked again for an answer that has begun, ms. */
+    private static final long IN_PROGRESS_PAUSE_MS = 100;
     /** Least time for a load to be worth asking for, ms: an adapter's way from the store. */
     private static final long LEAST_LOAD_WAIT_MS = 265;
     /** Retry time when the engines' places are taken, ms: the runs of 2 to 3 s that hold them are over by then. */
@@ -70,10 +74,14 @@
         this.sinceNanos = state.scheduler().nanoTime();
     }
 
-    /** Gives the search its whole time again, after a send that may have run. */
-    void restart() {
+    /**
+     * Begins anew after a send that may have run.
+     *
+     * @param progressNanos when the caller last got a part of the answer, or asked
+     */
+    void restart(long progressNanos) {
         loadAsks = 0;
-        sinceNanos = state.scheduler().nanoTime();
+        sinceNanos = progressNanos;
     }
 
     /** Takes the next step among the usable engines that were not tried yet. */
@@ -128,8 +136,13 @@
     }
 
     private LoadWish wish(int version, long waitMs) {
-        int rank = owner.inProgress() ? LoadWish.IN_PROGRESS : route.priority();
-        return new LoadWish(request.adapter(), version, rank, route.objectiveMs() - seekingMs(), waitMs);
+        return owner.inProgress()
+                ? new LoadWish(request.adapter(), version, LoadWish.IN_PROGRESS, waitMs, waitMs)
+                : new LoadWish(request.adapter(), version, route.priority(), onTimeMs(), waitMs);
+    }
+
+    private long onTimeMs() {
+        return route.objectiveMs() - seekingMs();
     }
 
     /** One more copy comes after all adapters that requests wait for. */
@@ -138,7 +151,9 @@
     }
 
     private long loadWaitMs() {
-        return Math.round(route.objectiveMs() * LOAD_WAIT_PART) - seekingMs();
+        double limit =
+                owner.inProgress() ? route.patienceMs() * IN_PROGRESS_PART : route.objectiveMs() * LOAD_WAIT_PART;
+        return Math.round(limit) - seekingMs();
     }
 
     /** Every engine that might load the adapter lacks a node that gives it orders: waits a little for one. */
@@ -147,11 +162,7 @@
             owner.giveUp(ResultCode.LOAD_FAILED, NO_HOLDER_RETRY_MS, "no holder");
             return;
         }
-        state.scheduler().schedule(Duration.ofMillis(NO_HOLDER_PAUSE_MS), () -> {
-            if (!owner.isDone()) {
-                owner.searchAgain();
-            }
-        });
+        searchAfter(NO_HOLDER_PAUSE_MS);
     }
 
     private boolean admit(EngineChoice.Pick pick) {
@@ -176,12 +187,23 @@
         } else if (outcome == LoadBroker.Outcome.NO_HOLDER) {
             loadAsks--;
             awaitHolder();
+        } else if (owner.inProgress()) {
+            loadAsks--;
+            searchAfter(IN_PROGRESS_PAUSE_MS);
         } else {
             tried.add(pick.engine().id());
             owner.searchAgain();
         }
     }
 
+    private void searchAfter(long ms) {
+        state.scheduler().schedule(Duration.ofMillis(ms), () -> {
+            if (!owner.isDone()) {
+                owner.searchAgain();
+            }
+        });
+    }
+
     /** Time since the search began, ms. */
     private long seekingMs() {
         return (state.scheduler().nanoTime() - sinceNanos) / 1_000_000;
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -188,7 +188,7 @@
         Endpoint e = ended(a);
         Suspensions.note(state, e, state.outliers().failed(e.id()), cause);
         ranSends++;
-        search.restart();
+        search.restart(relay == null ? arrivedNanos : a.progressNanos());
         if (repeat) {
             log(
                     relay == null ? EventCode.REQUEST_RETRIED : EventCode.REQUEST_RESUMED,
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
@@ -268,6 +268,26 @@
         assertThat(answer.aborted).isFalse();
     }
 
+    /** Load pattern of a crash under full places: streams that break find no place at first. */
+    @ParameterizedTest
+    @CsvSource({"5, true", "40, false"})
+    void brokenStreamIsHeldForAPlaceAsLongAsItsCallerWaits(int refusals, boolean goesOn) {
+        endpoints.apply(new Endpoint(
+                "engine-2", "engines", "127.0.0.1", 1, "a", Endpoint.State.READY, 4, 2, Map.of("m", Map.of()), 0));
+        start(RouteKind.STREAMING, RARE);
+        broker.answer(LoadBroker.Outcome.HELD);
+        calls.last().head(head(200, false));
+        calls.last().body("id: 1\ndata: a\n\n".getBytes());
+        calls.last().failed(false, "reset");
+        for (int i = 0; i < refusals && !answer.aborted; i++) {
+            broker.answer(LoadBroker.Outcome.REFUSED);
+            pass(100);
+        }
+        broker.answer(LoadBroker.Outcome.HELD);
+        assertThat(calls.sent).hasSize(goesOn ? 2 : 1);
+        assertThat(answer.aborted).isNotEqualTo(goesOn);
+    }
+
     @Test
     void engineWithoutADutyHolderIsWaitedForOnlyShortly() {
         start(RouteKind.STREAMING, RARE);
