--- a/core/src/main/java/org/quetzalvane/core/choice/Outliers.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/Outliers.java
@@ -8,7 +8,7 @@
 import org.quetzalvane.core.time.Scheduler;
 
 /**
- * Suspends endpoints that cannot be reached or fail far more often than their peers.
+ * Suspends endpoints that cannot be reached, fail far more often than their peers or are far slower.
  *
  * <p>Answers the pattern of one grey or dark endpoint among sound ones. A failure that every endpoint shows alike
  * suspends none, and {@link #sound} never leaves an empty choice. Confined to the event loop.
@@ -31,6 +31,7 @@
 
     private final Scheduler scheduler;
     private final Map<String, Health> byEndpoint = new HashMap<>();
+    private final Paces paces = new Paces();
 
     public Outliers(Scheduler scheduler) {
         this.scheduler = scheduler;
@@ -64,9 +65,15 @@
         return h.inRow >= UNREACHABLE_IN_ROW && suspend(h);
     }
 
+    /** Counts a pause between two events of a stream; tells whether the endpoint is suspended from now. */
+    public boolean paused(String endpoint, double ms) {
+        return paces.slow(endpoint, ms) && suspend(health(endpoint));
+    }
+
     /** Forgets what was seen of an earlier life of the endpoint. */
     public void reset(String endpoint) {
         byEndpoint.remove(endpoint);
+        paces.reset(endpoint);
     }
 
     /** The given endpoint ids without suspended ones, or all of them when every one is suspended. */
--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -177,9 +177,15 @@
         if (!open) {
             return;
         }
+        boolean first = !prefilled;
         firstByte();
-        longestGapMs = Math.max(longestGapMs, (state.scheduler().nanoTime() - progressNanos) / 1_000_000);
-        progressNanos = state.scheduler().nanoTime();
+        long now = state.scheduler().nanoTime();
+        long gapMs = (now - progressNanos) / 1_000_000;
+        longestGapMs = Math.max(longestGapMs, gapMs);
+        progressNanos = now;
+        if (engine && !first) {
+            Suspensions.note(state, endpoint, state.outliers().paused(endpoint.id(), gapMs), "slow, pause_ms=" + gapMs);
+        }
         if (buffer == null) {
             relayPart(part);
             return;
--- a/core/src/test/java/org/quetzalvane/core/choice/OutliersTest.java
+++ b/core/src/test/java/org/quetzalvane/core/choice/OutliersTest.java
@@ -46,6 +46,36 @@
         assertThat(sound("e1", "e2")).containsExactly("e1", "e2");
     }
 
+    /** Pauses between events of the first engine and of its peers, in ms. */
+    @ParameterizedTest
+    @CsvSource({"70, 70, false", "190, 60, false", "500, 70, true", "500, 300, false", "90, 20, false"})
+    void engineFarSlowerThanItsPeersIsSuspendedThoughItSends(int firstMs, int usualMs, boolean suspended) {
+        boolean seen = false;
+        for (int i = 0; i < 20; i++) {
+            for (String id : List.of("e2", "e3", "e4")) {
+                assertThat(outliers.paused(id, usualMs)).isFalse();
+            }
+            seen |= outliers.paused("e1", firstMs);
+        }
+        assertThat(seen).isEqualTo(suspended);
+        assertThat(sound("e1", "e2")).hasSize(suspended ? 1 : 2);
+    }
+
+    @Test
+    void engineThatHasHealedIsNotSuspendedAgain() {
+        for (int i = 0; i < 20; i++) {
+            outliers.paused("e2", 70);
+            outliers.paused("e1", 500);
+        }
+        clock.advance(Duration.ofMillis(1_001));
+        for (int i = 0; i < 40; i++) {
+            outliers.paused("e1", 70);
+        }
+        clock.advance(Duration.ofMillis(4_001));
+        assertThat(outliers.paused("e1", 70)).isFalse();
+        assertThat(sound("e1", "e2")).hasSize(2);
+    }
+
     @Test
     void newLifeStartsWithoutTheOldOnesFailures() {
         outliers.unreachable("e1");
