--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -80,7 +80,7 @@
         this.engine = engine;
         this.sentNanos = state.scheduler().nanoTime();
         this.progressNanos = sentNanos;
-        state.loads().started(endpoint.id(), request.promptTokens());
+        state.loads().started(endpoint.id(), request.tokens().prompt());
         pendingTokens = state.loads().total(endpoint.id()).pendingTokens();
         if (request.adapter() != null) {
             state.use().started(endpoint.id(), request.adapter());
@@ -274,7 +274,7 @@
         prefilled = true;
         progressNanos = state.scheduler().nanoTime();
         firstByteNanos = progressNanos;
-        state.loads().prefilled(endpoint.id(), request.promptTokens());
+        state.loads().prefilled(endpoint.id(), request.tokens().prompt());
         state.prefill().measured(pendingTokens, (state.scheduler().nanoTime() - sentNanos) / 1e6);
     }
 
@@ -293,7 +293,7 @@
         if (silence != null) {
             silence.cancel();
         }
-        state.loads().ended(endpoint.id(), prefilled ? 0 : request.promptTokens());
+        state.loads().ended(endpoint.id(), prefilled ? 0 : request.tokens().prompt());
         if (request.adapter() != null) {
             state.use().ended(endpoint.id(), request.adapter());
         }
--- a/core/src/main/java/org/quetzalvane/core/serve/CallerRequest.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/CallerRequest.java
@@ -16,7 +16,7 @@
  * @param body body, whole
  * @param deadlineMs time that the caller will wait, in milliseconds, or -1 when it does not say
  * @param adapter adapter asked for, with an empty adapter name for the base model; null for a plain service
- * @param promptTokens tokens of the prompt, 0 when not told
+ * @param tokens size of the generation asked for
  * @param lastEventId event after which the caller wants the stream to go on, or null
  */
 public record CallerRequest(
@@ -29,7 +29,7 @@
         byte[] body,
         long deadlineMs,
         AdapterRef adapter,
-        long promptTokens,
+        TokenCounts tokens,
         String lastEventId) {
 
     public CallerRequest {
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -325,7 +325,8 @@
         List<Object> all = new ArrayList<>(Arrays.asList(fields));
         all.addAll(List.of("route", route == null ? request.path() : route.name(), "ms", elapsedMs()));
         if (request.adapter() != null) {
-            all.addAll(List.of("adapter", request.adapter()));
+            TokenCounts t = request.tokens();
+            all.addAll(List.of("adapter", request.adapter(), "prompt", t.prompt(), "output", t.expectedOutput()));
         }
         state.log().decided(code, request.id(), all.toArray());
     }
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
@@ -125,7 +125,7 @@
                 new byte[0],
                 5_000,
                 adapter,
-                100,
+                new TokenCounts(100, 0, 0),
                 null);
         RequestFlow flow = new RequestFlow(state, r, answer);
         flow.start();
