--- a/entry/src/test/java/org/quetzalvane/entry/EntryNodeTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EntryNodeTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalvane.platform.BootSettings;
 import org.quetzalvane.platform.standin.Caller;
@@ -199,6 +200,77 @@
         }
     }
 
+    /** What befalls the store around a change of the configuration. */
+    private enum StoreTrouble {
+        HISTORY_EXPIRES,
+        ANSWERS_ARE_LOST,
+        IS_DOWN
+    }
+
+    @ParameterizedTest
+    @EnumSource(StoreTrouble.class)
+    void configurationWrittenAroundATroubleOfTheStoreComesIntoForce(StoreTrouble trouble) throws Exception {
+        endpoint("plain-1", "plain", (self, x) -> self.answerWhole(x, "ok"));
+        start();
+        store.losesAnswers(trouble == StoreTrouble.ANSWERS_ARE_LOST);
+        store.down(trouble != StoreTrouble.ANSWERS_ARE_LOST);
+        store.writeConfig(SampleConfig.withRoute(2, "/late/"));
+        if (trouble == StoreTrouble.HISTORY_EXPIRES) {
+            store.expire();
+        }
+        assertThat(Caller.ask(settings.callers(), "GET", "/again/x", "id-1", null))
+                .startsWith("HTTP/1.1 200");
+        store.losesAnswers(false);
+        store.down(false);
+        String answer = "";
+        for (int i = 0; !answer.startsWith("HTTP/1.1 200"); i++) {
+            answer = Caller.ask(settings.callers(), "GET", "/late/x", "late-" + i, null);
+        }
+    }
+
+    @Test
+    void requestMeantForAnInstanceThatIsGoneRunsOnlyWhereItShould() throws Exception {
+        EndpointStandIn heir = endpoint("plain-2", "plain", (self, x) -> self.answerWhole(x, "ok"));
+        store.writeEndpoint("plain-1", heir.entry());
+        start();
+        for (int i = 0; i < 20; i++) {
+            assertThat(Caller.ask(settings.callers(), "POST", "/once/x", "id-" + i, null))
+                    .startsWith("HTTP/1.1 200");
+        }
+        assertThat(heir.misdirected()).isPositive();
+        assertThat(heir.ran()).hasSize(20).doesNotHaveDuplicates();
+    }
+
+    @Test
+    void ordersAfterDutiesWereDealtAnewBearTheNewGeneration() throws Exception {
+        EndpointStandIn e = endpoint("engine-1", "engines", (self, x) -> self.answerEvents(x, 1, 2, true));
+        start();
+        askUntilServed("m/a7");
+        store.dealAnew(5);
+        while (e.tokens().get(e.tokens().size() - 1) < 5) {
+            askUntilServed("m/a" + (8 + e.orders().size()));
+        }
+        assertThat(e.tokens()).isSorted();
+        assertThat(e.fenced()).isZero();
+    }
+
+    @Test
+    void holderOfAnOutdatedFenceStopsGivingOrdersUntilItHasANewOne() throws Exception {
+        EndpointStandIn e = endpoint("engine-1", "engines", (self, x) -> self.answerEvents(x, 1, 2, true));
+        start();
+        e.sawToken(1_000);
+        for (int i = 0; i < 4; i++) {
+            assertThat(Caller.ask(settings.callers(), "POST", "/events/x", "fenced-" + i, "m/a7"))
+                    .startsWith("HTTP/1.1 503")
+                    .containsIgnoringCase("retry-after");
+        }
+        assertThat(e.orders()).isEmpty();
+        assertThat(e.fenced()).isBetween(1, 2);
+        store.dealAnew(2_000);
+        askUntilServed("m/a7");
+        assertThat(e.tokens()).isNotEmpty().allMatch(t -> t >= 1_000);
+    }
+
     @Test
     void rareAdapterIsLoadedThroughTheHolderOfTheDuty() throws Exception {
         EndpointStandIn e = endpoint("engine-1", "engines", (self, x) -> self.answerEvents(x, 1, 2, true));
@@ -246,6 +318,13 @@
         stop.join();
     }
 
+    private void askUntilServed(String adapter) throws IOException {
+        String answer = "";
+        for (int i = 0; !answer.startsWith("HTTP/1.1 200"); i++) {
+            answer = Caller.ask(settings.callers(), "POST", "/events/x", adapter + "-" + i, adapter);
+        }
+    }
+
     private EndpointStandIn endpoint(String id, String service, BiConsumer<EndpointStandIn, ServerExchange> behaviour) {
         EndpointStandIn e = new EndpointStandIn(id, service, behaviour);
         endpoints.add(e);
