Let orders begin at once after a mass start, read entries right, and keep following when a listener fails

Nodes now tell under which duties they gave orders. The loop and the connections now report what is thrown. Ruled out: lines dropped, a read without an answer (each has a time limit).

--- a/core/src/main/java/org/quetzalvane/core/fleet/Endpoint.java
+++ b/core/src/main/java/org/quetzalvane/core/fleet/Endpoint.java
@@ -15,7 +15,6 @@
  * @param slots requests that it runs at once
  * @param bornMs start of this life, milliseconds since the epoch; tells lives under one id apart
  * @param held adapters with their versions by base model; empty for a plain service
- * @param orders orders accepted in this life, as of the entry
  */
 public record Endpoint(
         String id,
@@ -26,8 +25,7 @@
         State state,
         int slots,
         long bornMs,
-        Map<String, Map<String, Integer>> held,
-        long orders) {
+        Map<String, Map<String, Integer>> held) {
 
     /** Whether new work may go to the endpoint. */
     public enum State {
@@ -49,7 +47,7 @@
     }
 
     public Endpoint withState(State s) {
-        return new Endpoint(id, service, host, port, zone, s, slots, bornMs, held, orders);
+        return new Endpoint(id, service, host, port, zone, s, slots, bornMs, held);
     }
 
     /** Names of the base models it holds. */
--- a/core/src/main/java/org/quetzalvane/core/residency/EngineDuty.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/EngineDuty.java
@@ -54,13 +54,15 @@
     private boolean closed;
     private boolean polling;
     private Doubt doubt;
-    private boolean trusted;
 
     /** Whether and under which fencing token orders may be given now; a token below zero forbids them. */
     @FunctionalInterface
     public interface DutyToken {
         long current();
 
+        /** Takes note that an order goes out under the token. */
+        default void used() {}
+
         /** Takes note that an engine refused a token as outdated. */
         default void refused(long token) {}
     }
@@ -100,9 +102,6 @@
     /** Takes a newer entry of the same life. */
     public void refresh(Endpoint e) {
         engine = e;
-        if (accepted >= 0 && e.orders() > accepted) {
-            distrust();
-        }
         pump();
     }
 
@@ -316,8 +315,8 @@
 
     private void order(EngineOrders.Action action, AdapterRef ref, int version, Consumer<EngineOrders.Answer> then) {
         orderOut = true;
-        trusted = true;
         long t = token.current();
+        token.used();
         long sentNanos = scheduler.nanoTime();
         orders.order(engine, new EngineOrders.Order(action, ref, version, accepted, t), answer -> {
             orderOut = false;
@@ -327,9 +326,7 @@
             boolean sure = answer == EngineOrders.Answer.ACCEPTED || answer == EngineOrders.Answer.HOLDS;
             doubt = sure ? null : new Doubt(action, ref, version, sentNanos);
             settle(action, ref, answer, t);
-            if (trusted) {
-                then.accept(answer);
-            }
+            then.accept(answer);
             pump();
         });
     }
@@ -351,7 +348,6 @@
 
     /** The state known is in doubt: the engine's report is read before the next order. */
     private void distrust() {
-        trusted = false;
         accepted = -1;
     }
 
--- a/core/src/main/java/org/quetzalvane/core/residency/ResidencyView.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/ResidencyView.java
@@ -15,8 +15,11 @@
  * <p>Confined to the event loop.
  */
 public final class ResidencyView {
-    /** A duty holder's word is preferred this long, ms: five of its reports. */
-    private static final long FRESH_MS = 1_500;
+    /**
+     * A duty holder's word is preferred this long, ms: until another node is dealt the duty and may give orders, 2 s of
+     * silence and a lease; the engine's entry lags behind by seconds, as no entry is written for an adapter.
+     */
+    private static final long FRESH_MS = 6_000;
 
     private final Scheduler scheduler;
     private final Map<String, Told> told = new HashMap<>();
@@ -73,10 +76,8 @@
     /** What the engine holds as far as is known. */
     public EngineHolding holding(Endpoint e) {
         Told t = told.get(e.id());
-        boolean usable = t != null
-                && t.holding.bornMs() == e.bornMs()
-                && (t.holding.orders() >= e.orders() || ageMs(t) < FRESH_MS);
-        return usable ? t.holding : new EngineHolding(e.bornMs(), e.orders(), e.held());
+        boolean usable = t != null && t.holding.bornMs() == e.bornMs() && ageMs(t) < FRESH_MS;
+        return usable ? t.holding : new EngineHolding(e.bornMs(), 0, e.held());
     }
 
     private long ageMs(Told t) {
--- a/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
+++ b/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
@@ -128,7 +128,16 @@
         StoreRecord known = newest.get(r.key());
         if (known == null || known.offset() < r.offset()) {
             newest.put(r.key(), r);
+            tell(r);
+        }
+    }
+
+    /** A listener that fails on one record must not end the following of all others. */
+    private void tell(StoreRecord r) {
+        try {
             listener.accept(r);
+        } catch (RuntimeException e) {
+            log.decided(EventCode.TASK_FAILED, topic.name(), "key", r.key(), "offset", r.offset(), "cause", e);
         }
     }
 
--- a/core/src/main/java/org/quetzalvane/core/team/DutyLease.java
+++ b/core/src/main/java/org/quetzalvane/core/team/DutyLease.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.IntPredicate;
 
 import net.openhft.hashing.LongHashFunction;
 import org.quetzalvane.core.time.Scheduler;
@@ -20,20 +19,35 @@
     /** Part of the lease after which an unconfirmed duty is given up where tokens are not checked. */
     private static final double SAFE_PART = 0.7;
 
-    /** Time after the start in which the peers tell what they hold, ms: two of their reports and the way. */
+    /**
+     * Time after the first duties were confirmed in which the peers join and tell what they hold, ms: two of their
+     * reports and the way. Where all start at once, the first to join is dealt everything for a moment.
+     */
     private static final long LISTEN_MS = 700;
 
     private final Scheduler scheduler;
     private final boolean tokensChecked;
     private final long leaseNanos;
     private final int partitions;
-    private final IntPredicate formerHolderUp;
-    private final long startNanos;
+    private final FormerHolder former;
     private final Map<Integer, Long> acquired = new HashMap<>();
     private final Set<Integer> begun = new HashSet<>();
+    private final Map<Integer, Long> lastOrders = new HashMap<>();
     private long generation;
     private long refusedToken = -1;
     private long confirmedNanos;
+    private long firstConfirmedNanos;
+    private boolean everConfirmed;
+
+    /** What is known of the nodes that held duties before. */
+    @FunctionalInterface
+    public interface FormerHolder {
+        /**
+         * Whether some node that is up gave orders under a duty within the last lease, or may give one yet since it has
+         * not heard of the generation.
+         */
+        boolean ordersRecently(int duty, long generation);
+    }
 
     /**
      * Builds the lease of a node that starts now.
@@ -41,12 +55,10 @@
      * @param tokensChecked whether engines refuse orders with an outdated token
      * @param leaseMs time that must lie between the orders of two holders that both work, milliseconds
      * @param partitions number of duties
-     * @param formerHolderUp tells whether the node that last held a duty before this one still works
+     * @param former what is known of those who held duties before
      */
-    public DutyLease(
-            Scheduler scheduler, boolean tokensChecked, long leaseMs, int partitions, IntPredicate formerHolderUp) {
-        this.formerHolderUp = formerHolderUp;
-        this.startNanos = scheduler.nanoTime();
+    public DutyLease(Scheduler scheduler, boolean tokensChecked, long leaseMs, int partitions, FormerHolder former) {
+        this.former = former;
         this.scheduler = scheduler;
         this.tokensChecked = tokensChecked;
         this.leaseNanos = leaseMs * 1_000_000;
@@ -64,6 +76,10 @@
             return false;
         }
         boolean changed = !held.equals(acquired.keySet()) || newGeneration != generation;
+        if (!everConfirmed) {
+            everConfirmed = true;
+            firstConfirmedNanos = scheduler.nanoTime();
+        }
         generation = newGeneration;
         confirmedNanos = sentNanos;
         acquired.keySet().retainAll(held);
@@ -90,16 +106,28 @@
     }
 
     /**
-     * Whether orders under a duty may begin: at once when its former holder is gone or is being stopped, else a lease
-     * after the duty was acquired.
+     * Whether orders under a duty may begin: at once when its former holder is gone, is being stopped or gave no order
+     * for a lease, else a lease after the duty was acquired.
      */
     private boolean mayBegin(int partition) {
         Long since = acquired.get(partition);
         long now = scheduler.nanoTime();
-        if (since == null || now - startNanos < LISTEN_MS * 1_000_000) {
+        if (since == null || now - firstConfirmedNanos < LISTEN_MS * 1_000_000) {
             return false;
         }
-        return now - since >= leaseNanos || !formerHolderUp.test(partition);
+        return now - since >= leaseNanos || !former.ordersRecently(partition, generation);
+    }
+
+    /** Counts an order that goes out under a duty. */
+    public void ordered(int partition) {
+        lastOrders.put(partition, scheduler.nanoTime());
+    }
+
+    /** Duties under which this node gave orders within the last lease, those that it has lost since included. */
+    public Set<Integer> orderedRecently() {
+        long now = scheduler.nanoTime();
+        lastOrders.values().removeIf(at -> now - at >= leaseNanos);
+        return Set.copyOf(lastOrders.keySet());
     }
 
     /** The token for orders under a duty, or -1 while none may be given. */
--- a/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
@@ -25,6 +25,7 @@
      * @param leaving whether it is being stopped
      * @param generation generation of its duties
      * @param duties numbers of its duties
+     * @param ordered numbers of the duties under which it gave orders within the last lease
      * @param loads its work at each endpoint
      * @param inUse adapters its requests run on, by engine
      * @param holdings what the engines of its duties hold
@@ -39,6 +40,7 @@
             boolean leaving,
             long generation,
             List<Integer> duties,
+            List<Integer> ordered,
             Map<String, LoadTable.Load> loads,
             Map<String, List<AdapterRef>> inUse,
             Map<String, EngineHolding> holdings,
--- a/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
@@ -87,10 +87,15 @@
                 .orElse(null);
     }
 
-    /** Whether the peer that last said to hold a duty is up and not being stopped. */
-    public boolean formerHolderUp(int duty) {
+    /**
+     * Whether a peer that is up and not being stopped gave orders under a duty within the last lease, or held the duty
+     * last and has not heard of the generation in which it lost it.
+     */
+    public boolean ordersRecently(int duty, long generation) {
         String last = lastHolders.get(duty);
-        return last != null && up().stream().anyMatch(s -> s.from().equals(last) && !s.leaving());
+        return up().stream()
+                .filter(s -> !s.leaving())
+                .anyMatch(s -> s.ordered().contains(duty) || s.from().equals(last) && s.generation() < generation);
     }
 
     /** Loads from the store that the peers that are up have on their way. */
--- a/core/src/test/java/org/quetzalvane/core/store/RecordFollowerTest.java
+++ b/core/src/test/java/org/quetzalvane/core/store/RecordFollowerTest.java
@@ -46,6 +46,26 @@
         assertThat(topic.lastOffset).isEqualTo(3);
     }
 
+    /** A listener threw on the removal of an endpoint, and the node heard of no other from then on. */
+    @Test
+    void listenerThatFailsOnOneRecordHearsOfTheNext() {
+        ScriptedTopic other = new ScriptedTopic();
+        RecordFollower f =
+                new RecordFollower(clock, other, (code, subject, fields) -> logged.add(code.name()), 1_000, 100, r -> {
+                    if (r.value() == null) {
+                        throw new IllegalStateException("removed");
+                    }
+                    taken.add(r.key());
+                });
+        f.start();
+        other.answer(KeyedTopic.Page.ok(List.of(record("x", "1", 0)), 1));
+        other.answer(KeyedTopic.Page.ok(List.of(record("x", null, 1)), 2));
+        clock.advance(Duration.ofMillis(100));
+        other.answer(KeyedTopic.Page.ok(List.of(record("y", "1", 2)), 3));
+        assertThat(taken).endsWith("x", "y");
+        assertThat(logged).containsExactly("TASK_FAILED");
+    }
+
     @Test
     void keyThatANewerListingLacksIsDropped() {
         topic.answer(KeyedTopic.Page.expired());
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -110,6 +110,7 @@
         this.settings = settings;
         lines = new JsonLines(settings.nodeName(), loop::wallMillis, System.out);
         log = this::logged;
+        loop.onFailure(this::taskFailed);
         HttpClient http = new HttpClient(loop, CONNECT_TIMEOUT_MS);
         StoreClient store = new StoreClient(http, loop, settings.store(), STORE_TIMEOUT_MS);
         beliefs = new PlatformBeliefs(loop, store, log, this::reconcile);
@@ -117,7 +118,7 @@
         peers = new PeerTable(loop, settings.peers(), settings.seeds());
         times = new LoadTimes(loop, peers::loading, beliefs::enginesListed);
         lease = new DutyLease(
-                loop, settings.tokensChecked(), settings.leaseMs(), settings.storeParts(), peers::formerHolderUp);
+                loop, settings.tokensChecked(), settings.leaseMs(), settings.storeParts(), peers::ordersRecently);
         book = new DutyBook(lease, this::openDuty);
         team = new Team(loop, new Team.Shared(peers, loads, use, residency, lease, book, times, log), self());
         member = new DutyMember(
@@ -289,6 +290,11 @@
         use.forgetEngine(e.id());
     }
 
+    private void taskFailed(Throwable t) {
+        StackTraceElement[] at = t.getStackTrace();
+        log.decided(EventCode.TASK_FAILED, "loop", "cause", t, "at", at.length == 0 ? "" : at[0]);
+    }
+
     private void reconcile() {
         book.reconcile(beliefs.endpoints().ready());
     }
@@ -307,6 +313,11 @@
                 return lease.token(duty);
             }
 
+            @Override
+            public void used() {
+                lease.ordered(duty);
+            }
+
             @Override
             public void refused(long t) {
                 lease.refused(t);
--- a/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
@@ -9,6 +9,7 @@
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.quetzalvane.core.choice.LoadTable;
 import org.quetzalvane.core.residency.EngineHolding;
+import org.quetzalvane.core.residency.LoadWish;
 import org.quetzalvane.core.routes.AdapterRef;
 import org.quetzalvane.core.store.StoreRecord;
 import org.quetzalvane.core.team.PeerMessage;
@@ -32,7 +33,7 @@
         mapper.enable(DeserializationFeature.UNWRAP_SINGLE_VALUE_ARRAYS);
         JsonFormat.Value array = JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY);
         TYPES.forEach(t -> mapper.configOverride(t).setFormat(array));
-        List.of(LoadTable.Load.class, EngineHolding.class, AdapterRef.class, StoreRecord.class)
+        List.of(LoadTable.Load.class, EngineHolding.class, AdapterRef.class, LoadWish.class, StoreRecord.class)
                 .forEach(t -> mapper.configOverride(t).setFormat(array));
     }
 
--- a/entry/src/main/java/org/quetzalvane/entry/Team.java
+++ b/entry/src/main/java/org/quetzalvane/entry/Team.java
@@ -18,6 +18,7 @@
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.residency.AdapterUse;
 import org.quetzalvane.core.residency.EngineDuty;
+import org.quetzalvane.core.residency.EngineHolding;
 import org.quetzalvane.core.residency.LoadBroker;
 import org.quetzalvane.core.residency.LoadTimes;
 import org.quetzalvane.core.residency.LoadWish;
@@ -117,8 +118,9 @@
         EngineDuty own = book.find(engine.id());
         if (own != null) {
             own.request(wish, ok -> {
-                if (ok) {
-                    residency.tell(engine.id(), own.holding());
+                EngineHolding holding = own.holding();
+                if (ok && holding != null) {
+                    residency.tell(engine.id(), holding);
                 }
                 done.accept(outcome(ok));
             });
@@ -197,6 +199,7 @@
                 self.leaving().getAsBoolean(),
                 lease.generation(),
                 List.copyOf(lease.held()),
+                List.copyOf(lease.orderedRecently()),
                 loads.own(),
                 inUse,
                 book.holdings(),
--- a/entry/src/main/java/org/quetzalvane/entry/Training.java
+++ b/entry/src/main/java/org/quetzalvane/entry/Training.java
@@ -81,6 +81,7 @@
                         false,
                         3,
                         List.of(1),
+                        List.of(1),
                         Map.of("e", new LoadTable.Load(1, 2)),
                         Map.of("e", List.of(ref)),
                         Map.of("e", holding),
--- a/transport/src/main/java/org/quetzalvane/transport/HttpConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpConnection.java
@@ -194,6 +194,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
+        loop.failed(cause);
         fail(String.valueOf(cause.getMessage()));
     }
 
--- a/transport/src/main/java/org/quetzalvane/transport/Loop.java
+++ b/transport/src/main/java/org/quetzalvane/transport/Loop.java
@@ -1,7 +1,9 @@
 package org.quetzalvane.transport;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -33,6 +35,7 @@
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
+    private volatile Consumer<Throwable> failures = t -> t.printStackTrace(System.err);
 
     EventLoop eventLoop() {
         return loop;
@@ -63,9 +66,29 @@
                 .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES);
     }
 
+    /** Names who hears of tasks and listeners that throw; nothing else is done about them. */
+    public void onFailure(Consumer<Throwable> listener) {
+        failures = listener;
+    }
+
+    /** Tells of a listener that threw; what comes from the other side of a connection is no such failure. */
+    void failed(Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            failures.accept(cause);
+        }
+    }
+
     /** Runs a task on the event loop. */
     public void execute(Runnable task) {
-        loop.execute(task);
+        loop.execute(() -> run(task));
+    }
+
+    private void run(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | Error t) {
+            failed(t);
+        }
     }
 
     @Override
@@ -80,7 +103,7 @@
 
     @Override
     public Timer schedule(Duration delay, Runnable task) {
-        ScheduledFuture<?> f = loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+        ScheduledFuture<?> f = loop.schedule(() -> run(task), delay.toNanos(), TimeUnit.NANOSECONDS);
         return () -> f.cancel(false);
     }
 
--- a/transport/src/main/java/org/quetzalvane/transport/PeerNet.java
+++ b/transport/src/main/java/org/quetzalvane/transport/PeerNet.java
@@ -140,7 +140,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            // A reset or a frame that is too long; the lost connection is reported and made anew.
+            // After a reset or a frame that is too long the lost connection is reported and made anew.
+            loop.failed(cause);
             ctx.close();
         }
     }
--- a/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
@@ -213,7 +213,8 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
-        // A reset by the client; the channel's end reports it to the exchange.
+        // After a reset by the client the channel's end reports it to the exchange.
+        loop.failed(cause);
         c.close();
     }
 
