--- a/core/src/main/java/org/quetzalvane/core/serve/EngineSearch.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EngineSearch.java
@@ -22,9 +22,10 @@
     private static final int MAX_LOAD_ASKS = 3;
     /** Longest time in which a request waits for loads, as a part of the objective; callers leave after four. */
     private static final double LOAD_WAIT_PART = 1.6;
-    /** The same for an answer that has begun, as a part of its caller's patience; the rest is for the first event. */
+    /** The same for a request that was sent and may have run, as a part of its caller's patience; the rest is for the
+     * first event. */
     private static final double IN_PROGRESS_PART = 0.85;
-    /** Pause before an engine without a place is asked again for an answer that has begun, ms. */
+    /** Pause before an engine without a place is asked again for such a request, ms. */
     private static final long IN_PROGRESS_PAUSE_MS = 100;
     /** Least time for a load to be worth asking for, ms: an adapter's way from the store. */
     private static final long LEAST_LOAD_WAIT_MS = 265;
--- a/core/src/main/java/org/quetzalvane/core/serve/TokenCounts.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/TokenCounts.java
@@ -8,9 +8,6 @@
  * @param likelyOutput the caller's estimate of the tokens of the answer, 0 when not told; often far off
  */
 public record TokenCounts(long prompt, long mostOutput, long likelyOutput) {
-    /** Of a request that tells nothing. */
-    public static final TokenCounts UNKNOWN = new TokenCounts(0, 0, 0);
-
     /** Tokens of the answer to reckon with, 0 when nothing is known. */
     public long expectedOutput() {
         return likelyOutput > 0 && (mostOutput == 0 || likelyOutput < mostOutput) ? likelyOutput : mostOutput;
