--- a/standins/src/main/java/org/quetzalvane/standins/harness/CallerClient.java
+++ b/standins/src/main/java/org/quetzalvane/standins/harness/CallerClient.java
@@ -71,7 +71,7 @@
                 : where;
     }
 
-    /** Asks for a streamed completion and comes back as told, so many times at most, while it is refused with a time. */
+    /** Asks for a streamed completion and comes back as told, a number of times at most. */
     public Result completeComingBack(String adapter, int version, String prompt, int tokens, int times) {
         Result last = complete(adapter, version, prompt, tokens);
         for (int i = 0; i < times && last.comeBackMillis() > 0; i++) {
--- a/standins/src/main/java/org/quetzalvane/standins/harness/Demo.java
+++ b/standins/src/main/java/org/quetzalvane/standins/harness/Demo.java
@@ -24,7 +24,7 @@
     private static final int ADAPTERS = 3;
     private static final String UNLOADED = "a4";
     private static final int TOKENS = 20;
-    /** Times that a caller comes back as told; the forecast of a load on a busy machine may be met only by a later one. */
+    /** Times that a caller comes back as told; on a busy machine the forecast of a load may hold only later. */
     private static final int COME_BACKS = 5;
 
     private static final Duration FAILOVER_LIMIT = Duration.ofSeconds(20);
