Exchange status through hubs instead of between all nodes

Cause: every node sent its status to every other one each 300 ms and read the store by itself.

Change: two hubs in each data centre, the hosts with the most capacity, exchange their status, own the engines and read the store. Every other node reports to one hub, which includes it in its own status and sends back a view of what it knows, and passes on the store's records. Up to 12 nodes are all hubs, so that small sites stay as they were. Sums of endpoint loads and of adapters in use are kept up to date instead of being added up for each engine on each request.

Ruled out: one relay in each data centre (its loss hides a whole data centre for a second), reports of single nodes passed on by relays (57 KB to each node each 300 ms at 95 nodes).

--- a/core/src/main/java/org/quetzalvane/core/choice/EndpointLoads.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/EndpointLoads.java
@@ -1,5 +1,6 @@
 package org.quetzalvane.core.choice;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -11,6 +12,8 @@
 public final class EndpointLoads {
     private final Map<String, Load> own = new HashMap<>();
     private final Map<String, Map<String, Load>> peers = new HashMap<>();
+    /** Sums over {@link #peers} by endpoint; a request reads the load of every endpoint of its service. */
+    private final Map<String, Load> peerTotals = new HashMap<>();
 
     /**
      * Requests and pending prompt tokens of one endpoint. Immutable.
@@ -24,6 +27,10 @@
         Load plus(Load other) {
             return new Load(requests + other.requests, pendingTokens + other.pendingTokens);
         }
+
+        Load minus(Load other) {
+            return new Load(requests - other.requests, pendingTokens - other.pendingTokens);
+        }
     }
 
     /** Counts a request that was sent to an endpoint. */
@@ -42,30 +49,42 @@
         own.computeIfPresent(endpoint, (id, l) -> l.requests() <= 0 ? null : l);
     }
 
-    /** Replaces the endpoint loads that a peer last reported of its own requests. */
+    /** Replaces the endpoint loads that a peer last reported. */
     public void updatePeer(String peer, Map<String, Load> loads) {
+        removePeer(peer);
         peers.put(peer, loads);
+        loads.forEach((endpoint, l) -> peerTotals.merge(endpoint, l, Load::plus));
     }
 
     /** Removes a peer that is no longer up. */
     public void removePeer(String peer) {
-        peers.remove(peer);
+        Map<String, Load> before = peers.remove(peer);
+        if (before != null) {
+            before.forEach((endpoint, l) -> peerTotals.computeIfPresent(endpoint, (id, sum) -> sum.minus(l)));
+        }
     }
 
     /** Requests and pending prompt tokens of an endpoint, summed over this node and its peers. */
     public Load total(String endpoint) {
-        Load sum = own.getOrDefault(endpoint, Load.NONE);
-        for (Map<String, Load> m : peers.values()) {
-            Load l = m.get(endpoint);
-            if (l != null) {
-                sum = sum.plus(l);
-            }
+        return own.getOrDefault(endpoint, Load.NONE).plus(peerTotals.getOrDefault(endpoint, Load.NONE));
+    }
+
+    /** Endpoint load by endpoint of this node's own requests and of those that some peers reported. */
+    public Map<String, Load> sum(Collection<String> ofPeers) {
+        Map<String, Load> sum = new HashMap<>(own);
+        for (String peer : ofPeers) {
+            peers.getOrDefault(peer, Map.of()).forEach((endpoint, l) -> sum.merge(endpoint, l, Load::plus));
         }
         return sum;
     }
 
-    /** Endpoint load of this node's own requests by endpoint, as reported to peers. */
-    public Map<String, Load> own() {
-        return Map.copyOf(own);
+    /** Endpoint load by endpoint of all known requests but those that one peer reported. */
+    public Map<String, Load> allExcept(String peer) {
+        Map<String, Load> all = new HashMap<>(own);
+        peerTotals.forEach((endpoint, l) -> all.merge(endpoint, l, Load::plus));
+        peers.getOrDefault(peer, Map.of())
+                .forEach((endpoint, l) -> all.computeIfPresent(endpoint, (id, sum) -> sum.minus(l)));
+        all.values().removeIf(Load.NONE::equals);
+        return all;
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -33,6 +33,7 @@
     MEMBER_LOST(3003, "A silent node was removed from the membership."),
     DUTIES_CHANGED(3010, "The platform store confirmed an assignment with other partitions or a newer generation."),
     PEER_LOST(3011, "The connection to a peer was closed or timed out."),
+    HUB_CHANGED(3012, "The node became a hub, stopped being one, or reports to another hub."),
     LEASE_RENEWED(3004, "The node read back the first renewal of its lease as valid."),
     LEASE_LOST(3005, "The lease of the node expired; the node dispatches nothing until it is renewed."),
     ENGINE_CLAIMED(3006, "A node acquired an engine by a claim."),
--- a/core/src/main/java/org/quetzalvane/core/residency/AdapterUsage.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/AdapterUsage.java
@@ -1,5 +1,6 @@
 package org.quetzalvane.core.residency;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -17,6 +18,10 @@
     private final Scheduler scheduler;
     private final Map<String, Map<AdapterRef, Integer>> ownCounts = new HashMap<>();
     private final Map<String, Map<String, Set<AdapterRef>>> usageByPeer = new HashMap<>();
+    /** Number of peers that use each adapter, by engine; sums of {@link #usageByPeer}. */
+    private final Map<String, Map<AdapterRef, Integer>> peerCounts = new HashMap<>();
+
+    private Map<String, Integer> reportedCounts = Map.of();
     private final Map<String, Map<AdapterRef, Long>> lastUsed = new HashMap<>();
 
     public AdapterUsage(Scheduler scheduler) {
@@ -44,13 +49,27 @@
 
     /** Replaces the adapters in use, by engine, that a peer last reported. */
     public void updatePeer(String peer, Map<String, Set<AdapterRef>> inUse) {
+        removePeer(peer);
         usageByPeer.put(peer, inUse);
-        inUse.forEach((engine, refs) -> refs.forEach(r -> markUsed(engine, r)));
+        inUse.forEach((engine, refs) -> refs.forEach(r -> {
+            peerCounts.computeIfAbsent(engine, e -> new HashMap<>()).merge(r, 1, Integer::sum);
+            markUsed(engine, r);
+        }));
     }
 
     /** Removes a peer that is no longer up. */
     public void removePeer(String peer) {
-        usageByPeer.remove(peer);
+        Map<String, Set<AdapterRef>> before = usageByPeer.remove(peer);
+        if (before != null) {
+            before.forEach((engine, refs) -> refs.forEach(r -> peerCounts
+                    .getOrDefault(engine, new HashMap<>())
+                    .computeIfPresent(r, (ref, n) -> n == 1 ? null : n - 1)));
+        }
+    }
+
+    /** Replaces the numbers of adapters in use, by engine, that a hub reported instead of the adapters themselves. */
+    public void updateCounts(Map<String, Integer> counts) {
+        reportedCounts = Map.copyOf(counts);
     }
 
     /** Removes the last-use times of an engine. */
@@ -60,19 +79,26 @@
 
     /** Whether a request of this node or of a peer uses the adapter on the engine. */
     public boolean inUse(String engine, AdapterRef ref) {
-        if (ownCounts.getOrDefault(engine, Map.of()).containsKey(ref)) {
-            return true;
-        }
-        return usageByPeer.values().stream()
-                .anyMatch(m -> m.getOrDefault(engine, Set.of()).contains(ref));
+        return ownCounts.getOrDefault(engine, Map.of()).containsKey(ref)
+                || peerCounts.getOrDefault(engine, Map.of()).containsKey(ref);
     }
 
     /** Number of distinct adapters in use on an engine; requests to the base model count as one adapter. */
     public int inUseCount(String engine) {
-        Set<AdapterRef> all =
-                new HashSet<>(ownCounts.getOrDefault(engine, Map.of()).keySet());
-        usageByPeer.values().forEach(m -> all.addAll(m.getOrDefault(engine, Set.of())));
-        return all.size();
+        Map<AdapterRef, Integer> byPeers = peerCounts.getOrDefault(engine, Map.of());
+        int ownOnly = (int) ownCounts.getOrDefault(engine, Map.of()).keySet().stream()
+                .filter(r -> !byPeers.containsKey(r))
+                .count();
+        return Math.max(byPeers.size() + ownOnly, reportedCounts.getOrDefault(engine, 0));
+    }
+
+    /** {@link #inUseCount} of every engine with adapters in use, as reported to nodes that report to this hub. */
+    public Map<String, Integer> inUseCounts() {
+        Set<String> engines = new HashSet<>(ownCounts.keySet());
+        engines.addAll(peerCounts.keySet());
+        Map<String, Integer> counts = new HashMap<>();
+        engines.forEach(e -> counts.put(e, inUseCount(e)));
+        return counts;
     }
 
     /**
@@ -82,11 +108,16 @@
         return lastUsed.getOrDefault(engine, Map.of()).getOrDefault(ref, Long.MIN_VALUE);
     }
 
-    /** Adapters that this node's own requests use, by engine, as reported to peers. */
-    public Map<String, Set<AdapterRef>> own() {
-        Map<String, Set<AdapterRef>> copy = new HashMap<>();
-        ownCounts.forEach((engine, m) -> copy.put(engine, Set.copyOf(m.keySet())));
-        return copy;
+    /** Adapters that this node's own requests and those of some peers use, by engine. */
+    public Map<String, Set<AdapterRef>> inUseBy(Collection<String> peers) {
+        Map<String, Set<AdapterRef>> all = new HashMap<>();
+        ownCounts.forEach((engine, m) -> all.put(engine, new HashSet<>(m.keySet())));
+        for (String peer : peers) {
+            usageByPeer.getOrDefault(peer, Map.of()).forEach((engine, refs) -> all.computeIfAbsent(
+                            engine, e -> new HashSet<>())
+                    .addAll(refs));
+        }
+        return all;
     }
 
     /** Records the present as the last use of the adapter on the engine. */
--- a/core/src/main/java/org/quetzalvane/core/residency/ResidencyTable.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/ResidencyTable.java
@@ -93,6 +93,17 @@
         return valid ? r.residency : new EngineResidency(e.bornMs(), 0, e.held());
     }
 
+    /** Reports of owners that arrived within {@code maxAgeMs}, by engine, for the nodes that report to this hub. */
+    public Map<String, EngineResidency> reportsWithin(long maxAgeMs) {
+        Map<String, EngineResidency> fresh = new HashMap<>();
+        reported.forEach((engine, r) -> {
+            if (ageMs(r) <= maxAgeMs) {
+                fresh.put(engine, r.residency);
+            }
+        });
+        return fresh;
+    }
+
     private long ageMs(ReportedResidency r) {
         return (scheduler.nanoTime() - r.receivedNanos) / 1_000_000;
     }
--- a/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
+++ b/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
@@ -1,12 +1,14 @@
 package org.quetzalvane.core.store;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import org.quetzalvane.core.event.EventCode;
@@ -25,6 +27,8 @@
      * force.
      */
     private static final long RETRY_DELAY_MS = 250;
+    /** Interval at which it is checked whether another node still passes the records on, ms. */
+    private static final long RELAY_CHECK_INTERVAL_MS = 100;
 
     private final Scheduler scheduler;
     private final KeyedTopic topic;
@@ -32,8 +36,11 @@
     private final long waitMs;
     private final long readIntervalMs;
     private final Consumer<StoreRecord> listener;
+    private BooleanSupplier relayed = () -> false;
+    private Consumer<List<StoreRecord>> relay = records -> {};
     private final Map<String, StoreRecord> newest = new HashMap<>();
     private long offset = -1;
+    private long appliedOffset = -1;
     private boolean initialized;
     private boolean reachable = true;
     private long lastResponseNanos;
@@ -60,6 +67,17 @@
         this.listener = listener;
     }
 
+    /**
+     * Sets the exchange of records with other nodes; the store is not read while another node passes its records on.
+     *
+     * @param passedOn whether another node passes on every record
+     * @param next receives the records that were newer than the known ones, after they were applied
+     */
+    public void exchange(BooleanSupplier passedOn, Consumer<List<StoreRecord>> next) {
+        relayed = passedOn;
+        relay = next;
+    }
+
     /** Starts reading: all newest records first, then each later one. */
     public void start() {
         readNewest();
@@ -77,10 +95,15 @@
 
     /** Applies the records that a peer knows. */
     public void applyFromPeer(Collection<StoreRecord> records) {
-        records.forEach(this::apply);
+        applyAll(records);
         initialized = initialized || !records.isEmpty();
     }
 
+    /** Greatest offset of the records applied, or -1. */
+    public long appliedOffset() {
+        return appliedOffset;
+    }
+
     /** Time since the last response of the store, milliseconds; without meaning before the first response. */
     public long msSinceLastResponse() {
         return (scheduler.nanoTime() - lastResponseNanos) / 1_000_000;
@@ -93,7 +116,7 @@
                 return;
             }
             onResponse();
-            page.records().forEach(this::apply);
+            applyAll(page.records());
             if (page.endOffset() >= offset) {
                 removeAbsent(page);
                 offset = page.endOffset();
@@ -107,21 +130,25 @@
     private void removeAbsent(KeyedTopic.ReadResult page) {
         Set<String> present = new HashSet<>();
         page.records().forEach(r -> present.add(r.key()));
-        for (StoreRecord r : List.copyOf(newest.values())) {
-            if (r.value() != null && !present.contains(r.key()) && r.offset() < page.endOffset()) {
-                apply(new StoreRecord(r.key(), null, page.endOffset()));
-            }
-        }
+        List<StoreRecord> removed = newest.values().stream()
+                .filter(r -> r.value() != null && !present.contains(r.key()) && r.offset() < page.endOffset())
+                .map(r -> new StoreRecord(r.key(), null, page.endOffset()))
+                .toList();
+        applyAll(removed);
     }
 
     private void read() {
+        if (relayed.getAsBoolean()) {
+            scheduler.schedule(Duration.ofMillis(RELAY_CHECK_INTERVAL_MS), this::read);
+            return;
+        }
         topic.read(offset, waitMs, page -> {
             switch (page.outcome()) {
                 case EXPIRED -> readNewest();
                 case FAILED -> onFailure(page.cause(), this::read);
                 default -> {
                     onResponse();
-                    page.records().forEach(this::apply);
+                    applyAll(page.records());
                     offset = Math.max(offset, page.endOffset());
                     scheduler.schedule(Duration.ofMillis(page.records().isEmpty() ? 0 : readIntervalMs), this::read);
                 }
@@ -129,11 +156,19 @@
         });
     }
 
-    private void apply(StoreRecord r) {
-        StoreRecord known = newest.get(r.key());
-        if (known == null || known.offset() < r.offset()) {
-            newest.put(r.key(), r);
-            notifyListener(r);
+    private void applyAll(Collection<StoreRecord> records) {
+        List<StoreRecord> newer = new ArrayList<>();
+        for (StoreRecord r : records) {
+            StoreRecord known = newest.get(r.key());
+            if (known == null || known.offset() < r.offset()) {
+                newest.put(r.key(), r);
+                appliedOffset = Math.max(appliedOffset, r.offset());
+                newer.add(r);
+                notifyListener(r);
+            }
+        }
+        if (!newer.isEmpty()) {
+            relay.accept(newer);
         }
     }
 
--- a/core/src/main/java/org/quetzalvane/core/team/AssignmentLease.java
+++ b/core/src/main/java/org/quetzalvane/core/team/AssignmentLease.java
@@ -100,6 +100,13 @@
         return changed;
     }
 
+    /** Gives up all partitions, for a node that leaves the group; a later assignment starts as the first one does. */
+    public void release() {
+        acquiredNanos.clear();
+        orderingStarted.clear();
+        everConfirmed = false;
+    }
+
     /** Records that an engine rejected a fencing token, so that no further order is sent under it or an older one. */
     public void tokenRejected(long token) {
         rejectedToken = Math.max(rejectedToken, token);
--- a/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
@@ -16,38 +16,68 @@
     String from();
 
     /**
-     * Status of a node, sent every {@link PeerTable#STATUS_INTERVAL_MS}.
+     * Status of a node, sent every {@link PeerTable#STATUS_INTERVAL_MS} by a hub to all hubs and by another node to its
+     * hub. The loads and adapters in use of a hub include those of the nodes that report to it.
      *
-     * @param from address of the sender for peers, IP:PORT
-     * @param callerAddress address for callers, IP:PORT
-     * @param zone data centre
-     * @param ready whether the node serves requests
-     * @param leaving whether the node is leaving
+     * @param node the sender
      * @param generation generation of its assignment
      * @param duties partitions assigned to it
      * @param ordered partitions under which it sent orders within the last lease
      * @param loads endpoint load of its requests by endpoint
      * @param inUse adapters that its requests use, by engine
      * @param holdings adapters resident on the engines that it owns
-     * @param members addresses of the peers that it considers up
+     * @param members nodes that report to it
+     * @param hubs addresses of the hubs whose status it receives
      * @param loading loads from the weight store in flight under its orders
      */
     record Status(
-            String from,
-            String callerAddress,
-            String zone,
-            boolean ready,
-            boolean leaving,
+            NodeInfo node,
             long generation,
             List<Integer> duties,
             List<Integer> ordered,
             Map<String, EndpointLoads.Load> loads,
             Map<String, List<AdapterRef>> inUse,
             Map<String, EngineResidency> holdings,
-            List<String> members,
+            List<NodeInfo> members,
+            List<String> hubs,
             int loading)
+            implements PeerMessage {
+        @Override
+        public String from() {
+            return node.address();
+        }
+    }
+
+    /**
+     * What a hub knows, sent every {@link PeerTable#STATUS_INTERVAL_MS} to each node that reports to it. Parts that
+     * have not changed since the last view are left out, but for every tenth view.
+     *
+     * @param from address of the sender for peers, IP:PORT
+     * @param nodes all nodes that are up, or empty if unchanged
+     * @param owners address of the owner of each partition
+     * @param loads endpoint load by endpoint, without that of the receiver
+     * @param inUseCounts number of adapters in use by engine
+     * @param holdings adapters resident on each engine, without engines that have not changed
+     * @param records how far the sender has read each topic of the store
+     */
+    record View(
+            String from,
+            List<NodeInfo> nodes,
+            Map<Integer, String> owners,
+            Map<String, EndpointLoads.Load> loads,
+            Map<String, Integer> inUseCounts,
+            Map<String, EngineResidency> holdings,
+            Map<String, TopicPosition> records)
             implements PeerMessage {}
 
+    /**
+     * How far a node has read a topic of the store. Immutable.
+     *
+     * @param offset greatest offset of the records applied, or -1
+     * @param ageMs time since the last response of the store, milliseconds
+     */
+    record TopicPosition(long offset, long ageMs) {}
+
     /**
      * Requests an adapter from the owner of an engine.
      *
@@ -68,7 +98,7 @@
     record AdapterLoadReply(String from, long number, boolean loaded) implements PeerMessage {}
 
     /**
-     * Requests all records known to the peer; sent by a node that cannot reach the store.
+     * Requests all records known to the peer; sent by a node that reports to it, or that cannot reach the store.
      *
      * @param from address of the sender for peers, IP:PORT
      */
@@ -79,7 +109,8 @@
      *
      * @param from address of the sender for peers, IP:PORT
      * @param topic name of the topic
+     * @param complete whether these are all records known; otherwise those that the sender has just applied
      * @param records newest record of each key
      */
-    record Records(String from, String topic, List<StoreRecord> records) implements PeerMessage {}
+    record Records(String from, String topic, boolean complete, List<StoreRecord> records) implements PeerMessage {}
 }
--- a/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
@@ -1,5 +1,7 @@
 package org.quetzalvane.core.team;
 
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -9,15 +11,25 @@
 
 import org.quetzalvane.core.time.Scheduler;
 
-/** The latest status of each peer and the time of its arrival. Confined to the event loop. */
+/**
+ * The nodes known to this node: the latest status of each node that reports to it, and the latest view of its own hub.
+ * Confined to the event loop.
+ */
 public final class PeerTable {
     /** Interval between status messages, ms: half of the age that endpoint loads may have. */
     public static final long STATUS_INTERVAL_MS = 300;
     /**
-     * Age of the last status up to which a peer counts as up, ms: four status intervals, so that lost packets do not
+     * Age of the last message up to which a peer counts as up, ms: four status intervals, so that lost packets do not
      * make a peer count as down.
      */
-    private static final long UP_TIMEOUT_MS = 4 * STATUS_INTERVAL_MS;
+    static final long UP_TIMEOUT_MS = 4 * STATUS_INTERVAL_MS;
+    /**
+     * Time for which the nodes of the last view are kept without a newer one, ms: long enough to report to two further
+     * hubs in turn.
+     */
+    private static final long VIEW_RETENTION_MS = 3_000;
+    /** Time for which a silent node is not selected as a hub, ms, unless it sends a message. */
+    private static final long SUSPICION_MS = 3_000;
     /** Time for which a peer that sends no status stays a connection target, ms: a restart takes a few seconds. */
     private static final long KNOWN_TIMEOUT_MS = 30_000;
     /**
@@ -34,6 +46,10 @@
     private final Map<Integer, String> lastReporterByPartition = new HashMap<>();
 
     private final Map<String, Long> knownPeers = new HashMap<>();
+    private final Map<String, Long> suspectedUntilNanos = new HashMap<>();
+    private List<NodeInfo> viewNodes = List.of();
+    private Map<Integer, String> viewOwners = Map.of();
+    private long viewNanos;
 
     public PeerTable(Scheduler scheduler, String self, Set<String> seeds) {
         this.scheduler = scheduler;
@@ -44,12 +60,25 @@
     /** Stores the status of a peer. */
     public void updatePeer(PeerMessage.Status s) {
         statuses.put(s.from(), new ReceivedStatus(s, scheduler.nanoTime()));
+        suspectedUntilNanos.remove(s.from());
         addKnown(s.from());
         s.duties().forEach(p -> lastReporterByPartition.put(p, s.from()));
-        s.members().forEach(m -> knownPeers.putIfAbsent(m, scheduler.nanoTime()));
+        s.members().forEach(m -> addKnown(m.address()));
+        s.hubs().forEach(h -> knownPeers.putIfAbsent(h, scheduler.nanoTime()));
+    }
+
+    /** Stores what a hub knows; a view without nodes leaves the known ones as they are. */
+    public void updateView(PeerMessage.View v) {
+        viewNanos = scheduler.nanoTime();
+        suspectedUntilNanos.remove(v.from());
+        viewOwners = Map.copyOf(v.owners());
+        if (!v.nodes().isEmpty()) {
+            viewNodes = List.copyOf(v.nodes());
+        }
+        viewNodes.forEach(n -> addKnown(n.address()));
     }
 
-    /** Adds a peer that sent its status or is listed by the store. */
+    /** Adds a peer that is up or is listed by the store. */
     public void addKnown(String peer) {
         knownPeers.put(peer, scheduler.nanoTime());
     }
@@ -59,8 +88,23 @@
         statuses.remove(peer);
     }
 
-    /** Peers to keep a connection to. */
-    public Set<String> connectTargets() {
+    /** Removes the status of each peer that is silent, and returns these peers. */
+    public List<String> removeSilent() {
+        List<String> silent = statuses.values().stream()
+                .filter(r -> !isFresh(r))
+                .map(r -> r.status.from())
+                .toList();
+        silent.forEach(statuses::remove);
+        return silent;
+    }
+
+    /** Records that a node does not answer, so that it is not selected as a hub until it sends a message. */
+    public void suspect(String peer) {
+        suspectedUntilNanos.put(peer, scheduler.nanoTime() + SUSPICION_MS * 1_000_000);
+    }
+
+    /** Peers to look for other nodes at: seeds, and peers that were up or listed by the store recently. */
+    public Set<String> contacts() {
         long now = scheduler.nanoTime();
         knownPeers.values().removeIf(at -> now - at > KNOWN_TIMEOUT_MS * 1_000_000);
         Set<String> all = new HashSet<>(knownPeers.keySet());
@@ -69,27 +113,70 @@
         return all;
     }
 
-    /** Status of each peer that is up. */
-    public List<PeerMessage.Status> up() {
+    /** Whether any message of a peer is at hand. */
+    public boolean knowsAnyNode() {
+        return !nodes().isEmpty();
+    }
+
+    /** All other nodes that are up and not suspected: those that report here, their members, those of the view. */
+    public Collection<NodeInfo> nodes() {
         long now = scheduler.nanoTime();
-        return statuses.values().stream()
-                .filter(r -> now - r.receivedNanos < UP_TIMEOUT_MS * 1_000_000)
-                .map(ReceivedStatus::status)
-                .toList();
+        suspectedUntilNanos.values().removeIf(until -> until <= now);
+        Map<String, NodeInfo> all = new HashMap<>();
+        if (now - viewNanos < VIEW_RETENTION_MS * 1_000_000) {
+            viewNodes.forEach(n -> all.put(n.address(), n));
+        }
+        up().forEach(s -> s.members().forEach(n -> all.put(n.address(), n)));
+        up().forEach(s -> all.put(s.from(), s.node()));
+        all.remove(self);
+        all.keySet().removeAll(suspectedUntilNanos.keySet());
+        return all.values();
     }
 
-    public boolean isUp(String peer) {
-        ReceivedStatus r = statuses.get(peer);
-        return r != null && scheduler.nanoTime() - r.receivedNanos < UP_TIMEOUT_MS * 1_000_000;
+    /** Status of each peer that is up and sends its status to this node. */
+    public List<PeerMessage.Status> up() {
+        List<PeerMessage.Status> up = new ArrayList<>(statuses.size());
+        for (ReceivedStatus r : statuses.values()) {
+            if (isFresh(r)) {
+                up.add(r.status);
+            }
+        }
+        return up;
     }
 
-    /** The peer that owns a partition, or null if no peer that is up reports the partition. */
-    public String ownerOf(int partition) {
+    /** The nodes that report to this node as their hub. */
+    public List<NodeInfo> members() {
+        return up().stream().map(PeerMessage.Status::node).filter(n -> !n.hub()).toList();
+    }
+
+    /** Addresses of the hubs whose status arrives here. */
+    public List<String> hubs() {
         return up().stream()
-                .filter(s -> !s.leaving() && s.duties().contains(partition))
-                .max(Comparator.comparingLong(PeerMessage.Status::generation))
+                .filter(s -> s.node().hub())
                 .map(PeerMessage.Status::from)
-                .orElse(null);
+                .toList();
+    }
+
+    /** The peer that owns a partition, or null if no peer that is up reports the partition. */
+    public String ownerOf(int partition) {
+        PeerMessage.Status owner = null;
+        for (PeerMessage.Status s : up()) {
+            boolean owns = !s.node().leaving() && s.duties().contains(partition);
+            if (owns && (owner == null || s.generation() > owner.generation())) {
+                owner = s;
+            }
+        }
+        return owner == null ? viewOwners.get(partition) : owner.from();
+    }
+
+    /** Owner of each partition as the peers that are up report it. */
+    public Map<Integer, String> owners() {
+        Map<Integer, String> owners = new HashMap<>();
+        up().stream()
+                .filter(s -> !s.node().leaving())
+                .sorted(Comparator.comparingLong(PeerMessage.Status::generation))
+                .forEach(s -> s.duties().forEach(p -> owners.put(p, s.from())));
+        return owners;
     }
 
     /**
@@ -99,7 +186,7 @@
     public boolean mayStillOrder(int partition, long generation) {
         String lastOwner = lastReporterByPartition.get(partition);
         return up().stream()
-                .filter(s -> !s.leaving())
+                .filter(s -> !s.node().leaving())
                 .anyMatch(s ->
                         s.ordered().contains(partition) || s.from().equals(lastOwner) && s.generation() < generation);
     }
@@ -118,5 +205,9 @@
         return n == 0 ? 0 : (int) n + (knownPeers.containsKey(self) ? 0 : 1);
     }
 
+    private boolean isFresh(ReceivedStatus r) {
+        return scheduler.nanoTime() - r.receivedNanos < UP_TIMEOUT_MS * 1_000_000;
+    }
+
     private record ReceivedStatus(PeerMessage.Status status, long receivedNanos) {}
 }
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
@@ -204,7 +204,7 @@
         RequestFlow flow = start(RouteKind.NON_IDEMPOTENT, null);
         flow.callerDisconnected();
         assertThat(client.cancelled).isEqualTo(1);
-        assertThat(loads.own()).isEmpty();
+        assertThat(loads.sum(List.of())).isEmpty();
     }
 
     @Test
--- a/core/src/test/java/org/quetzalvane/core/team/PeerTableTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/PeerTableTest.java
@@ -23,11 +23,7 @@
     private static PeerMessage.Status status(
             String from, boolean leaving, long generation, List<Integer> partitions, List<Integer> ordered) {
         return new PeerMessage.Status(
-                from,
-                from,
-                "a",
-                true,
-                leaving,
+                new NodeInfo(from, from, "a", 100, true, true, leaving),
                 generation,
                 partitions,
                 ordered,
@@ -35,6 +31,7 @@
                 Map.of(),
                 Map.of(),
                 List.of(),
+                List.of(),
                 0);
     }
 
--- a/entry/src/main/java/org/quetzalvane/entry/AssignmentMember.java
+++ b/entry/src/main/java/org/quetzalvane/entry/AssignmentMember.java
@@ -23,6 +23,8 @@
      * no peer reports.
      */
     private static final long MEMBER_LIST_INTERVAL_MS = 5_000;
+    /** Time that the seeds have to answer before the members are read, ms: a connect and a status interval. */
+    private static final long FIRST_LIST_DELAY_MS = 600;
 
     private final Scheduler scheduler;
     private final AssignmentGroup group;
@@ -33,6 +35,10 @@
     private final long ttlMs;
     private final Runnable changed;
     private boolean leaving;
+    /** Whether this node takes part in the group; only hubs do. */
+    private boolean active;
+    /** Number of the current membership; a response to a join of an earlier one is ignored. */
+    private int membership;
 
     /**
      * Creates the member; {@link #start} joins the group.
@@ -66,24 +72,43 @@
      */
     record Membership(String address, long ttlMs) {}
 
+    /** Looks for first peers among the group's members if no seed answers. */
     void start() {
-        join();
-        listMembers();
+        scheduler.schedule(Duration.ofMillis(FIRST_LIST_DELAY_MS), this::findFirstPeers);
+    }
+
+    /** Joins the group, which then assigns partitions to this node, or leaves it and gives its partitions up. */
+    void setActive(boolean member) {
+        if (active == member || leaving) {
+            return;
+        }
+        active = member;
+        membership++;
+        if (active) {
+            join(membership);
+            listMembers(membership);
+        } else {
+            group.leave(self);
+            lease.release();
+            changed.run();
+        }
     }
 
     /** Leaves the group, which then assigns this node's partitions to others. */
     void leave() {
         leaving = true;
-        group.leave(self);
+        if (active) {
+            group.leave(self);
+        }
     }
 
-    private void join() {
-        if (leaving) {
+    private void join(int current) {
+        if (leaving || current != membership) {
             return;
         }
         long sentNanos = scheduler.nanoTime();
         group.join(self, ttlMs, lease.generation(), assignment -> {
-            if (leaving) {
+            if (leaving || current != membership) {
                 return;
             }
             if (assignment != null && lease.update(assignment.generation(), assignment.partitions(), sentNanos)) {
@@ -96,19 +121,30 @@
                         assignment.partitions().size());
                 changed.run();
             }
-            scheduler.schedule(Duration.ofMillis(assignment == null ? JOIN_RETRY_MS : JOIN_INTERVAL_MS), this::join);
+            scheduler.schedule(
+                    Duration.ofMillis(assignment == null ? JOIN_RETRY_MS : JOIN_INTERVAL_MS), () -> join(current));
         });
     }
 
-    private void listMembers() {
-        if (leaving) {
+    /** Reads the members once, and at an interval while this node is one, so that separated groups of nodes meet. */
+    private void listMembers(int current) {
+        if (leaving || current != membership) {
             return;
         }
         group.members(addresses -> {
             if (addresses != null) {
                 addresses.forEach(peers::addKnown);
             }
-            scheduler.schedule(Duration.ofMillis(MEMBER_LIST_INTERVAL_MS), this::listMembers);
+            if (active) {
+                scheduler.schedule(Duration.ofMillis(MEMBER_LIST_INTERVAL_MS), () -> listMembers(current));
+            }
         });
     }
+
+    private void findFirstPeers() {
+        if (!peers.knowsAnyNode() && !active) {
+            listMembers(membership);
+            scheduler.schedule(Duration.ofMillis(FIRST_LIST_DELAY_MS), this::findFirstPeers);
+        }
+    }
 }
--- a/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
+++ b/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
@@ -16,6 +16,7 @@
 import org.quetzalvane.core.residency.LoadRequest;
 import org.quetzalvane.core.routes.AdapterRef;
 import org.quetzalvane.core.store.StoreRecord;
+import org.quetzalvane.core.team.NodeInfo;
 import org.quetzalvane.core.team.PeerMessage;
 import org.quetzalvane.platform.BootSettings;
 import org.quetzalvane.platform.RecordDecoder;
@@ -46,6 +47,7 @@
                 addresses[1],
                 addresses[2],
                 addresses[3],
+                100,
                 Set.of(addresses[2]),
                 addresses[4],
                 24,
@@ -73,25 +75,31 @@
         PeerCodec codec = new PeerCodec();
         EngineResidency residency = new EngineResidency(1, 2, Map.of("m", Map.of("a", 1)));
         AdapterRef ref = new AdapterRef("m", "a");
+        NodeInfo node = new NodeInfo("p", "c", "z", 100, true, true, false);
         List<PeerMessage> all = List.of(
                 new PeerMessage.Status(
-                        "p",
-                        "c",
-                        "z",
-                        true,
-                        false,
+                        node,
                         3,
                         List.of(1),
                         List.of(1),
                         Map.of("e", new EndpointLoads.Load(1, 2)),
                         Map.of("e", List.of(ref)),
                         Map.of("e", residency),
+                        List.of(node),
                         List.of("q"),
                         0),
+                new PeerMessage.View(
+                        "p",
+                        List.of(node),
+                        Map.of(1, "p"),
+                        Map.of("e", new EndpointLoads.Load(1, 2)),
+                        Map.of("e", 1),
+                        Map.of("e", residency),
+                        Map.of("t", new PeerMessage.TopicPosition(1, 1))),
                 new PeerMessage.AdapterLoadRequest("p", 1, "e", new LoadRequest(ref, 1, 0, 100, 100)),
                 new PeerMessage.AdapterLoadReply("p", 1, true),
                 new PeerMessage.RecordsRequest("p"),
-                new PeerMessage.Records("p", "t", List.of(new StoreRecord("k", new byte[1], 1))));
+                new PeerMessage.Records("p", "t", true, List.of(new StoreRecord("k", new byte[1], 1))));
         for (PeerMessage m : all) {
             codec.decode(codec.encode(m));
         }
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -34,6 +34,8 @@
 import org.quetzalvane.core.team.AssignedEngines;
 import org.quetzalvane.core.team.AssignmentLease;
 import org.quetzalvane.core.team.PeerTable;
+import org.quetzalvane.core.team.RecordRelay;
+import org.quetzalvane.core.team.StatusExchange;
 import org.quetzalvane.platform.BootSettings;
 import org.quetzalvane.platform.DirectoryProtocol;
 import org.quetzalvane.platform.EndpointGateway;
@@ -138,11 +140,15 @@
                 settings.enginePartitions(),
                 peerTable::mayStillOrder);
         assignedEngines = new AssignedEngines(lease, this::createController);
+        RecordRelay relay = new RecordRelay(loop, platform::appliedOffset);
         peerService = new PeerService(
                 loop,
-                new PeerService.Components(
+                new StatusExchange.Components(
                         peerTable, endpointLoads, adapterUsage, residency, lease, assignedEngines, loadTimes, log),
-                localNode());
+                localNode(),
+                new PeerService.RecordAccess(platform::records, platform::applyFromPeer),
+                relay);
+        platform.exchange(relay::reliesOnHub, peerService::relayRecords);
         assignmentMember = new AssignmentMember(
                 loop,
                 store.assignmentGroup(),
@@ -161,7 +167,8 @@
     void start() {
         lineLog.start();
         log.log(EventCode.NODE_STARTED, settings.nodeName(), "peers", settings.peerAddress());
-        PeerTransport transport = new PeerTransport(loop, peerService::receive, peerService::connectionChanged);
+        PeerTransport transport =
+                new PeerTransport(loop, settings.peerAddress(), peerService::receive, peerService::connectionChanged);
         transport.listen(Addresses.parse(settings.peerAddress()));
         callerServer.listen(Addresses.parse(settings.callerAddress()));
         readinessServer.listen(Addresses.parse(settings.readinessAddress()));
@@ -255,15 +262,20 @@
                 log);
     }
 
-    private PeerService.LocalNode localNode() {
-        return new PeerService.LocalNode(
+    private StatusExchange.LocalNode localNode() {
+        return new StatusExchange.LocalNode(
                 settings.peerAddress(),
                 settings.callerAddress(),
                 settings.zone(),
+                settings.capacity(),
                 this::ready,
                 () -> leaving,
-                platform::records,
-                platform::applyFromPeer);
+                platform::positions,
+                this::setOwnerRole);
+    }
+
+    private void setOwnerRole(boolean mayOwn) {
+        assignmentMember.setActive(mayOwn);
     }
 
     private boolean ready() {
@@ -306,7 +318,9 @@
         if (ready()) {
             addresses.add(settings.callerAddress());
         }
-        peerTable.up().stream().filter(p -> p.ready() && !p.leaving()).forEach(p -> addresses.add(p.callerAddress()));
+        peerTable.nodes().stream()
+                .filter(n -> n.ready() && !n.leaving())
+                .forEach(n -> addresses.add(n.callerAddress()));
         if (addresses.isEmpty()) {
             DirectoryProtocol.respondUnavailable(exchange);
         } else {
@@ -379,7 +393,7 @@
         metrics.gauge("callers_unanswered", callerServer::busyConnections);
         metrics.gauge("operator_records_age_ms", platform::configAgeMs);
         metrics.gauge("endpoint_entries_age_ms", platform::entriesAgeMs);
-        metrics.gauge("peers_up", () -> peerTable.up().size());
+        metrics.gauge("peers_up", () -> peerTable.nodes().size());
         metrics.gauge("duties_held", () -> lease.owned().size());
         metrics.gauge("duty_generation", lease::generation);
         InetSocketAddress own = Addresses.parse(settings.callerAddress());
--- a/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
@@ -12,6 +12,7 @@
 import org.quetzalvane.core.residency.LoadRequest;
 import org.quetzalvane.core.routes.AdapterRef;
 import org.quetzalvane.core.store.StoreRecord;
+import org.quetzalvane.core.team.NodeInfo;
 import org.quetzalvane.core.team.PeerMessage;
 
 /**
@@ -25,7 +26,8 @@
             PeerMessage.AdapterLoadRequest.class,
             PeerMessage.AdapterLoadReply.class,
             PeerMessage.RecordsRequest.class,
-            PeerMessage.Records.class);
+            PeerMessage.Records.class,
+            PeerMessage.View.class);
 
     private final ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
 
@@ -34,7 +36,14 @@
         mapper.enable(DeserializationFeature.UNWRAP_SINGLE_VALUE_ARRAYS);
         JsonFormat.Value array = JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY);
         TYPES.forEach(t -> mapper.configOverride(t).setFormat(array));
-        List.of(EndpointLoads.Load.class, EngineResidency.class, AdapterRef.class, LoadRequest.class, StoreRecord.class)
+        List.of(
+                        EndpointLoads.Load.class,
+                        EngineResidency.class,
+                        AdapterRef.class,
+                        LoadRequest.class,
+                        StoreRecord.class,
+                        NodeInfo.class,
+                        PeerMessage.TopicPosition.class)
                 .forEach(t -> mapper.configOverride(t).setFormat(array));
     }
 
--- a/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
@@ -117,11 +119,46 @@
         return known;
     }
 
+    /** How far this node has read each topic that it knows the records of. */
+    Map<String, PeerMessage.TopicPosition> positions() {
+        Map<String, PeerMessage.TopicPosition> positions = new HashMap<>();
+        if (config.current().isPresent()) {
+            positions.put(PEER_TOPIC_OPERATOR, position(operatorRecords));
+        }
+        if (entries.initialized()) {
+            positions.put(PEER_TOPIC_ENDPOINTS, position(entries));
+        }
+        return positions;
+    }
+
+    /** Greatest offset applied of a topic, by its name in the messages between nodes. */
+    long appliedOffset(String topic) {
+        return follower(topic).appliedOffset();
+    }
+
+    /**
+     * Sets the exchange of records with other nodes, see {@link RecordFollower#exchange}.
+     *
+     * @param next receives the topic's name in the messages between nodes, and the records just applied
+     */
+    void exchange(BooleanSupplier passedOn, BiConsumer<String, List<StoreRecord>> next) {
+        operatorRecords.exchange(passedOn, records -> next.accept(PEER_TOPIC_OPERATOR, records));
+        entries.exchange(passedOn, records -> next.accept(PEER_TOPIC_ENDPOINTS, records));
+    }
+
     /**
      * Applies records that a peer sent. Records of any topic other than the operator's are taken as endpoint records.
      */
     void applyFromPeer(PeerMessage.Records r) {
-        (r.topic().equals(PEER_TOPIC_OPERATOR) ? operatorRecords : entries).applyFromPeer(r.records());
+        follower(r.topic()).applyFromPeer(r.records());
+    }
+
+    private RecordFollower follower(String topic) {
+        return topic.equals(PEER_TOPIC_OPERATOR) ? operatorRecords : entries;
+    }
+
+    private static PeerMessage.TopicPosition position(RecordFollower f) {
+        return new PeerMessage.TopicPosition(f.appliedOffset(), f.msSinceLastResponse());
     }
 
     private void applyOperatorRecord(StoreRecord r) {
--- a/entry/src/test/java/org/quetzalvane/entry/EntryNodeTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EntryNodeTest.java
@@ -57,6 +57,7 @@
                 addresses[1],
                 addresses[2],
                 addresses[3],
+                100,
                 seeds,
                 store.address(),
                 24,
--- a/entry/src/test/java/org/quetzalvane/entry/PeerServiceTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/PeerServiceTest.java
@@ -24,6 +24,8 @@
 import org.quetzalvane.core.team.AssignedEngines;
 import org.quetzalvane.core.team.AssignmentLease;
 import org.quetzalvane.core.team.PeerTable;
+import org.quetzalvane.core.team.RecordRelay;
+import org.quetzalvane.core.team.StatusExchange;
 import org.quetzalvane.core.time.ManualScheduler;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -52,12 +54,15 @@
         AssignedEngines assignedEngines =
                 new AssignedEngines(lease, e -> new EngineController(context, () -> lease.tokenForOrder(0), SPEC, e));
         ResidencyTable residency = new ResidencyTable(clock);
-        PeerService.Components components = new PeerService.Components(
+        StatusExchange.Components components = new StatusExchange.Components(
                 peers, new EndpointLoads(), usage, residency, lease, assignedEngines, loadTimes, log);
         PeerService service = new PeerService(
                 clock,
                 components,
-                new PeerService.LocalNode("n1:1", "n1:2", "a", () -> true, () -> false, () -> Map.of(), r -> {}));
+                new StatusExchange.LocalNode(
+                        "n1:1", "n1:2", "a", 100, () -> true, () -> false, () -> Map.of(), owner -> {}),
+                new PeerService.RecordAccess(() -> Map.of(), r -> {}),
+                new RecordRelay(clock, topic -> -1L));
         lease.update(1, Set.of(0), clock.nanoTime());
         clock.advance(Duration.ofSeconds(1));
         assignedEngines.reconcile(List.of(ENGINE));
--- a/transport/src/main/java/org/quetzalvane/transport/PeerTransport.java
+++ b/transport/src/main/java/org/quetzalvane/transport/PeerTransport.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.transport;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -20,8 +21,9 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 
 /**
- * Exchanges frames between the nodes over TCP. A node keeps a connection to each of its target peers and only sends on
- * it; replies arrive on the connection that the peer made.
+ * Exchanges frames between the nodes over TCP. A node keeps a connection to each of its target peers. Each connection
+ * carries frames both ways: its first frame is the address of the node that made it, so that the other node, which need
+ * not have that node as a target, can send to it as well.
  *
  * <p>Confined to the event loop, except for {@link #listen}.
  */
@@ -41,28 +43,37 @@
     private static final int MAX_PENDING_BYTES = 1024 * 1024;
 
     private final NettyEventLoop loop;
+    private final byte[] self;
     private final Consumer<byte[]> handler;
     private final BiConsumer<String, Boolean> connectionListener;
     private final Map<String, Channel> channels = new HashMap<>();
+    /** Connections that other nodes made, by the address that they sent first. */
+    private final Map<String, Channel> accepted = new HashMap<>();
+
     private final Set<String> targets = new HashSet<>();
 
     /**
      * Creates the transport; it has no connections before {@link #setTargets}.
      *
+     * @param self address of this node for peers, IP:PORT
      * @param handler takes each frame that arrives
      * @param connectionListener called with true when the connection to a peer is made and with false when it is lost;
      *     not called for a connection that {@link #setTargets} closes
      */
     public PeerTransport(
-            NettyEventLoop loop, Consumer<byte[]> handler, BiConsumer<String, Boolean> connectionListener) {
+            NettyEventLoop loop,
+            String self,
+            Consumer<byte[]> handler,
+            BiConsumer<String, Boolean> connectionListener) {
         this.loop = loop;
+        this.self = self.getBytes(StandardCharsets.US_ASCII);
         this.handler = handler;
         this.connectionListener = connectionListener;
     }
 
     /** Binds the address for peers and waits until it is bound. */
     public void listen(InetSocketAddress at) {
-        loop.server().childHandler(pipeline()).bind(at).syncUninterruptibly();
+        loop.server().childHandler(pipeline(true)).bind(at).syncUninterruptibly();
     }
 
     /** Sets the peers to keep connections to, given as IP:PORT; connections to others are closed. */
@@ -84,11 +95,14 @@
     }
 
     /**
-     * Queues a frame for a peer. Returns false if there is no connection, or if more than {@link #MAX_PENDING_BYTES}
-     * are queued on it, in which case the connection is closed.
+     * Queues a frame for a peer. Returns false if there is no connection in either direction, or if more than {@link
+     * #MAX_PENDING_BYTES} are queued on it, in which case the connection is closed.
      */
     public boolean send(String peer, byte[] frame) {
         Channel c = channels.get(peer);
+        if (c == null || !c.isActive()) {
+            c = accepted.get(peer);
+        }
         if (c == null || !c.isActive()) {
             return false;
         }
@@ -106,7 +120,7 @@
             return;
         }
         loop.client(CONNECT_TIMEOUT_MS)
-                .handler(pipeline())
+                .handler(pipeline(false))
                 .connect(Addresses.parse(peer))
                 .addListener((io.netty.channel.ChannelFuture f) -> {
                     if (!f.isSuccess()) {
@@ -114,6 +128,7 @@
                         return;
                     }
                     channels.put(peer, f.channel());
+                    f.channel().writeAndFlush(Unpooled.wrappedBuffer(self));
                     connectionListener.accept(peer, true);
                     f.channel().closeFuture().addListener(x -> disconnected(peer, f.channel()));
                 });
@@ -126,7 +141,13 @@
         loop.schedule(Duration.ofMillis(RECONNECT_DELAY_MS), () -> connect(peer));
     }
 
-    private ChannelInitializer<Channel> pipeline() {
+    private void acceptedClosed(String peer, Channel c) {
+        if (accepted.remove(peer, c) && !channels.containsKey(peer)) {
+            connectionListener.accept(peer, false);
+        }
+    }
+
+    private ChannelInitializer<Channel> pipeline(boolean fromPeer) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel ch) {
@@ -135,16 +156,28 @@
                                 new LengthFieldBasedFrameDecoder(
                                         MAX_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES),
                                 new LengthFieldPrepender(LENGTH_FIELD_BYTES),
-                                new FrameHandler());
+                                new FrameHandler(fromPeer));
             }
         };
     }
 
     private final class FrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
+        private boolean awaitsAddress;
+
+        FrameHandler(boolean awaitsAddress) {
+            this.awaitsAddress = awaitsAddress;
+        }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf msg) {
-            handler.accept(ByteBufUtil.getBytes(msg));
+            if (awaitsAddress) {
+                awaitsAddress = false;
+                String peer = msg.toString(StandardCharsets.US_ASCII);
+                accepted.put(peer, ctx.channel());
+                ctx.channel().closeFuture().addListener(x -> acceptedClosed(peer, ctx.channel()));
+            } else {
+                handler.accept(ByteBufUtil.getBytes(msg));
+            }
         }
 
         @Override
