Copy adapters by the demand of all nodes and wait by measured run times

Cause: a copy was loaded when one node had three requests for the adapter within 4 s. A queued request counted as 31 ms, which holds for 64 request slots but not for 12 or 16.

Change: a status lists the adapters in use once for each request, so a hub knows the requests in progress for each adapter at all nodes; from three on an adapter counts as in demand, also at the members. The wait for a slot is the measured run time divided by the slots, and the part of the slots taken decides between engines with equal wait.

--- a/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
@@ -47,6 +47,8 @@
      * 2 s on 17 adapter slots, one slot becomes free every 120 ms.
      */
     private static final double MISSING_IDLE_COST_MS = 120;
+    /** Cost of an engine all of whose request slots are taken, compared with an idle one, ms: 1 ms for each of 64. */
+    private static final double FULL_ENGINE_COST_MS = 64;
     /** Requests for an adapter within the window of {@link AdapterDemand} from which a copy is loaded. */
     private static final int MIN_COPY_REQUESTS = 3;
 
@@ -138,16 +140,10 @@
     /** Expected wait for the first token at an engine, ms: pending prompts, and requests beyond its request slots. */
     public double waitMs(Endpoint e) {
         EndpointLoads.Load l = loads.total(e.id());
-        double queuedMs = Math.max(0, l.requests() - e.requestSlots()) * QUEUED_REQUEST_MS;
-        return prefill.waitMs(l.pendingTokens()) + queuedMs;
+        int queued = Math.max(0, l.requests() - e.requestSlots());
+        return prefill.waitMs(l.pendingTokens()) + queued * prefill.slotIntervalMs(e.requestSlots());
     }
 
-    /**
-     * Wait added for each request beyond the request slots, ms: with runs of 2 s on 64 request slots, one becomes free
-     * every 31 ms.
-     */
-    private static final double QUEUED_REQUEST_MS = 31;
-
     /**
      * Added to the expected wait of an engine without an owner, ms: the time to assign its partition to another node.
      */
@@ -187,17 +183,20 @@
         return Math.max(0, MIN_IDLE_ADAPTERS - idle) * MISSING_IDLE_COST_MS;
     }
 
-    /** Whether this node gets enough requests for the adapter to make a copy worth its load. */
+    /**
+     * Whether the adapter gets enough requests to make a copy worth its load: at this node, or at all nodes together,
+     * of which each of many sees a small part.
+     */
     private boolean inDemand(AdapterRef ref) {
-        return demand.recentRequests(ref) >= MIN_COPY_REQUESTS;
+        return demand.recentRequests(ref) >= MIN_COPY_REQUESTS || adapterUsage.isPopular(ref);
     }
 
     /**
-     * Cost of an engine on which the adapter is resident, ms; each request adds 1 ms, which decides between engines
-     * with equal wait.
+     * Cost of an engine on which the adapter is resident, ms; the part of its request slots that is taken decides
+     * between engines with equal wait.
      */
     private double residentCostMs(Endpoint e) {
-        double requests = loads.total(e.id()).requests() * 1.0;
-        return waitMs(e) + requests + (e.zone().equals(dataCentre) ? 0 : REMOTE_DATA_CENTRE_COST_MS);
+        double taken = (double) loads.total(e.id()).requests() / Math.max(1, e.requestSlots());
+        return waitMs(e) + taken * FULL_ENGINE_COST_MS + (e.zone().equals(dataCentre) ? 0 : REMOTE_DATA_CENTRE_COST_MS);
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/choice/PrefillEstimator.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/PrefillEstimator.java
@@ -1,7 +1,8 @@
 package org.quetzalvane.core.choice;
 
 /**
- * Estimates how long a request waits for its first token behind a given number of pending prompt tokens.
+ * Estimates how long a request waits for its first token: behind a given number of pending prompt tokens, and for a
+ * request slot.
  *
  * <p>Confined to the event loop.
  */
@@ -18,7 +19,11 @@
 
     private static final double MAX_TOKENS_PER_MS = 40;
 
+    /** Initial duration of a run from its first token to its end, ms. */
+    private static final double INITIAL_RUN_MS = 2_000;
+
     private double tokensPerMs = INITIAL_TOKENS_PER_MS;
+    private double runMs = INITIAL_RUN_MS;
 
     /**
      * Adds the wait for a first token, in milliseconds.
@@ -33,6 +38,16 @@
         tokensPerMs += EWMA_WEIGHT * (rate - tokensPerMs);
     }
 
+    /** Adds the duration of a completed run from its first token to its end, in milliseconds. */
+    public void recordRun(double ms) {
+        runMs += EWMA_WEIGHT * (ms - runMs);
+    }
+
+    /** Expected time between two runs that end on a busy engine, in milliseconds. */
+    public double slotIntervalMs(int requestSlots) {
+        return runMs / Math.max(1, requestSlots);
+    }
+
     /** Expected wait for the first token, in milliseconds. */
     public double waitMs(long pendingTokens) {
         return pendingTokens / tokensPerMs;
--- a/core/src/main/java/org/quetzalvane/core/residency/AdapterUsage.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/AdapterUsage.java
@@ -1,8 +1,11 @@
 package org.quetzalvane.core.residency;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -15,11 +18,18 @@
  * <p>Confined to the event loop.
  */
 public final class AdapterUsage {
+    /** Requests in progress for an adapter from which it counts as popular: one engine may be too few for it. */
+    private static final int POPULAR_REQUESTS = 3;
+
     private final Scheduler scheduler;
     private final Map<String, Map<AdapterRef, Integer>> ownCounts = new HashMap<>();
-    private final Map<String, Map<String, Set<AdapterRef>>> usageByPeer = new HashMap<>();
-    /** Number of peers that use each adapter, by engine; sums of {@link #usageByPeer}. */
+    private final Map<String, Map<String, List<AdapterRef>>> usageByPeer = new HashMap<>();
+    /** Requests of peers for each adapter, by engine; sums of {@link #usageByPeer}. */
     private final Map<String, Map<AdapterRef, Integer>> peerCounts = new HashMap<>();
+    /** Requests for each adapter on all engines, of this node and of its peers. */
+    private final Map<AdapterRef, Integer> totals = new HashMap<>();
+
+    private Set<AdapterRef> reportedPopular = Set.of();
 
     private Map<String, Integer> reportedCounts = Map.of();
     private final Map<String, Map<AdapterRef, Long>> lastUsed = new HashMap<>();
@@ -31,6 +41,7 @@
     /** Counts a request that was sent to an engine. */
     public void requestStarted(String engine, AdapterRef ref) {
         ownCounts.computeIfAbsent(engine, e -> new HashMap<>()).merge(ref, 1, Integer::sum);
+        totals.merge(ref, 1, Integer::sum);
         markUsed(engine, ref);
     }
 
@@ -40,36 +51,64 @@
         if (m == null) {
             return;
         }
-        m.computeIfPresent(ref, (r, n) -> n == 1 ? null : n - 1);
+        if (m.containsKey(ref)) {
+            removeOne(m, ref);
+            removeOne(totals, ref);
+        }
         if (m.isEmpty()) {
             ownCounts.remove(engine);
         }
         markUsed(engine, ref);
     }
 
-    /** Replaces the adapters in use, by engine, that a peer last reported. */
-    public void updatePeer(String peer, Map<String, Set<AdapterRef>> inUse) {
+    /** Replaces the adapters in use, by engine and once for each request, that a peer last reported. */
+    public void updatePeer(String peer, Map<String, List<AdapterRef>> inUse) {
         removePeer(peer);
         usageByPeer.put(peer, inUse);
         inUse.forEach((engine, refs) -> refs.forEach(r -> {
             peerCounts.computeIfAbsent(engine, e -> new HashMap<>()).merge(r, 1, Integer::sum);
+            totals.merge(r, 1, Integer::sum);
             markUsed(engine, r);
         }));
     }
 
     /** Removes a peer that is no longer up. */
     public void removePeer(String peer) {
-        Map<String, Set<AdapterRef>> before = usageByPeer.remove(peer);
+        Map<String, List<AdapterRef>> before = usageByPeer.remove(peer);
         if (before != null) {
-            before.forEach((engine, refs) -> refs.forEach(r -> peerCounts
-                    .getOrDefault(engine, new HashMap<>())
-                    .computeIfPresent(r, (ref, n) -> n == 1 ? null : n - 1)));
+            before.forEach((engine, refs) -> refs.forEach(r -> {
+                removeOne(peerCounts.get(engine), r);
+                removeOne(totals, r);
+            }));
         }
     }
 
-    /** Replaces the numbers of adapters in use, by engine, that a hub reported instead of the adapters themselves. */
-    public void updateCounts(Map<String, Integer> counts) {
+    private static void removeOne(Map<AdapterRef, Integer> counts, AdapterRef ref) {
+        counts.computeIfPresent(ref, (r, n) -> n == 1 ? null : n - 1);
+    }
+
+    /**
+     * Replaces what a hub reported instead of the adapters in use themselves.
+     *
+     * @param counts number of adapters in use by engine
+     * @param popular {@link #popular} adapters
+     */
+    public void updateReported(Map<String, Integer> counts, Collection<AdapterRef> popular) {
         reportedCounts = Map.copyOf(counts);
+        reportedPopular = Set.copyOf(popular);
+    }
+
+    /** Whether at least {@link #POPULAR_REQUESTS} requests of all nodes together use the adapter. */
+    public boolean isPopular(AdapterRef ref) {
+        return totals.getOrDefault(ref, 0) >= POPULAR_REQUESTS || reportedPopular.contains(ref);
+    }
+
+    /** Adapters that many requests of all nodes together use at this moment, on whatever engines. */
+    public List<AdapterRef> popular() {
+        return totals.entrySet().stream()
+                .filter(e -> e.getValue() >= POPULAR_REQUESTS)
+                .map(Map.Entry::getKey)
+                .toList();
     }
 
     /** Removes the last-use times of an engine. */
@@ -108,13 +147,14 @@
         return lastUsed.getOrDefault(engine, Map.of()).getOrDefault(ref, Long.MIN_VALUE);
     }
 
-    /** Adapters that this node's own requests and those of some peers use, by engine. */
-    public Map<String, Set<AdapterRef>> inUseBy(Collection<String> peers) {
-        Map<String, Set<AdapterRef>> all = new HashMap<>();
-        ownCounts.forEach((engine, m) -> all.put(engine, new HashSet<>(m.keySet())));
+    /** Adapters that this node's own requests and those of some peers use, by engine and once for each request. */
+    public Map<String, List<AdapterRef>> inUseBy(Collection<String> peers) {
+        Map<String, List<AdapterRef>> all = new HashMap<>();
+        ownCounts.forEach((engine, m) -> m.forEach(
+                (ref, n) -> all.computeIfAbsent(engine, e -> new ArrayList<>()).addAll(Collections.nCopies(n, ref))));
         for (String peer : peers) {
             usageByPeer.getOrDefault(peer, Map.of()).forEach((engine, refs) -> all.computeIfAbsent(
-                            engine, e -> new HashSet<>())
+                            engine, e -> new ArrayList<>())
                     .addAll(refs));
         }
         return all;
--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -253,6 +253,9 @@
         } else {
             context.outlierDetector().recordSuccess(endpoint.id());
         }
+        if (endpointIsEngine && head.success()) {
+            context.prefillEstimator().recordRun((context.scheduler().nanoTime() - firstByteNanos) / 1e6);
+        }
         if (buffer != null && !buffer.flushed()) {
             response.send(head, buffer.content());
         } else {
--- a/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
@@ -24,7 +24,7 @@
      * @param duties partitions assigned to it
      * @param ordered partitions under which it sent orders within the last lease
      * @param loads endpoint load of its requests by endpoint
-     * @param inUse adapters that its requests use, by engine
+     * @param inUse adapters that its requests use, by engine and once for each request
      * @param holdings adapters resident on the engines that it owns
      * @param members nodes that report to it
      * @param hubs addresses of the hubs whose status it receives
@@ -57,6 +57,7 @@
      * @param owners address of the owner of each partition
      * @param loads endpoint load by endpoint, without that of the receiver
      * @param inUseCounts number of adapters in use by engine
+     * @param popular adapters that many requests of all nodes together use
      * @param holdings adapters resident on each engine, without engines that have not changed
      * @param records how far the sender has read each topic of the store
      */
@@ -66,6 +67,7 @@
             Map<Integer, String> owners,
             Map<String, EndpointLoads.Load> loads,
             Map<String, Integer> inUseCounts,
+            List<AdapterRef> popular,
             Map<String, EngineResidency> holdings,
             Map<String, TopicPosition> records)
             implements PeerMessage {}
--- a/core/src/main/java/org/quetzalvane/core/team/StatusExchange.java
+++ b/core/src/main/java/org/quetzalvane/core/team/StatusExchange.java
@@ -19,7 +19,6 @@
 import org.quetzalvane.core.residency.EngineResidency;
 import org.quetzalvane.core.residency.LoadTimeEstimator;
 import org.quetzalvane.core.residency.ResidencyTable;
-import org.quetzalvane.core.routes.AdapterRef;
 import org.quetzalvane.core.time.Scheduler;
 
 /**
@@ -155,9 +154,7 @@
     public void onStatus(PeerMessage.Status s) {
         components.peers().updatePeer(s);
         components.endpointLoads().updatePeer(s.from(), s.loads());
-        Map<String, Set<AdapterRef>> inUse = new HashMap<>();
-        s.inUse().forEach((engine, refs) -> inUse.put(engine, new HashSet<>(refs)));
-        components.adapterUsage().updatePeer(s.from(), inUse);
+        components.adapterUsage().updatePeer(s.from(), s.inUse());
         s.holdings().forEach(components.residency()::update);
     }
 
@@ -176,7 +173,7 @@
         viewFrom = v.from();
         reportsToSinceNanos = scheduler.nanoTime();
         components.endpointLoads().updatePeer(viewFrom, v.loads());
-        components.adapterUsage().updateCounts(v.inUseCounts());
+        components.adapterUsage().updateReported(v.inUseCounts(), v.popular());
         v.holdings().forEach(components.residency()::update);
     }
 
@@ -251,7 +248,7 @@
     private void reportTo(String peer, long now) {
         if (peer == null && viewFrom != null) {
             components.endpointLoads().removePeer(viewFrom);
-            components.adapterUsage().updateCounts(Map.of());
+            components.adapterUsage().updateReported(Map.of(), List.of());
             viewFrom = null;
         }
         if (peer != null && !peer.equals(reportsTo)) {
@@ -303,8 +300,6 @@
     private PeerMessage.Status status() {
         List<NodeInfo> members = components.peers().members();
         List<String> reporting = members.stream().map(NodeInfo::address).toList();
-        Map<String, List<AdapterRef>> inUse = new HashMap<>();
-        components.adapterUsage().inUseBy(reporting).forEach((engine, refs) -> inUse.put(engine, List.copyOf(refs)));
         AssignmentLease lease = components.lease();
         return new PeerMessage.Status(
                 self(),
@@ -312,7 +307,7 @@
                 List.copyOf(lease.owned()),
                 List.copyOf(lease.recentlyOrdered()),
                 components.endpointLoads().sum(reporting),
-                inUse,
+                components.adapterUsage().inUseBy(reporting),
                 components.assignedEngines().residencies(),
                 members,
                 components.peers().hubs(),
@@ -345,6 +340,7 @@
                     owners,
                     components.endpointLoads().allExcept(m.address()),
                     components.adapterUsage().inUseCounts(),
+                    components.adapterUsage().popular(),
                     complete ? residency : changed,
                     local.positions().get());
             if (network.send(m.address(), view)) {
--- a/core/src/test/java/org/quetzalvane/core/choice/EngineSelectorTest.java
+++ b/core/src/test/java/org/quetzalvane/core/choice/EngineSelectorTest.java
@@ -62,6 +62,33 @@
         assertThat(s.copyTarget() != null).isEqualTo(copied);
     }
 
+    /** Many hosts, each of which sees few of the requests for a popular adapter. */
+    @Test
+    void copyIsLoadedForAnAdapterThatIsInDemandAtAllNodesTogether() {
+        List<Endpoint> engines = List.of(engine(1, Map.of("a1", 1)), engine(2, Map.of()));
+        loads.requestStarted("e1", 20_000);
+        demand.recordRequest(adapter(1));
+        usage.updatePeer("n2", Map.of("e1", List.of(adapter(1), adapter(1))));
+        assertThat(select(engines, adapter(1)).copyTarget()).isNull();
+        usage.updatePeer("n3", Map.of("e1", List.of(adapter(1))));
+        assertThat(select(engines, adapter(1)).copyTarget()).isNotNull();
+        usage.removePeer("n3");
+        assertThat(select(engines, adapter(1)).copyTarget()).isNull();
+        usage.updateReported(Map.of(), List.of(adapter(1)));
+        assertThat(select(engines, adapter(1)).copyTarget()).isNotNull();
+    }
+
+    /** Queues of engines with few request slots, which become free more rarely than those of engines with many. */
+    @ParameterizedTest
+    @CsvSource({"64, 2, 62", "12, 2, 333", "12, 0, 0"})
+    void waitForARequestSlotFollowsTheNumberOfSlots(int slots, int queued, long waitMs) {
+        for (int i = 0; i < slots + queued; i++) {
+            loads.requestStarted("e1", 0);
+        }
+        Endpoint e = new Endpoint("e1", "s", "127.0.0.1", 1, "a", Endpoint.State.READY, slots, 1, Map.of());
+        assertThat(selector.waitMs(e)).isBetween(waitMs - 1.0, waitMs + 1.0);
+    }
+
     @Test
     void rareAdapterReturnsToTheEngineWhereItWasResident() {
         List<Endpoint> engines = List.of(engine(1, Map.of()), engine(2, Map.of()), engine(3, Map.of()));
--- a/core/src/test/java/org/quetzalvane/core/residency/EngineControllerTest.java
+++ b/core/src/test/java/org/quetzalvane/core/residency/EngineControllerTest.java
@@ -126,7 +126,7 @@
     @Test
     void adapterThatAPeerReportsInUseIsNotEvicted() {
         engine.resident.putAll(Map.of("a1", 1, "a2", 1, "a3", 1));
-        usage.updatePeer("peer", Map.of("e1", Set.of(adapter(1), adapter(2), adapter(3))));
+        usage.updatePeer("peer", Map.of("e1", List.of(adapter(1), adapter(2), adapter(3))));
         requestAdapter(9);
         advance(1_900);
         assertThat(engine.log).isEmpty();
--- a/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
+++ b/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
@@ -94,6 +94,7 @@
                         Map.of(1, "p"),
                         Map.of("e", new EndpointLoads.Load(1, 2)),
                         Map.of("e", 1),
+                        List.of(ref),
                         Map.of("e", residency),
                         Map.of("t", new PeerMessage.TopicPosition(1, 1))),
                 new PeerMessage.AdapterLoadRequest("p", 1, "e", new LoadRequest(ref, 1, 0, 100, 100)),
