--- a/core/src/main/java/org/quetzalvane/core/team/RecordRelay.java
+++ b/core/src/main/java/org/quetzalvane/core/team/RecordRelay.java
@@ -71,12 +71,6 @@
         return complete && storeHeard && scheduler.nanoTime() - viewNanos < MAX_VIEW_AGE_MS * 1_000_000;
     }
 
-    /** Drops the hub: this node has become one, or reports to none. */
-    public void reset() {
-        hub = null;
-        complete = false;
-    }
-
     /** At most one request per view timeout, so that a slow link is not filled with lists of records. */
     private boolean takeRequest(String from) {
         long now = scheduler.nanoTime();
--- a/core/src/test/java/org/quetzalvane/core/store/RecordFollowerTest.java
+++ b/core/src/test/java/org/quetzalvane/core/store/RecordFollowerTest.java
@@ -94,6 +94,33 @@
         assertThat(fresh.records()).extracting(StoreRecord::offset).containsExactly(9L);
     }
 
+    @Test
+    void storeIsNotReadWhileAnotherNodePassesTheRecordsOn() {
+        boolean[] passedOn = {true};
+        follower.exchange(() -> passedOn[0], records -> {});
+        topic.respond(KeyedTopic.ReadResult.ok(List.of(), 2));
+        clock.advance(Duration.ofSeconds(10));
+        assertThat(topic.open).isEmpty();
+        follower.applyFromPeer(List.of(record("a", "2", 2)));
+        passedOn[0] = false;
+        clock.advance(Duration.ofMillis(100));
+        assertThat(topic.open).hasSize(1);
+        assertThat(topic.lastOffset).isEqualTo(2);
+        topic.respond(KeyedTopic.ReadResult.expired());
+        topic.respond(KeyedTopic.ReadResult.ok(List.of(record("a", "2", 2), record("b", "3", 4)), 5));
+        assertThat(received).containsExactly("a=1", "b=1", "a=2", "b=3");
+    }
+
+    @Test
+    void onlyNewerRecordsArePassedOnToOtherNodes() {
+        List<String> passed = new ArrayList<>();
+        follower.exchange(() -> false, records -> records.forEach(r -> passed.add(r.key() + r.offset())));
+        topic.respond(KeyedTopic.ReadResult.ok(List.of(record("a", "1", 0), record("b", "2", 2)), 3));
+        follower.applyFromPeer(List.of(record("b", "1", 1), record("c", "1", 4)));
+        assertThat(passed).containsExactly("b2", "c4");
+        assertThat(follower.appliedOffset()).isEqualTo(4);
+    }
+
     /** Fake that keeps each call open until the test responds to it. */
     private static final class FakeTopic implements KeyedTopic {
         private final Deque<Consumer<ReadResult>> open = new ArrayDeque<>();
--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/team/RecordRelayTest.java
@@ -0,0 +1,80 @@
+package org.quetzalvane.core.team;
+
+import java.time.Duration;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.quetzalvane.core.time.ManualScheduler;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** A node that gets the store's records through its hub, and hubs that are lost or cut off from the store. */
+class RecordRelayTest {
+    private static final String TOPIC = "operator";
+
+    private final ManualScheduler clock = new ManualScheduler();
+    private long applied = -1;
+    private final RecordRelay relay = new RecordRelay(clock, topic -> applied);
+
+    private boolean view(String hub, long offset, long storeAgeMs) {
+        return relay.onView(hub, Map.of(TOPIC, new PeerMessage.TopicPosition(offset, storeAgeMs)));
+    }
+
+    private void synchronize(String hub) {
+        assertThat(view(hub, 5, 10)).isTrue();
+        applied = 5;
+        relay.onRecords(hub, TOPIC);
+        view(hub, 5, 10);
+    }
+
+    @Test
+    void hubIsReliedOnOnceAllItsRecordsHaveArrived() {
+        assertThat(view("h1", 5, 10)).isTrue();
+        assertThat(relay.reliesOnHub()).isFalse();
+        applied = 5;
+        view("h1", 5, 10);
+        assertThat(relay.reliesOnHub()).isFalse();
+        relay.onRecords("h1", TOPIC);
+        view("h1", 5, 10);
+        assertThat(relay.reliesOnHub()).isTrue();
+    }
+
+    /** Parameters: age of the last view, time since the hub heard from the store, and whether the node relies on it. */
+    @ParameterizedTest
+    @CsvSource({"900, 1900, true", "1000, 10, false", "0, 2100, false"})
+    void storeIsReadWhileTheHubIsSilentOrCutOffFromTheStore(long viewAgeMs, long storeAgeMs, boolean relies) {
+        synchronize("h1");
+        view("h1", 5, storeAgeMs);
+        clock.advance(Duration.ofMillis(viewAgeMs));
+        assertThat(relay.reliesOnHub()).isEqualTo(relies);
+    }
+
+    @Test
+    void missingRecordIsRequestedOnceASecond() {
+        synchronize("h1");
+        clock.advance(Duration.ofSeconds(2));
+        assertThat(view("h1", 6, 10)).isTrue();
+        assertThat(relay.reliesOnHub()).isFalse();
+        clock.advance(Duration.ofMillis(300));
+        assertThat(view("h1", 6, 10)).isFalse();
+        clock.advance(Duration.ofMillis(700));
+        assertThat(view("h1", 6, 10)).isTrue();
+        applied = 6;
+        view("h1", 6, 10);
+        assertThat(relay.reliesOnHub()).isTrue();
+    }
+
+    @Test
+    void newHubIsReliedOnOnlyAfterItsOwnRecords() {
+        synchronize("h1");
+        assertThat(view("h2", 5, 10)).isTrue();
+        relay.onRecords("h1", TOPIC);
+        view("h2", 5, 10);
+        assertThat(relay.reliesOnHub()).isFalse();
+        relay.onRecords("h2", TOPIC);
+        view("h2", 5, 10);
+        assertThat(relay.reliesOnHub()).isTrue();
+    }
+}
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -208,8 +208,7 @@
     }
 
     private void stopAccepting() {
-        callerServer.stopAccepting();
-        notAccepting.countDown();
+        callerServer.stopAccepting(notAccepting::countDown);
     }
 
     /** Stops the event loop at once; requests in progress are dropped. */
--- a/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.transport;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -25,6 +26,9 @@
 
     private static final int MAX_CHUNK_BYTES = 16_384;
 
+    /** Shortest delay of a task that runs after the next pass of the event loop's selector. */
+    private static final Duration SELECTOR_PASS = Duration.ofMillis(1);
+
     private final NettyEventLoop loop;
     private final Supplier<ServerLimits> limits;
     private final Consumer<ServerExchange> handler;
@@ -57,10 +61,14 @@
     /**
      * Closes the listening socket and idle connections. The handler must refuse requests that still arrive on open
      * connections.
+     *
+     * @param stopped runs on the event loop when connections are refused
      */
-    public void stopAccepting() {
+    public void stopAccepting(Runnable stopped) {
         accepting = false;
         serverChannel.close();
+        // The selector frees the socket of a closed channel in its next pass; until then the kernel accepts.
+        loop.schedule(SELECTOR_PASS, stopped);
         List.copyOf(connections).forEach(ServerConnection::closeIfIdle);
     }
 
