Select endpoints of plain services in proportion to their free slots

Cause: requests to plain services end within 40 to 90 ms, but a node learns of those of the others after 300 to 900 ms.

Change: weighted rendezvous hashing by the request's id; the weight is the number of free slots, half as much again in the own data centre.

Also: rank candidates by scores that are computed once, and look for the target of a copy only if a copy may be worth it; both were done for every request on all engines.

--- a/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
@@ -124,6 +124,9 @@
         if (ref.adapter().isEmpty()) {
             return resident == null ? null : new Selection(resident, waitMs(resident), true, null);
         }
+        if (resident != null && (waitMs(resident) <= COPY_BACKLOG_MS || !inDemand(ref))) {
+            return new Selection(resident, waitMs(resident), true, null);
+        }
         Endpoint target = loadTarget(
                 healthy.stream()
                         .filter(e -> residency.residencyOf(e).held().containsKey(ref.model()))
@@ -133,7 +136,7 @@
         if (resident == null) {
             return target == null ? null : new Selection(target, waitMs(target), false, null);
         }
-        boolean copyWorthwhile = target != null && inDemand(ref) && waitMs(resident) > waitMs(target) + COPY_BACKLOG_MS;
+        boolean copyWorthwhile = target != null && waitMs(resident) > waitMs(target) + COPY_BACKLOG_MS;
         return new Selection(resident, waitMs(resident), true, copyWorthwhile ? target : null);
     }
 
--- a/core/src/main/java/org/quetzalvane/core/choice/ServiceEndpointSelector.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/ServiceEndpointSelector.java
@@ -4,18 +4,24 @@
 import java.util.List;
 import java.util.Set;
 
+import org.quetzalvane.core.cluster.RendezvousHash;
 import org.quetzalvane.core.fleet.Endpoint;
 
 /**
- * Selects the endpoint of a plain service: the least loaded one, with a preference for the node's own data centre.
+ * Selects the endpoint of a plain service, at random in proportion to the free request slots.
  *
- * <p>Confined to the event loop.
+ * <p>Requests to these services end before other nodes learn of them. Nodes that all selected the endpoint with the
+ * least known load would send to the same one until the next report, and it would refuse most of them. The hash of the
+ * request decides, so that a request that is repeated with the same endpoints selects the same one. Confined to the
+ * event loop.
  */
 public final class ServiceEndpointSelector {
-    /** Added to the requests of an endpoint in another data centre, scaled to {@link #REFERENCE_SLOTS}. */
-    private static final double REMOTE_DATA_CENTRE_COST_REQUESTS = 1.5;
-    /** Number of request slots to which the requests of an endpoint are scaled. */
-    private static final int REFERENCE_SLOTS = 6;
+    /** Smallest part of the request slots that counts as free; a full endpoint is still better than none. */
+    private static final double MIN_FREE = 0.05;
+    /** Weight of an endpoint in the node's own data centre relative to one in another. */
+    private static final double OWN_DATA_CENTRE_WEIGHT = 1.5;
+    /** Number of values of a hash, as a floating-point number. */
+    private static final double HASH_RANGE = 0x1p64;
 
     private final EndpointLoads loads;
     private final OutlierDetector outliers;
@@ -27,17 +33,30 @@
         this.dataCentre = dataCentre;
     }
 
-    /** Selects one of the candidates, or null if there is none. */
-    public Endpoint select(List<Endpoint> candidates, Set<String> excluded) {
+    /**
+     * Selects one of the candidates, or null if there is none.
+     *
+     * @param excluded ids of endpoints that are not selected
+     * @param request id of the request
+     */
+    public Endpoint select(List<Endpoint> candidates, Set<String> excluded, String request) {
         List<Endpoint> remaining =
                 candidates.stream().filter(e -> !excluded.contains(e.id())).toList();
         return outliers.healthy(remaining, Endpoint::id).stream()
-                .min(Comparator.comparingDouble(this::cost).thenComparing(Endpoint::id))
+                .max(Comparator.<Endpoint>comparingDouble(e -> score(e, request))
+                        .thenComparing(Endpoint::id))
                 .orElse(null);
     }
 
-    private double cost(Endpoint e) {
-        double load = (double) loads.total(e.id()).requests() / Math.max(1, e.requestSlots());
-        return load * REFERENCE_SLOTS + (e.zone().equals(dataCentre) ? 0 : REMOTE_DATA_CENTRE_COST_REQUESTS);
+    /** Score of weighted rendezvous hashing: the greatest one is each endpoint's in proportion to its weight. */
+    private double score(Endpoint e, String request) {
+        double uniform = (RendezvousHash.score(request, e.id()) + HASH_RANGE / 2) / HASH_RANGE;
+        return -weight(e) / Math.log(Math.min(Math.max(uniform, Double.MIN_NORMAL), Math.nextDown(1.0)));
+    }
+
+    private double weight(Endpoint e) {
+        int slots = Math.max(1, e.requestSlots());
+        double free = Math.max(MIN_FREE, 1 - (double) loads.total(e.id()).requests() / slots);
+        return free * slots * (e.zone().equals(dataCentre) ? OWN_DATA_CENTRE_WEIGHT : 1);
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/cluster/RendezvousHash.java
+++ b/core/src/main/java/org/quetzalvane/core/cluster/RendezvousHash.java
@@ -20,13 +20,22 @@
 
     /** The candidates by descending score for a key; candidates with equal scores are ordered by name. */
     public static <T> List<T> rank(String key, Collection<T> candidates, Function<T, String> name) {
-        List<T> ranked = new ArrayList<>(candidates);
-        ranked.sort(Comparator.<T>comparingLong(c -> score(key, name.apply(c)))
-                .reversed()
-                .thenComparing(name));
+        long keyHash = hash(key);
+        List<Scored<T>> scored = new ArrayList<>(candidates.size());
+        for (T c : candidates) {
+            String n = name.apply(c);
+            scored.add(new Scored<>(c, n, score(keyHash, hash(n))));
+        }
+        scored.sort(
+                Comparator.<Scored<T>>comparingLong(Scored::score).reversed().thenComparing(Scored::name));
+        List<T> ranked = new ArrayList<>(scored.size());
+        scored.forEach(s -> ranked.add(s.candidate));
         return ranked;
     }
 
+    /** A candidate with its score, which is computed once and not in each comparison. */
+    private record Scored<T>(T candidate, String name, long score) {}
+
     /** The score of a candidate for a key. */
     public static long score(String key, String candidate) {
         return score(hash(key), hash(candidate));
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -141,7 +141,7 @@
             acquisition.tryNext(usable, triedEndpoints);
             return;
         }
-        Endpoint e = context.serviceEndpointSelector().select(usable, triedEndpoints);
+        Endpoint e = context.serviceEndpointSelector().select(usable, triedEndpoints, request.id());
         if (e == null) {
             giveUp(ResultCode.NO_ENGINE, "endpoints=" + usable.size() + " tried=" + triedEndpoints.size());
         } else {
