Name at most 64 entry hosts to callers, those of more capacity by more directories

Cause: the directory named all hosts that are up, 95 on the large site, where callers accept 64, in the same order everywhere; and the age of the store's records that a member shows did not count what its hub reads, so the alarm of OPERATIONS.md would have gone off on every member.

Change: EntryHostSelector names 64 by weighted rendezvous hashing with the capacity of the host and the address of the directory, so that a directory's answer stays the same and each host is named by some. The two ages are those of the hub while a member relies on it; metrics hub and members show the roles. Up to 64 hosts nothing changes for callers.

--- a/core/src/main/java/org/quetzalvane/core/choice/ServiceEndpointSelector.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/ServiceEndpointSelector.java
@@ -20,8 +20,6 @@
     private static final double MIN_FREE = 0.05;
     /** Weight of an endpoint in the node's own data centre relative to one in another. */
     private static final double OWN_DATA_CENTRE_WEIGHT = 1.5;
-    /** Number of values of a hash, as a floating-point number. */
-    private static final double HASH_RANGE = 0x1p64;
 
     private final EndpointLoads loads;
     private final OutlierDetector outliers;
@@ -43,17 +41,11 @@
         List<Endpoint> remaining =
                 candidates.stream().filter(e -> !excluded.contains(e.id())).toList();
         return outliers.healthy(remaining, Endpoint::id).stream()
-                .max(Comparator.<Endpoint>comparingDouble(e -> score(e, request))
+                .max(Comparator.<Endpoint>comparingDouble(e -> RendezvousHash.weightedScore(request, e.id(), weight(e)))
                         .thenComparing(Endpoint::id))
                 .orElse(null);
     }
 
-    /** Score of weighted rendezvous hashing: the greatest one is each endpoint's in proportion to its weight. */
-    private double score(Endpoint e, String request) {
-        double uniform = (RendezvousHash.score(request, e.id()) + HASH_RANGE / 2) / HASH_RANGE;
-        return -weight(e) / Math.log(Math.min(Math.max(uniform, Double.MIN_NORMAL), Math.nextDown(1.0)));
-    }
-
     private double weight(Endpoint e) {
         int slots = Math.max(1, e.requestSlots());
         double free = Math.max(MIN_FREE, 1 - (double) loads.total(e.id()).requests() / slots);
--- a/core/src/main/java/org/quetzalvane/core/cluster/RendezvousHash.java
+++ b/core/src/main/java/org/quetzalvane/core/cluster/RendezvousHash.java
@@ -16,6 +16,9 @@
 public final class RendezvousHash {
     private static final LongHashFunction HASH = LongHashFunction.xx3();
 
+    /** Number of values of a hash, as a floating-point number. */
+    private static final double HASH_RANGE = 0x1p64;
+
     private RendezvousHash() {}
 
     /** The candidates by descending score for a key; candidates with equal scores are ordered by name. */
@@ -46,6 +49,15 @@
         return HASH.hashLong(candidateHash + 31 * keyHash);
     }
 
+    /**
+     * The score of a candidate for a key in weighted rendezvous hashing: over many keys, the share of those for which a
+     * candidate has the greatest score is in proportion to its weight, which must be positive.
+     */
+    public static double weightedScore(String key, String candidate, double weight) {
+        double uniform = (score(key, candidate) + HASH_RANGE / 2) / HASH_RANGE;
+        return -weight / Math.log(Math.min(Math.max(uniform, Double.MIN_NORMAL), Math.nextDown(1.0)));
+    }
+
     /** The hash of a key or of the name of a candidate, for calling code that computes many scores. */
     public static long hash(String name) {
         return HASH.hashChars(name);
--- a/core/src/main/java/org/quetzalvane/core/team/RecordRelay.java
+++ b/core/src/main/java/org/quetzalvane/core/team/RecordRelay.java
@@ -28,6 +28,7 @@
     private final Function<String, Long> appliedOffset;
     private final Map<String, Long> requestedNanos = new HashMap<>();
     private final Set<String> received = new HashSet<>();
+    private Map<String, PeerMessage.TopicPosition> hubPositions = Map.of();
     private String hub;
     private long viewNanos;
     private boolean storeHeard;
@@ -51,6 +52,7 @@
             requestedNanos.clear();
         }
         viewNanos = scheduler.nanoTime();
+        hubPositions = Map.copyOf(positions);
         storeHeard = positions.values().stream().anyMatch(p -> p.ageMs() <= MAX_STORE_AGE_MS);
         complete = received.containsAll(positions.keySet())
                 && positions.entrySet().stream()
@@ -71,6 +73,12 @@
         return complete && storeHeard && scheduler.nanoTime() - viewNanos < MAX_VIEW_AGE_MS * 1_000_000;
     }
 
+    /** Time since the hub last heard from the store on a topic, milliseconds; 0 for a topic it has not named. */
+    public long storeAgeMs(String topic) {
+        PeerMessage.TopicPosition p = hubPositions.get(topic);
+        return p == null ? 0 : p.ageMs() + (scheduler.nanoTime() - viewNanos) / 1_000_000;
+    }
+
     /** At most one request per view timeout, so that a slow link is not filled with lists of records. */
     private boolean takeRequest(String from) {
         long now = scheduler.nanoTime();
--- a/core/src/main/java/org/quetzalvane/core/team/StatusExchange.java
+++ b/core/src/main/java/org/quetzalvane/core/team/StatusExchange.java
@@ -286,7 +286,8 @@
         return hub || reportsTo == null ? targets() : Set.of(reportsTo);
     }
 
-    private NodeInfo self() {
+    /** This node as its peers know it. */
+    public NodeInfo self() {
         return new NodeInfo(
                 local.address(),
                 local.callerAddress(),
--- a/core/src/test/java/org/quetzalvane/core/team/RecordRelayTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/RecordRelayTest.java
@@ -51,6 +51,14 @@
         assertThat(relay.reliesOnHub()).isEqualTo(relies);
     }
 
+    @Test
+    void ageOfTheRecordsIsThatOfTheHub() {
+        synchronize("h1");
+        view("h1", 5, 700);
+        clock.advance(Duration.ofMillis(200));
+        assertThat(relay.storeAgeMs(TOPIC)).isEqualTo(900);
+    }
+
     @Test
     void missingRecordIsRequestedOnceASecond() {
         synchronize("h1");
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -3,8 +3,6 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -37,7 +35,6 @@
 import org.quetzalvane.core.team.RecordRelay;
 import org.quetzalvane.core.team.StatusExchange;
 import org.quetzalvane.platform.BootSettings;
-import org.quetzalvane.platform.DirectoryProtocol;
 import org.quetzalvane.platform.EndpointGateway;
 import org.quetzalvane.platform.Ingress;
 import org.quetzalvane.platform.StoreClient;
@@ -66,11 +63,6 @@
      * 4 ms; a slow store takes 60 times as long.
      */
     private static final long STORE_TIMEOUT_MS = 1_000;
-    /**
-     * Longest wait of a read of the operator's records, ms. A connection that fails silently hides a change for this
-     * long, which stays within the 5 s of the stability window and within the bound for configuration changes.
-     */
-    private static final long CONFIG_WAIT_MS = 3_000;
     /**
      * Time without a join after which the group assigns a node's partitions to others, ms: twice the platform's
      * minimum.
@@ -80,8 +72,6 @@
     private static final long ENGINE_CALL_TIMEOUT_MS = 150;
     /** Longest idle time, ms, of a pooled connection that may carry a request that cannot be retried. */
     private static final long NON_RETRYABLE_MAX_IDLE_MS = 1_500;
-    /** Time for which callers may use a response of the directory, s. */
-    private static final double DIRECTORY_TTL_S = 2;
     /** Interval at which records are requested from the peers until the node is ready, ms. */
     private static final long PEER_RECORDS_INTERVAL_MS = 500;
     /** Part of the grace period that is reserved for ending the process, ms. */
@@ -148,7 +138,7 @@
                 localNode(),
                 new PeerService.RecordAccess(platform::records, platform::applyFromPeer),
                 relay);
-        platform.exchange(relay::reliesOnHub, peerService::relayRecords);
+        platform.exchange(relay, peerService::relayRecords);
         assignmentMember = new AssignmentMember(
                 loop,
                 store.assignmentGroup(),
@@ -159,8 +149,9 @@
                 this::reconcile);
         servingContext = createServingContext();
         callerServer = new HttpServer(loop, this::callerLimits, this::serveCaller);
-        readinessServer = new HttpServer(loop, this::callerLimits, this::serveReadiness);
-        directoryServer = new HttpServer(loop, this::callerLimits, this::serveDirectory);
+        CallerDirectory directory = new CallerDirectory(peerTable, peerService::self, settings.maxDirectoryTtlS());
+        readinessServer = new HttpServer(loop, this::callerLimits, directory::serveReadiness);
+        directoryServer = new HttpServer(loop, this::callerLimits, directory::serveAddresses);
         platform.endpoints().onNewInstance(this::dropPreviousInstanceState);
     }
 
@@ -300,34 +291,6 @@
         flow.start();
     }
 
-    private void serveReadiness(ServerExchange exchange) {
-        if (DirectoryProtocol.isReadinessRequest(exchange)) {
-            DirectoryProtocol.respondReadiness(exchange, ready());
-        } else {
-            DirectoryProtocol.respondNotFound(exchange);
-        }
-    }
-
-    private void serveDirectory(ServerExchange exchange) {
-        if (DirectoryProtocol.requestedZone(exchange).isEmpty()) {
-            DirectoryProtocol.respondNotFound(exchange);
-            return;
-        }
-        List<String> addresses = new ArrayList<>();
-        if (ready()) {
-            addresses.add(settings.callerAddress());
-        }
-        peerTable.nodes().stream()
-                .filter(n -> n.ready() && !n.leaving())
-                .forEach(n -> addresses.add(n.callerAddress()));
-        if (addresses.isEmpty()) {
-            DirectoryProtocol.respondUnavailable(exchange);
-        } else {
-            DirectoryProtocol.respondAddresses(
-                    exchange, addresses, Math.min(DIRECTORY_TTL_S, settings.maxDirectoryTtlS()));
-        }
-    }
-
     /** Drops the outlier state, load times and adapter usage of the previous instance of an endpoint. */
     private void dropPreviousInstanceState(Endpoint e) {
         outliers.reset(e.id());
@@ -393,6 +356,8 @@
         metrics.gauge("operator_records_age_ms", platform::configAgeMs);
         metrics.gauge("endpoint_entries_age_ms", platform::entriesAgeMs);
         metrics.gauge("peers_up", () -> peerTable.nodes().size());
+        metrics.gauge("hub", () -> peerService.isHub() ? 1 : 0);
+        metrics.gauge("members", () -> peerTable.members().size());
         metrics.gauge("duties_held", () -> lease.owned().size());
         metrics.gauge("duty_generation", lease::generation);
         InetSocketAddress own = Addresses.parse(settings.callerAddress());
--- a/entry/src/main/java/org/quetzalvane/entry/PeerService.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerService.java
@@ -72,6 +72,16 @@
         exchange.start();
     }
 
+    /** This node as its peers know it. */
+    NodeInfo self() {
+        return exchange.self();
+    }
+
+    /** Whether this node is a hub. */
+    boolean isHub() {
+        return exchange.isHub();
+    }
+
     /** Sends this node's status ahead of the regular interval. */
     void sendStatus() {
         exchange.run();
--- a/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
-import java.util.function.BooleanSupplier;
 
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
@@ -16,6 +15,7 @@
 import org.quetzalvane.core.store.RecordFollower;
 import org.quetzalvane.core.store.StoreRecord;
 import org.quetzalvane.core.team.PeerMessage;
+import org.quetzalvane.core.team.RecordRelay;
 import org.quetzalvane.core.time.Scheduler;
 import org.quetzalvane.platform.RecordDecoder;
 import org.quetzalvane.platform.StoreClient;
@@ -49,6 +49,7 @@
     private final RecordFollower entries;
     private final StructuredLog log;
     private final Runnable changed;
+    private RecordRelay relay;
 
     /**
      * Creates the state of a node that has read nothing yet.
@@ -92,14 +93,20 @@
         return config.current().isPresent() && entries.initialized();
     }
 
-    /** Time since the store's last response to a read of the operator's records, milliseconds. */
+    /** Time since the store's last response to a read of the operator's records by this node or its hub, ms. */
     long configAgeMs() {
-        return operatorRecords.msSinceLastResponse();
+        return ageMs(PEER_TOPIC_OPERATOR);
     }
 
-    /** Time since the store's last response to a read of the endpoints' entries, milliseconds. */
+    /** Time since the store's last response to a read of the endpoints' entries by this node or its hub, ms. */
     long entriesAgeMs() {
-        return entries.msSinceLastResponse();
+        return ageMs(PEER_TOPIC_ENDPOINTS);
+    }
+
+    private long ageMs(String topic) {
+        return relay != null && relay.reliesOnHub()
+                ? relay.storeAgeMs(topic)
+                : follower(topic).msSinceLastResponse();
     }
 
     /** Number of ready endpoints that have a base model resident. */
@@ -139,11 +146,13 @@
     /**
      * Sets the exchange of records with other nodes, see {@link RecordFollower#exchange}.
      *
+     * @param hubRelay decides whether the hub passes the records on
      * @param next receives the topic's name in the messages between nodes, and the records just applied
      */
-    void exchange(BooleanSupplier passedOn, BiConsumer<String, List<StoreRecord>> next) {
-        operatorRecords.exchange(passedOn, records -> next.accept(PEER_TOPIC_OPERATOR, records));
-        entries.exchange(passedOn, records -> next.accept(PEER_TOPIC_ENDPOINTS, records));
+    void exchange(RecordRelay hubRelay, BiConsumer<String, List<StoreRecord>> next) {
+        relay = hubRelay;
+        operatorRecords.exchange(relay::reliesOnHub, records -> next.accept(PEER_TOPIC_OPERATOR, records));
+        entries.exchange(relay::reliesOnHub, records -> next.accept(PEER_TOPIC_ENDPOINTS, records));
     }
 
     /**
