--- a/core/src/main/java/org/quetzalvane/core/residency/AdapterSlotTable.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/AdapterSlotTable.java
@@ -27,7 +27,8 @@
     private static final int UNKNOWN_VERSION = -1;
     /**
      * Time without use before an adapter may be evicted, ms: one interval between the status messages of peers (300),
-     * the time for which nodes send requests without confirming residency (100), and 50 for the network.
+     * the time for which nodes send requests without confirming residency (100), and 50 for the network. A request of a
+     * node that reports to another hub becomes known up to two intervals later; the engine then delays the unload.
      */
     static final long MIN_EVICTION_IDLE_MS = 450;
 
--- a/core/src/test/java/org/quetzalvane/core/team/StatusExchangeTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/StatusExchangeTest.java
@@ -93,14 +93,7 @@
 
     @Test
     void hubThatWasFrozenIsAHubAgainAndItsStandInStepsDown() {
-        startNodes(95);
-        clock.advance(Duration.ofSeconds(20));
-        Node frozen = nodes.values().stream()
-                .filter(n -> n.exchange.isHub())
-                .findFirst()
-                .get();
-        frozen.silent = true;
-        clock.advance(Duration.ofSeconds(4));
+        Node frozen = startNodesAndFreezeAHub();
         assertThat(hubsUp()).hasSizeGreaterThanOrEqualTo(12);
         frozen.silent = false;
         clock.advance(Duration.ofSeconds(25));
@@ -125,14 +118,7 @@
     /** A hub that gives up its engines is heard by the other hubs for as long as a new owner has to wait for it. */
     @Test
     void hubThatStepsDownReportsUntilItsLastOrderIsALeaseAgo() {
-        startNodes(95);
-        clock.advance(Duration.ofSeconds(20));
-        Node frozen = nodes.values().stream()
-                .filter(n -> n.exchange.isHub())
-                .findFirst()
-                .get();
-        frozen.silent = true;
-        clock.advance(Duration.ofSeconds(4));
+        Node frozen = startNodesAndFreezeAHub();
         Node standIn = nodes.values().stream()
                 .filter(n -> n.zone.equals(frozen.zone) && n != frozen && n.exchange.isHub())
                 .max(Comparator.comparing(n -> n.becameOwnerNanos))
@@ -153,6 +139,19 @@
         assertThat(other.peers.mayStillOrder(3, 2)).isFalse();
     }
 
+    /** Starts 95 nodes, and silences a hub for long enough that another node stands in for it. */
+    private Node startNodesAndFreezeAHub() {
+        startNodes(95);
+        clock.advance(Duration.ofSeconds(20));
+        Node frozen = nodes.values().stream()
+                .filter(n -> n.exchange.isHub())
+                .findFirst()
+                .get();
+        frozen.silent = true;
+        clock.advance(Duration.ofSeconds(4));
+        return frozen;
+    }
+
     private Set<String> hubsUp() {
         return nodes.values().stream()
                 .filter(n -> n.exchange.isHub() && !n.silent)
