Give the tests of the entry node ports that nothing else takes

The kernel hands a port out again, to the next probe (in a scratch loop 16 of 20,000 sets of four had one port twice) or to an outgoing connection.

Change: ports from below the range of outgoing connections, each handed out once.

--- a/entry/src/test/java/org/quetzalvane/entry/EntryNodeTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EntryNodeTest.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -46,9 +45,7 @@
     private BootSettings settings(String name, Set<String> seeds) throws IOException {
         String[] addresses = new String[4];
         for (int i = 0; i < addresses.length; i++) {
-            try (ServerSocket s = new ServerSocket(0)) {
-                addresses[i] = "127.0.0.1:" + s.getLocalPort();
-            }
+            addresses[i] = TestPorts.freeAddress();
         }
         return new BootSettings(
                 name,
