--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -120,8 +120,9 @@
         return endpoint;
     }
 
-    int status() {
-        return head.status();
+    /** Head of the response; null before it arrives. */
+    ResponseHead head() {
+        return head;
     }
 
     long sentNanos() {
@@ -243,7 +244,8 @@
         if (!open) {
             return;
         }
-        if (buffer == null && handler.responseStream().hasPartialEvent()) {
+        ResponseStream stream = handler.responseStream();
+        if (buffer == null && stream.resumable() && stream.hasPartialEvent()) {
             failed(false, "stream ended within an event, before its blank line");
             return;
         }
@@ -290,8 +292,7 @@
 
     private void beginEventStream(ResponseHead h) {
         if (handler.responseStream() == null) {
-            boolean resumable = route.retryable();
-            beginStreamedResponse(resumable ? ResponseStream.ofEvents(request.lastEventId()) : ResponseStream.opaque());
+            beginStreamedResponse(ResponseStream.ofEvents(request.lastEventId(), route.retryable()));
         }
     }
 
--- a/core/src/main/java/org/quetzalvane/core/serve/ResponseHead.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ResponseHead.java
@@ -13,6 +13,7 @@
  * @param authentic whether the response echoes the attempt id, is signed by the endpoint and has no content encoding
  * @param eventStream whether the body is a stream of server-sent events
  * @param length length of the body in bytes, or -1 if unknown
+ * @param delimited whether the body has a length or is chunked; otherwise it ends with its connection
  */
 public record ResponseHead(
         int status,
@@ -21,7 +22,8 @@
         boolean misdirected,
         boolean authentic,
         boolean eventStream,
-        long length) {
+        long length,
+        boolean delimited) {
 
     public ResponseHead {
         headers = List.copyOf(headers);
--- a/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
@@ -8,23 +8,26 @@
  */
 final class ResponseStream {
     private final EventSplitter splitter;
+    private final boolean resumable;
 
-    private ResponseStream(EventSplitter splitter) {
+    private ResponseStream(EventSplitter splitter, boolean resumable) {
         this.splitter = splitter;
+        this.resumable = resumable;
     }
 
     /** Creates a stream of opaque bytes, which another endpoint cannot continue. */
     static ResponseStream opaque() {
-        return new ResponseStream(null);
+        return new ResponseStream(null, false);
     }
 
     /**
-     * Creates a stream of complete events, which another endpoint can continue.
+     * Creates a stream of events.
      *
      * @param lastId id of the event that precedes the stream, or null
+     * @param resumable whether another endpoint can continue the stream
      */
-    static ResponseStream ofEvents(String lastId) {
-        return new ResponseStream(new EventSplitter(lastId));
+    static ResponseStream ofEvents(String lastId, boolean resumable) {
+        return new ResponseStream(new EventSplitter(lastId), resumable);
     }
 
     /** Begins the response to the caller with the head of the first endpoint. */
@@ -34,12 +37,16 @@
 
     /** Whether another endpoint can continue the stream. */
     boolean resumable() {
-        return splitter != null;
+        return resumable;
     }
 
     /** Adds bytes of an endpoint and returns those that may be passed on now. */
     byte[] feed(byte[] chunk) {
-        return splitter == null ? chunk : splitter.feed(chunk);
+        if (splitter == null) {
+            return chunk;
+        }
+        byte[] complete = splitter.feed(chunk);
+        return resumable ? complete : chunk;
     }
 
     boolean hasPartialEvent() {
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
@@ -134,7 +134,7 @@
     }
 
     private static ResponseHead head(int status, boolean notRun) {
-        return new ResponseHead(status, List.of(), notRun, status == 421, true, status == 200, -1);
+        return new ResponseHead(status, List.of(), notRun, status == 421, true, status == 200, -1, false);
     }
 
     private void advance(long ms) {
--- a/entry/src/main/java/org/quetzalvane/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryMetrics.java
@@ -26,7 +26,8 @@
 
     /**
      * Increments the counter of an event and that of its field {@code code}, if there is one. For {@code REQUEST_DONE},
-     * adds each field whose name ends in {@code ms} to its histogram. Fields alternate names and values.
+     * adds each field whose name ends in {@code ms} to its histogram and counts the values of boolean fields. Fields
+     * alternate names and values.
      */
     void update(EventCode code, Object... fields) {
         counter("events_total{event=\"" + code.name().toLowerCase(Locale.ROOT) + "\"}")
@@ -37,6 +38,9 @@
                 counter("refused_total{code=\"" + fields[i + 1] + "\"}").inc();
             } else if (code == EventCode.REQUEST_DONE && name.endsWith("ms")) {
                 durationHistogram(name).update(((Number) fields[i + 1]).longValue());
+            } else if (code == EventCode.REQUEST_DONE && fields[i + 1] instanceof Boolean) {
+                counter("request_" + name + "_total{value=\"" + fields[i + 1] + "\"}")
+                        .inc();
             }
         }
     }
