Test that a truncated event stream is not framed as complete

The stand-in sends scripted bytes, since a server on the product's own transport always delimits its bodies.

--- a/entry/src/test/java/org/quetzalvane/entry/EntryNodeTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EntryNodeTest.java
@@ -39,33 +39,7 @@
     @BeforeEach
     void configure() throws IOException {
         store.writeConfig(SampleConfig.withVersion(1));
-        settings = settings("n1", Set.of());
-    }
-
-    private BootSettings settings(String name, Set<String> seeds) throws IOException {
-        String[] addresses = new String[4];
-        for (int i = 0; i < addresses.length; i++) {
-            addresses[i] = TestPorts.freeAddress();
-        }
-        return new BootSettings(
-                name,
-                "a",
-                addresses[0],
-                addresses[1],
-                addresses[2],
-                addresses[3],
-                100,
-                seeds,
-                store.address(),
-                24,
-                2_000,
-                8_000,
-                3_000,
-                true,
-                0.2,
-                50,
-                10_000,
-                5);
+        settings = TestSettings.of("n1", Set.of(), store.address());
     }
 
     @AfterEach
@@ -186,7 +160,7 @@
         EndpointStandIn e = endpoint("plain-1", "plain", (self, x) -> self.respondComplete(x, "ok"));
         start();
         store.down(true);
-        BootSettings secondSettings = settings("n2", Set.of(settings.peerAddress()));
+        BootSettings secondSettings = TestSettings.of("n2", Set.of(settings.peerAddress()), store.address());
         secondNode = new EntryNode(secondSettings);
         secondNode.start();
         while (!CallerClient.readiness(secondSettings.readinessAddress()).startsWith("HTTP/1.1 200")) {
--- /dev/null
+++ b/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
@@ -0,0 +1,37 @@
+package org.quetzalvane.entry;
+
+import java.util.Set;
+
+import org.quetzalvane.platform.BootSettings;
+
+/** Settings of nodes on loopback. Stateless. */
+final class TestSettings {
+    private TestSettings() {}
+
+    /** Settings with free addresses for a node that uses the given peers and store. */
+    static BootSettings of(String name, Set<String> seeds, String storeAddress) {
+        String[] addresses = new String[4];
+        for (int i = 0; i < addresses.length; i++) {
+            addresses[i] = TestPorts.freeAddress();
+        }
+        return new BootSettings(
+                name,
+                "a",
+                addresses[0],
+                addresses[1],
+                addresses[2],
+                addresses[3],
+                100,
+                seeds,
+                storeAddress,
+                24,
+                2_000,
+                8_000,
+                3_000,
+                true,
+                0.2,
+                50,
+                10_000,
+                5);
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/quetzalvane/entry/TruncatedStreamTest.java
@@ -0,0 +1,142 @@
+package org.quetzalvane.entry;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.quetzalvane.platform.BootSettings;
+import org.quetzalvane.platform.standin.CallerClient;
+import org.quetzalvane.platform.standin.PlatformStoreStandIn;
+import org.quetzalvane.platform.standin.RawEndpointStandIn;
+import org.quetzalvane.platform.standin.RawEndpointStandIn.End;
+import org.quetzalvane.platform.standin.RawEndpointStandIn.Reply;
+import org.quetzalvane.platform.standin.SampleConfig;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Ends of event streams as a caller sees them, on new and kept connections, over loopback. */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class TruncatedStreamTest {
+    private static final String EVENT = "id: 1\ndata: a\n\n";
+    private static final String CUT_EVENT = EVENT + "id: 2\ndata: ha";
+    private static final String LAST_CHUNK = "0\r\n\r\n";
+
+    private final PlatformStoreStandIn store = new PlatformStoreStandIn();
+    private final List<RawEndpointStandIn> engines = new ArrayList<>();
+    private EntryNode node;
+
+    /** How an engine frames its stream. */
+    private enum Framing {
+        NONE,
+        CHUNKS,
+        LENGTH;
+
+        String frame(String head, String body) {
+            return switch (this) {
+                case NONE -> head + "\r\n" + body;
+                case CHUNKS -> head + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length()) + "\r\n"
+                        + body + "\r\n" + LAST_CHUNK;
+                case LENGTH -> head + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+            };
+        }
+    }
+
+    @AfterEach
+    void close() {
+        engines.forEach(RawEndpointStandIn::close);
+        store.close();
+        if (node != null) {
+            node.close();
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "/single/, NONE, CLOSE, text/event-stream",
+        "/single/, NONE, CLOSE, Text/Event-Stream; charset=utf-8",
+        "/single/, NONE, RESET, text/event-stream",
+        "/single/, CHUNKS, KEEP, text/event-stream",
+        "/single/, LENGTH, KEEP, text/event-stream",
+        "/events/, NONE, CLOSE, text/event-stream",
+        "/events/, NONE, CLOSE, Text/Event-Stream; charset=utf-8",
+        "/events/, NONE, RESET, text/event-stream",
+        "/events/, CHUNKS, KEEP, text/event-stream",
+        "/events/, LENGTH, KEEP, text/event-stream",
+    })
+    void streamBrokenOffWithinAnEventIsNotFramedAsComplete(String path, Framing framing, End end, String contentType)
+            throws Exception {
+        String response = requestOnKeptConnections(path, framing, end, contentType, CUT_EVENT);
+        assertThat(isFramedAsComplete(response)).as(response).isFalse();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"/single/, NONE, CLOSE", "/events/, NONE, CLOSE", "/single/, NONE, RESET"})
+    void streamBrokenOffBeforeItsFirstEventIsNotFramedAsComplete(String path, Framing framing, End end)
+            throws Exception {
+        String response = requestOnKeptConnections(path, framing, end, "text/event-stream", "");
+        assertThat(isFramedAsComplete(response)).as(response).isFalse();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "/single/, NONE, CLOSE",
+        "/single/, CHUNKS, KEEP",
+        "/single/, LENGTH, KEEP",
+        "/events/, NONE, CLOSE",
+        "/events/, CHUNKS, KEEP",
+        "/events/, LENGTH, KEEP",
+    })
+    void streamThatEndsAfterAnEventIsComplete(String path, Framing framing, End end) throws Exception {
+        String response = requestOnKeptConnections(path, framing, end, "text/event-stream", EVENT);
+        assertThat(response).startsWith("HTTP/1.1 200").contains(EVENT).endsWith(LAST_CHUNK);
+    }
+
+    private static boolean isFramedAsComplete(String response) {
+        boolean delimited =
+                response.toLowerCase(Locale.ROOT).contains("content-length") || response.endsWith(LAST_CHUNK);
+        return response.startsWith("HTTP/1.1 200") && delimited;
+    }
+
+    /**
+     * Sends a request whose response is complete and then one with the given body, on one connection to the node, which
+     * uses one connection to the engine for both if there is a single engine. Returns the second response.
+     */
+    private String requestOnKeptConnections(String path, Framing framing, End end, String contentType, String body)
+            throws Exception {
+        RawEndpointStandIn engine = new RawEndpointStandIn(request -> {
+            boolean first =
+                    RawEndpointStandIn.header(request, CallerClient.ID_HEADER).equals("first");
+            String head = RawEndpointStandIn.streamHead(request, contentType);
+            return first
+                    ? new Reply(Framing.LENGTH.frame(head, EVENT), End.KEEP)
+                    : new Reply(framing.frame(head, body), end);
+        });
+        engines.add(engine);
+        store.writeConfig(SampleConfig.withVersion(1));
+        store.writeEndpoint("engine-1", engine.entry());
+        BootSettings settings = start();
+        String responses = CallerClient.sendRaw(
+                settings.callerAddress(),
+                CallerClient.request("POST", path + "x", "first", "m/a1", "")
+                        + CallerClient.request("POST", path + "x", "second", "m/a1", "Connection: close\r\n"));
+        assertThat(engine.requestsOnKeptConnections()).isPositive();
+        return responses.substring(responses.lastIndexOf("HTTP/1.1 "));
+    }
+
+    private BootSettings start() throws IOException, InterruptedException {
+        BootSettings settings = TestSettings.of("n1", Set.of(), store.address());
+        node = new EntryNode(settings);
+        node.start();
+        while (!CallerClient.readiness(settings.readinessAddress()).startsWith("HTTP/1.1 200")) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        return settings;
+    }
+}
