Fail every event stream that ends within an event

Cause: only streams that another endpoint can continue were split into events, so only their end was checked. Any other stream was passed on as opaque bytes; without length or chunks an orderly close of the connection counts as its end, and the caller got a last chunk after half an event. Class of fault: completeness derived from a property that has nothing to do with it (whether the route can be resumed).

Now every event stream is split into events, whatever its route, and is complete only at the end of an event. Callers receive only whole events.

--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -244,9 +244,8 @@
         if (!open) {
             return;
         }
-        ResponseStream stream = handler.responseStream();
-        if (buffer == null && stream.resumable() && stream.hasPartialEvent()) {
-            failed(false, "stream ended within an event, before its blank line");
+        if (buffer == null && handler.responseStream().isTruncated(head.delimited())) {
+            failed(false, "stream ended within an event or before its first one");
             return;
         }
         close(false);
--- a/core/src/main/java/org/quetzalvane/core/serve/EventSplitter.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EventSplitter.java
@@ -7,17 +7,19 @@
 /**
  * Splits a stream of server-sent events at the ends of events and keeps the id of the last complete one.
  *
- * <p>A partial event is withheld until its end arrives, so that events of another endpoint can follow if the stream
- * breaks off. Not thread-safe.
+ * <p>A partial event is withheld until its end arrives, so that callers receive only complete events and the events of
+ * another endpoint can follow if the stream breaks off. Not thread-safe.
  */
 final class EventSplitter {
     private static final String ID_FIELD = "id:";
 
     private ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private String lastId;
+    private boolean hasEvents;
 
     EventSplitter(String lastId) {
         this.lastId = lastId;
+        this.hasEvents = lastId != null;
     }
 
     /** Adds bytes and returns those of the events that are now complete; empty if no event is complete. */
@@ -31,10 +33,16 @@
         byte[] complete = Arrays.copyOf(all, end);
         pending = new ByteArrayOutputStream();
         pending.write(all, end, all.length - end);
+        hasEvents = true;
         updateLastId(complete);
         return complete;
     }
 
+    /** Whether an event is complete or preceded the stream. */
+    boolean hasEvents() {
+        return hasEvents;
+    }
+
     /** Whether a partial event is withheld. */
     boolean hasPartialEvent() {
         return pending.size() > 0;
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -233,8 +233,6 @@
                 a.head().status(),
                 "delimited",
                 a.head().delimited(),
-                "within_event",
-                responseStream != null && responseStream.hasPartialEvent(),
                 "sends",
                 attemptsThatMayHaveRun + 1,
                 "held_ms",
--- a/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
@@ -2,7 +2,7 @@
 
 /**
  * Cuts a streamed response into parts that may be passed on, across the attempts that contribute to the response:
- * complete events if another endpoint can continue the stream, otherwise all bytes.
+ * complete events of an event stream, all bytes of any other response.
  *
  * <p>Not thread-safe.
  */
@@ -42,15 +42,18 @@
 
     /** Adds bytes of an endpoint and returns those that may be passed on now. */
     byte[] feed(byte[] chunk) {
-        if (splitter == null) {
-            return chunk;
-        }
-        byte[] complete = splitter.feed(chunk);
-        return resumable ? complete : chunk;
+        return splitter == null ? chunk : splitter.feed(chunk);
     }
 
-    boolean hasPartialEvent() {
-        return splitter != null && splitter.hasPartialEvent();
+    /**
+     * Whether the stream would be incomplete if it ended now: within an event, or before its first event unless the
+     * endpoint delimited its body.
+     */
+    boolean isTruncated(boolean delimited) {
+        if (splitter == null) {
+            return false;
+        }
+        return splitter.hasPartialEvent() || !delimited && !splitter.hasEvents();
     }
 
     void discardPartialEvent() {
