Log the software version of endpoints and the attempt that a caller resumes

4008, 5004, 5008 and 5011 name the software version of the endpoint, and every line of a request the attempt whose stream it resumes, so that streams that change version within a response can be told from those that change it between attempts.

--- a/core/src/main/java/org/quetzalvane/core/fleet/Endpoint.java
+++ b/core/src/main/java/org/quetzalvane/core/fleet/Endpoint.java
@@ -11,6 +11,7 @@
  * @param address IP address
  * @param port port number
  * @param zone data centre
+ * @param softwareVersion version of the endpoint's software, not of its weights
  * @param state whether the endpoint accepts new requests
  * @param requestSlots number of request slots: requests that run at once
  * @param bornMs start of this instance, milliseconds since the epoch; distinguishes instances with the same id
@@ -23,6 +24,7 @@
         String address,
         int port,
         String zone,
+        String softwareVersion,
         State state,
         int requestSlots,
         long bornMs,
@@ -48,7 +50,7 @@
     }
 
     public Endpoint withState(State s) {
-        return new Endpoint(id, service, address, port, zone, s, requestSlots, bornMs, held);
+        return new Endpoint(id, service, address, port, zone, softwareVersion, s, requestSlots, bornMs, held);
     }
 
     /** Names of the resident base models. */
--- a/core/src/main/java/org/quetzalvane/core/serve/CallerRequest.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/CallerRequest.java
@@ -18,6 +18,7 @@
  * @param adapter requested adapter, with an empty adapter name for the base model; null for a plain service
  * @param tokenCounts prompt and output tokens stated by the caller
  * @param lastEventId id of the event after which the stream is to continue, or null
+ * @param resumes id of the request that brought the first event of the stream to be continued, or null
  */
 public record CallerRequest(
         String id,
@@ -30,7 +31,8 @@
         long timeoutMs,
         AdapterRef adapter,
         TokenCounts tokenCounts,
-        String lastEventId) {
+        String lastEventId,
+        String resumes) {
 
     public CallerRequest {
         headers = List.copyOf(headers);
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -211,6 +211,8 @@
                     responseStream == null ? EventCode.REQUEST_RETRIED : EventCode.REQUEST_RESUMED,
                     "endpoint",
                     e.id(),
+                    "software",
+                    e.softwareVersion(),
                     "cause",
                     cause);
             selectNext();
@@ -229,6 +231,8 @@
                 EventCode.REQUEST_DONE,
                 "endpoint",
                 e.id(),
+                "software",
+                e.softwareVersion(),
                 "status",
                 a.head().status(),
                 "delimited",
@@ -353,6 +357,9 @@
             TokenCounts t = request.tokenCounts();
             all.addAll(List.of("adapter", request.adapter(), "prompt", t.prompt(), "output", t.expectedOutput()));
         }
+        if (request.resumes() != null) {
+            all.addAll(List.of("resumes", request.resumes()));
+        }
         context.log().log(code, request.id(), all.toArray());
     }
 }
--- a/core/src/test/java/org/quetzalvane/core/choice/EngineSelectorTest.java
+++ b/core/src/test/java/org/quetzalvane/core/choice/EngineSelectorTest.java
@@ -36,7 +36,8 @@
     }
 
     private static Endpoint engine(int n, Map<String, Integer> resident) {
-        return new Endpoint("e" + n, "s", "127.0.0.1", n, "a", Endpoint.State.READY, 64, 1, Map.of("m", resident));
+        return new Endpoint(
+                "e" + n, "s", "127.0.0.1", n, "a", "v1", Endpoint.State.READY, 64, 1, Map.of("m", resident));
     }
 
     private EngineSelector.Selection select(List<Endpoint> engines, AdapterRef ref) {
@@ -85,7 +86,7 @@
         for (int i = 0; i < slots + queued; i++) {
             loads.requestStarted("e1", 0);
         }
-        Endpoint e = new Endpoint("e1", "s", "127.0.0.1", 1, "a", Endpoint.State.READY, slots, 1, Map.of());
+        Endpoint e = new Endpoint("e1", "s", "127.0.0.1", 1, "a", "v1", Endpoint.State.READY, slots, 1, Map.of());
         assertThat(selector.waitMs(e)).isBetween(waitMs - 1.0, waitMs + 1.0);
     }
 
--- a/core/src/test/java/org/quetzalvane/core/choice/ServiceEndpointSelectorTest.java
+++ b/core/src/test/java/org/quetzalvane/core/choice/ServiceEndpointSelectorTest.java
@@ -40,8 +40,8 @@
     @CsvSource({"58, 600, 69, 200", "95, 600, 86, 160", "9, 300, 43, 300"})
     void endpointsAreNotOverrunByHostsThatKnowEachOthersLoadLate(int count, int ageMs, int runMs, int perSecond) {
         for (int i = 0; i < ENDPOINTS; i++) {
-            endpoints.add(
-                    new Endpoint("e" + i, "s", "127.0.0.1", i, "zone-" + i, Endpoint.State.READY, SLOTS, 1, Map.of()));
+            endpoints.add(new Endpoint(
+                    "e" + i, "s", "127.0.0.1", i, "zone-" + i, "v1", Endpoint.State.READY, SLOTS, 1, Map.of()));
         }
         for (int i = 0; i < count; i++) {
             hosts.add(new Host("zone-" + i % ENDPOINTS));
--- a/core/src/test/java/org/quetzalvane/core/fleet/EndpointTableTest.java
+++ b/core/src/test/java/org/quetzalvane/core/fleet/EndpointTableTest.java
@@ -16,7 +16,7 @@
     private final EndpointTable table = new EndpointTable(clock);
 
     private static Endpoint endpoint(String id, long born, Endpoint.State state) {
-        return new Endpoint(id, "s", "127.0.0.1", 1, "a", state, 4, born, Map.of());
+        return new Endpoint(id, "s", "127.0.0.1", 1, "a", "v1", state, 4, born, Map.of());
     }
 
     private List<String> usable() {
--- a/core/src/test/java/org/quetzalvane/core/residency/EngineControllerTest.java
+++ b/core/src/test/java/org/quetzalvane/core/residency/EngineControllerTest.java
@@ -38,7 +38,7 @@
 
     @BeforeEach
     void open() {
-        Endpoint e = new Endpoint("e1", "s", "127.0.0.1", 1, "a", Endpoint.State.READY, 4, 1, Map.of());
+        Endpoint e = new Endpoint("e1", "s", "127.0.0.1", 1, "a", "v1", Endpoint.State.READY, 4, 1, Map.of());
         EngineController.Context context = new EngineController.Context(
                 clock, engine, (c, s, f) -> {}, usage, new LoadTimeEstimator(clock, () -> 0, () -> 6));
         controller = new EngineController(context, () -> token, SPEC, e);
@@ -212,7 +212,8 @@
         for (int n = 1; n <= 3; n++) {
             requestAdapter(n);
             advance(LoadTimeEstimator.STORE_LOAD_MS);
-            controller.refresh(new Endpoint("e1", "s", "127.0.0.1", 1, "a", Endpoint.State.READY, 4, 1, Map.of()));
+            controller.refresh(
+                    new Endpoint("e1", "s", "127.0.0.1", 1, "a", "v1", Endpoint.State.READY, 4, 1, Map.of()));
         }
         advance(LoadTimeEstimator.STORE_LOAD_MS);
         assertThat(engine.reports).isEqualTo(1);
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
@@ -112,7 +112,7 @@
 
     private static Endpoint endpoint(String id, String service) {
         Map<String, Map<String, Integer>> resident = Map.of("m", Map.of("a1", 1));
-        return new Endpoint(id, service, "127.0.0.1", 1, "a", Endpoint.State.READY, 4, 1, resident);
+        return new Endpoint(id, service, "127.0.0.1", 1, "a", "v1", Endpoint.State.READY, 4, 1, resident);
     }
 
     private RequestFlow start(RouteKind kind, AdapterRef adapter) {
@@ -127,6 +127,7 @@
                 5_000,
                 adapter,
                 new TokenCounts(100, 0, 0),
+                null,
                 null);
         RequestFlow flow = new RequestFlow(context, r, response);
         flow.start();
@@ -275,7 +276,7 @@
     @Test
     void loadLimitsRestartWhenAStreamBreaksOff() {
         endpoints.apply(new Endpoint(
-                "engine-2", "engines", "127.0.0.1", 1, "a", Endpoint.State.READY, 4, 2, Map.of("m", Map.of())));
+                "engine-2", "engines", "127.0.0.1", 1, "a", "v1", Endpoint.State.READY, 4, 2, Map.of("m", Map.of())));
         start(RouteKind.STREAMING, RESIDENT_ADAPTER);
         client.last().head(head(200, false));
         for (int i = 1; i <= 20; i++) {
@@ -296,7 +297,7 @@
     @CsvSource({"5, true", "40, false"})
     void brokenOffStreamAsksForAnAdapterSlotUntilItsLoadWaitExpires(int refusals, boolean resumed) {
         endpoints.apply(new Endpoint(
-                "engine-2", "engines", "127.0.0.1", 1, "a", Endpoint.State.READY, 4, 2, Map.of("m", Map.of())));
+                "engine-2", "engines", "127.0.0.1", 1, "a", "v1", Endpoint.State.READY, 4, 2, Map.of("m", Map.of())));
         start(RouteKind.STREAMING, MISSING_ADAPTER);
         loader.complete(AdapterLoader.Outcome.RESIDENT);
         client.last().head(head(200, false));
--- a/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
@@ -211,7 +211,15 @@
             Endpoint before = endpoints.find(e.id());
             endpoints.apply(e);
             if (before == null || before.state() != e.state() || !before.sameInstance(e)) {
-                log.log(EventCode.ENDPOINT_CHANGED, e.id(), "state", e.state(), "born", e.bornMs());
+                log.log(
+                        EventCode.ENDPOINT_CHANGED,
+                        e.id(),
+                        "state",
+                        e.state(),
+                        "software",
+                        e.softwareVersion(),
+                        "born",
+                        e.bornMs());
             }
             changed.run();
         } catch (RecordException ex) {
--- a/entry/src/test/java/org/quetzalvane/entry/PeerServiceTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/PeerServiceTest.java
@@ -35,8 +35,8 @@
     private static final AdapterRef RESIDENT = new AdapterRef("m", "a1");
     private static final AdapterRef NOT_RESIDENT = new AdapterRef("m", "a9");
     private static final EngineSpec SPEC = new EngineSpec(4, 1_000, List.of(new BaseModel("m", 10, 1)), 100, 3);
-    private static final Endpoint ENGINE =
-            new Endpoint("e1", "s", "127.0.0.1", 1, "a", Endpoint.State.READY, 4, 1, Map.of("m", Map.of("a1", 1)));
+    private static final Endpoint ENGINE = new Endpoint(
+            "e1", "s", "127.0.0.1", 1, "a", "v1", Endpoint.State.READY, 4, 1, Map.of("m", Map.of("a1", 1)));
 
     private final ManualScheduler clock = new ManualScheduler();
     private final StructuredLog log = (code, subject, fields) -> {};
