--- /dev/null
+++ b/entry/src/test/java/org/quetzalvane/entry/MixedVersionStreamTest.java
@@ -0,0 +1,207 @@
+package org.quetzalvane.entry;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.quetzalvane.platform.BootSettings;
+import org.quetzalvane.platform.standin.CallerClient;
+import org.quetzalvane.platform.standin.EndpointStandIn;
+import org.quetzalvane.platform.standin.PlatformStoreStandIn;
+import org.quetzalvane.platform.standin.SampleConfig;
+import org.quetzalvane.transport.ServerExchange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Streams that are resumed while engines of two software versions serve, over loopback. */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class MixedVersionStreamTest {
+    private static final int STREAMS = 8;
+    private static final int MAX_TRIES = 100;
+    private static final Pattern EVENT_VERSION = Pattern.compile("event: (v\\d)\n");
+
+    private final PlatformStoreStandIn store = new PlatformStoreStandIn();
+    private final List<EndpointStandIn> engines = new ArrayList<>();
+    private final List<EntryNode> nodes = new ArrayList<>();
+    private BootSettings first;
+    private BootSettings second;
+
+    /** The node at which a caller resumes its stream. */
+    private enum ResumeAt {
+        SAME_NODE,
+        OTHER_NODE,
+        OTHER_NODE_AFTER_LOSS_OF_THE_FIRST
+    }
+
+    @BeforeEach
+    void configure() {
+        store.writeConfig(SampleConfig.withVersion(1));
+    }
+
+    @AfterEach
+    void close() {
+        engines.forEach(EndpointStandIn::close);
+        store.close();
+        nodes.forEach(EntryNode::close);
+    }
+
+    @Test
+    void streamResumedWithinOneResponseKeepsItsSoftwareVersion() throws Exception {
+        startEngines("v1", "v1", "v2", "v2");
+        startNodes();
+        for (int i = 0; i < STREAMS; i++) {
+            String response = CallerClient.send(first.callerAddress(), "POST", "/events/x", "whole-" + i, "m/a1");
+            assertThat(versions(response)).as(response).hasSize(1);
+            assertThat(response).contains("data: event 6\n").endsWith("0\r\n\r\n");
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(ResumeAt.class)
+    void streamResumedByItsCallerKeepsItsSoftwareVersion(ResumeAt at) throws Exception {
+        startEngine("engine-3", "v2");
+        startEngine("engine-4", "v2");
+        startNodes();
+        for (int i = 0; i < STREAMS; i++) {
+            assertThat(versions(begin("broken-" + i))).containsExactly("v2");
+        }
+        startEngine("engine-1", "v1");
+        startEngine("engine-2", "v1");
+        awaitNewStreamsAt("v1");
+        if (at == ResumeAt.OTHER_NODE_AFTER_LOSS_OF_THE_FIRST) {
+            nodes.get(0).close();
+        }
+        for (int i = 0; i < STREAMS; i++) {
+            String rest = resume(at == ResumeAt.SAME_NODE ? first : second, "broken-" + i, "again-" + i);
+            assertThat(versions(rest)).containsExactly("v2");
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"v2, 503", "v1, 200"})
+    void streamOfUnknownOriginGoesOnOnlyIfThereIsOneSoftwareVersion(String versionOfSecond, int status)
+            throws Exception {
+        startEngines("v1", versionOfSecond);
+        startNodes();
+        String response = requestResume(first, "never-seen", "again");
+        assertThat(response).startsWith("HTTP/1.1 " + status);
+        assertThat(ran("again")).isEqualTo(status == 200);
+    }
+
+    @Test
+    void streamWhoseSoftwareVersionIsGoneIsRefusedAsNotRun() throws Exception {
+        startEngines("v1");
+        startNodes();
+        begin("broken");
+        startEngine("engine-2", "v2");
+        store.removeEndpoint("engine-1");
+        String response = "";
+        for (int i = 0; i < MAX_TRIES && !response.startsWith("HTTP/1.1 503"); i++) {
+            TimeUnit.MILLISECONDS.sleep(20);
+            response = requestResume(first, "broken", "again-" + i);
+        }
+        assertThat(response).startsWith("HTTP/1.1 503").containsIgnoringCase("retry-after");
+        assertThat(engines.get(1).ranRequests()).isEmpty();
+    }
+
+    /** Sends a request whose stream breaks off after its third event, at every attempt. */
+    private String begin(String id) throws IOException {
+        return CallerClient.send(first.callerAddress(), "POST", "/events/x", id, "m/a1");
+    }
+
+    /** Waits until both nodes begin new streams at a software version. */
+    private void awaitNewStreamsAt(String version) throws IOException, InterruptedException {
+        for (BootSettings node : List.of(first, second)) {
+            String response = "";
+            for (int i = 0; i < MAX_TRIES && !versions(response).contains(version); i++) {
+                TimeUnit.MILLISECONDS.sleep(20);
+                response = CallerClient.send(node.callerAddress(), "POST", "/events/x", "new-" + i, "m/a1");
+            }
+        }
+    }
+
+    /** Resumes a stream, again while it is refused. */
+    private static String resume(BootSettings node, String resumes, String id)
+            throws IOException, InterruptedException {
+        String response = requestResume(node, resumes, id);
+        for (int i = 0; i < MAX_TRIES && response.startsWith("HTTP/1.1 503"); i++) {
+            TimeUnit.MILLISECONDS.sleep(20);
+            response = requestResume(node, resumes, id + "-" + i);
+        }
+        assertThat(response).contains("data: event 6\n");
+        return response;
+    }
+
+    private static String requestResume(BootSettings node, String resumes, String id) throws IOException {
+        String headers = "Connection: close\r\nLast-Event-Id: 3\r\nResumes: " + resumes + "\r\n";
+        return CallerClient.sendRaw(
+                node.callerAddress(), CallerClient.request("POST", "/events/x", id, "m/a1", headers));
+    }
+
+    private static Set<String> versions(String response) {
+        Set<String> versions = new TreeSet<>();
+        for (Matcher m = EVENT_VERSION.matcher(response); m.find(); ) {
+            versions.add(m.group(1));
+        }
+        return versions;
+    }
+
+    private boolean ran(String id) {
+        return engines.stream().anyMatch(e -> e.ranRequests().contains(id));
+    }
+
+    private void startEngines(String... versions) {
+        for (String v : versions) {
+            startEngine("engine-" + (engines.size() + 1), v);
+        }
+    }
+
+    private void startEngine(String id, String version) {
+        EndpointStandIn e = new EndpointStandIn(id, "engines", version, MixedVersionStreamTest::respond);
+        engines.add(e);
+        store.writeEndpoint(id, e.entry());
+    }
+
+    /** Breaks new streams off after three events, and completes resumed ones unless the request is to break off. */
+    private static void respond(EndpointStandIn engine, ServerExchange x) {
+        int last = EndpointStandIn.lastEventId(x);
+        boolean broken = x.head().headers().get(CallerClient.ID_HEADER).startsWith("broken");
+        if (last == 0) {
+            engine.respondWithEvents(x, 1, 3, false);
+        } else if (broken) {
+            engine.respondWithEvents(x, last + 1, last, false);
+        } else {
+            engine.respondWithEvents(x, last + 1, 6, true);
+        }
+    }
+
+    private void startNodes() throws Exception {
+        first = TestSettings.of("n1", Set.of(), store.address());
+        second = TestSettings.of("n2", Set.of(first.peerAddress()), store.address());
+        for (BootSettings s : List.of(first, second)) {
+            EntryNode node = new EntryNode(s);
+            nodes.add(node);
+            node.start();
+            while (!CallerClient.readiness(s.readinessAddress()).startsWith("HTTP/1.1 200")) {
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+        }
+        for (BootSettings s : List.of(first, second)) {
+            while (CallerClient.directory(s.directoryAddress()).split("127\\.0\\.0\\.1", -1).length < 3) {
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+        }
+    }
+}
