Resume streams only at the software version that began them

Cause: a resumed stream was sent to any endpoint of the service, both by the node within one response and when the caller resumed it; no node knew the version of an endpoint. Class of fault: an attempt chosen without a property that the earlier attempts have fixed.

StreamVersion now fixes the version at the first event that is sent to the caller. Every choice after it, also whether a stalled attempt has an alternative, looks only at endpoints of that version. A stream whose version is unknown while several serve, or has no endpoint left, is refused at once as not run (213).

--- a/core/src/main/java/org/quetzalvane/core/ResultCode.java
+++ b/core/src/main/java/org/quetzalvane/core/ResultCode.java
@@ -47,6 +47,12 @@
     ENDPOINT_UNREACHABLE(210, 503, true, "No connection to the endpoint could be made. The request was not run."),
     CANCELLED_IN_QUEUE(212, 499, false, "The caller disconnected before dispatch. The request was not run."),
 
+    STREAM_NOT_RESUMABLE(
+            213,
+            503,
+            true,
+            "The software version that began the stream is unknown or no endpoint has it. The request was not run."),
+
     OUTCOME_UNKNOWN(301, 502, false, "The request was dispatched and its outcome is unknown."),
     STREAM_BROKEN(302, 502, false, "The response broke off before its end mark and is incomplete."),
     WRONG_ECHO(303, 502, false, "The response is for another adapter, version or attempt than was requested."),
--- a/core/src/main/java/org/quetzalvane/core/fleet/EndpointTable.java
+++ b/core/src/main/java/org/quetzalvane/core/fleet/EndpointTable.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import org.quetzalvane.core.time.Scheduler;
 
@@ -86,8 +87,12 @@
         return known == null || lastResortOver(known) ? null : known.endpoint;
     }
 
-    /** Endpoints of a service that accept new requests, or the leaving ones if there are no others. */
-    public List<Endpoint> usable(String service) {
+    /**
+     * Endpoints of a service that accept new requests, or the leaving ones if there are no others.
+     *
+     * @param softwareVersion version that the endpoints must have, or null for any
+     */
+    public List<Endpoint> usable(String service, String softwareVersion) {
         List<Endpoint> ready = new ArrayList<>();
         List<Endpoint> leaving = new ArrayList<>();
         for (Iterator<TrackedEndpoint> i = tracked.values().iterator(); i.hasNext(); ) {
@@ -96,13 +101,23 @@
                 if (scheduler.nanoTime() - known.leavingSinceNanos > RETENTION_NANOS) {
                     i.remove();
                 }
-            } else if (Objects.equals(known.endpoint.service(), service)) {
+            } else if (Objects.equals(known.endpoint.service(), service)
+                    && (softwareVersion == null || softwareVersion.equals(known.endpoint.softwareVersion()))) {
                 (known.leavingSinceNanos == NOT_LEAVING ? ready : leaving).add(known.endpoint);
             }
         }
         return ready.isEmpty() ? leaving : ready;
     }
 
+    /** Software versions of the endpoints of a service, including those that left within the retention time. */
+    public Set<String> softwareVersions(String service) {
+        return tracked.values().stream()
+                .map(known -> known.endpoint)
+                .filter(e -> e.service().equals(service))
+                .map(Endpoint::softwareVersion)
+                .collect(Collectors.toSet());
+    }
+
     /** All endpoints that are not leaving. */
     public List<Endpoint> ready() {
         return tracked.values().stream()
--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -61,6 +61,9 @@
 
         /** Sets the streamed response when an attempt begins it. */
         void setResponseStream(ResponseStream stream);
+
+        /** Software version that the rest of the streamed response must come from. */
+        StreamVersion streamVersion();
     }
 
     private final ServingContext context;
@@ -302,7 +305,11 @@
 
     private void relayChunk(byte[] chunk) {
         byte[] toSend = handler.responseStream().feed(chunk);
-        if (toSend.length > 0 && !response.write(toSend)) {
+        if (toSend.length == 0) {
+            return;
+        }
+        handler.streamVersion().eventsSentFrom(endpoint);
+        if (!response.write(toSend)) {
             call.setReading(false);
         }
     }
@@ -324,10 +331,11 @@
         return handler.responseStream() != null;
     }
 
-    /** Whether the request may be retried after this attempt and its service has more than one usable endpoint. */
+    /** Whether the request may be retried after this attempt and more than one endpoint may serve it. */
     private boolean hasAlternative() {
+        String version = handler.streamVersion().required();
         return handler.mayRetryAfterThis()
-                && context.endpoints().usable(endpoint.service()).size() > 1;
+                && context.endpoints().usable(endpoint.service(), version).size() > 1;
     }
 
     private void close(boolean cancelCall) {
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -53,6 +53,7 @@
     private Attempt current;
     private String lastEndpoint;
     private ResponseStream responseStream;
+    private StreamVersion streamVersion;
     private final Set<String> triedEndpoints = new HashSet<>();
     private int attemptsThatMayHaveRun;
     private int refusedAttempts;
@@ -102,7 +103,19 @@
         }
         shared = new Attempt.Shared(context, request, route, response, this);
         acquisition = new EngineAcquisition(context, request, route, this);
-        selectNext();
+        streamVersion = new StreamVersion(context, request, route);
+        streamVersion.resolve(service.name(), this::streamVersionResolved);
+    }
+
+    private void streamVersionResolved(boolean mayGoOn) {
+        if (done) {
+            return;
+        }
+        if (mayGoOn) {
+            selectNext();
+        } else {
+            giveUp(ResultCode.STREAM_NOT_RESUMABLE, "unknown origin");
+        }
     }
 
     /**
@@ -136,7 +149,12 @@
 
     @Override
     public void selectNext() {
-        List<Endpoint> usable = context.endpoints().usable(service.name());
+        String version = streamVersion.required();
+        List<Endpoint> usable = context.endpoints().usable(service.name(), version);
+        if (usable.isEmpty() && version != null) {
+            giveUp(ResultCode.STREAM_NOT_RESUMABLE, "no endpoint of software version " + version);
+            return;
+        }
         if (service.servesModels() && request.adapter() != null) {
             acquisition.tryNext(usable, triedEndpoints);
             return;
@@ -268,6 +286,11 @@
         responseStream = stream;
     }
 
+    @Override
+    public StreamVersion streamVersion() {
+        return streamVersion;
+    }
+
     private Endpoint endAttempt(Attempt a) {
         current = null;
         lastEndpoint = a.endpoint().id();
--- a/core/src/main/java/org/quetzalvane/core/serve/ServingContext.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ServingContext.java
@@ -35,6 +35,7 @@
  * @param serviceEndpointSelector selects endpoints of plain services
  * @param admission refuses requests beyond the engines' capacity
  * @param retryBudget this node's share of the retry budget
+ * @param streamOrigins software versions that streams come from
  * @param endpointClient port for requests to endpoints
  * @param log structured log
  */
@@ -54,5 +55,6 @@
         ServiceEndpointSelector serviceEndpointSelector,
         Admission admission,
         RetryBudgetShare retryBudget,
+        StreamOrigins streamOrigins,
         EndpointClient endpointClient,
         StructuredLog log) {}
--- a/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
@@ -115,4 +115,30 @@
      * @param records newest record of each key
      */
     record Records(String from, String topic, boolean complete, List<StoreRecord> records) implements PeerMessage {}
+
+    /**
+     * Software versions that have begun streams, sent to all hubs.
+     *
+     * @param from address of the sender for peers, IP:PORT
+     * @param streams hashes of the ids of the requests whose streams began, by software version
+     */
+    record StreamOrigins(String from, Map<String, List<Long>> streams) implements PeerMessage {}
+
+    /**
+     * Asks a hub which software version began a stream.
+     *
+     * @param from address of the sender for peers, IP:PORT
+     * @param number number of the request, repeated in the reply
+     * @param stream hash of the id of the request whose stream began
+     */
+    record StreamOriginRequest(String from, long number, long stream) implements PeerMessage {}
+
+    /**
+     * Reply to the {@link StreamOriginRequest} of the same number.
+     *
+     * @param from address of the sender for peers, IP:PORT
+     * @param number number of the request
+     * @param softwareVersion software version that began the stream, or null if it is unknown
+     */
+    record StreamOriginReply(String from, long number, String softwareVersion) implements PeerMessage {}
 }
--- a/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
@@ -149,6 +149,11 @@
         return up().stream().map(PeerMessage.Status::node).filter(n -> !n.hub()).toList();
     }
 
+    /** Addresses of all other hubs that are up and not suspected. */
+    public List<String> knownHubs() {
+        return nodes().stream().filter(NodeInfo::hub).map(NodeInfo::address).toList();
+    }
+
     /** Addresses of the hubs whose status arrives here. */
     public List<String> hubs() {
         return up().stream()
--- a/core/src/test/java/org/quetzalvane/core/fleet/EndpointTableTest.java
+++ b/core/src/test/java/org/quetzalvane/core/fleet/EndpointTableTest.java
@@ -20,7 +20,7 @@
     }
 
     private List<String> usable() {
-        return table.usable("s").stream().map(Endpoint::id).toList();
+        return table.usable("s", null).stream().map(Endpoint::id).toList();
     }
 
     @Test
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
@@ -37,6 +37,7 @@
 import org.quetzalvane.core.routes.ServiceSpec;
 import org.quetzalvane.core.routes.ServingConfig;
 import org.quetzalvane.core.routes.TrafficSplit;
+import org.quetzalvane.core.team.StreamOriginTable;
 import org.quetzalvane.core.time.ManualScheduler;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -79,6 +80,7 @@
                 new ServiceEndpointSelector(loads, outliers, "a"),
                 new Admission(),
                 new RetryBudgetShare(clock, 0.2, 50, 10_000, () -> 1),
+                new StreamOriginTable(clock, "n1", List::of, (peer, message) -> false),
                 client,
                 (code, subject, fields) -> {});
     }
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -248,6 +248,7 @@
                 new ServiceEndpointSelector(endpointLoads, outliers, settings.zone()),
                 new Admission(),
                 retries,
+                peerService.streamOrigins(),
                 gateway,
                 log);
     }
@@ -357,6 +358,7 @@
         metrics.gauge("endpoint_entries_age_ms", platform::entriesAgeMs);
         metrics.gauge("peers_up", () -> peerTable.nodes().size());
         metrics.gauge("hub", () -> peerService.isHub() ? 1 : 0);
+        metrics.gauge("stream_origins", () -> peerService.streamOrigins().size());
         metrics.gauge("members", () -> peerTable.members().size());
         metrics.gauge("duties_held", () -> lease.owned().size());
         metrics.gauge("duty_generation", lease::generation);
--- a/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
@@ -27,7 +27,10 @@
             PeerMessage.AdapterLoadReply.class,
             PeerMessage.RecordsRequest.class,
             PeerMessage.Records.class,
-            PeerMessage.View.class);
+            PeerMessage.View.class,
+            PeerMessage.StreamOrigins.class,
+            PeerMessage.StreamOriginRequest.class,
+            PeerMessage.StreamOriginReply.class);
 
     private final ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
 
--- a/entry/src/main/java/org/quetzalvane/entry/PeerService.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerService.java
@@ -21,6 +21,7 @@
 import org.quetzalvane.core.team.PeerMessage;
 import org.quetzalvane.core.team.RecordRelay;
 import org.quetzalvane.core.team.StatusExchange;
+import org.quetzalvane.core.team.StreamOriginTable;
 import org.quetzalvane.core.time.Scheduler;
 import org.quetzalvane.transport.PeerTransport;
 
@@ -39,6 +40,7 @@
     private final String address;
     private final RecordAccess records;
     private final RecordRelay relay;
+    private final StreamOriginTable streamOrigins;
     private final PeerCodec codec = new PeerCodec();
     private final Map<Long, Consumer<Outcome>> pendingLoads = new HashMap<>();
     private PeerTransport transport;
@@ -65,6 +67,7 @@
         this.records = records;
         this.relay = relay;
         this.exchange = new StatusExchange(scheduler, components, local, this);
+        this.streamOrigins = new StreamOriginTable(scheduler, address, components.peers()::knownHubs, this::send);
     }
 
     void start(PeerTransport peerTransport) {
@@ -77,6 +80,11 @@
         return exchange.self();
     }
 
+    /** Software versions that streams come from, shared with the peers. */
+    StreamOriginTable streamOrigins() {
+        return streamOrigins;
+    }
+
     /** Whether this node is a hub. */
     boolean isHub() {
         return exchange.isHub();
@@ -168,6 +176,12 @@
             records.known()
                     .get()
                     .forEach((topic, known) -> send(a.from(), new PeerMessage.Records(address, topic, true, known)));
+        } else if (m instanceof PeerMessage.StreamOrigins o) {
+            streamOrigins.onOrigins(o);
+        } else if (m instanceof PeerMessage.StreamOriginRequest r) {
+            streamOrigins.onRequest(r);
+        } else if (m instanceof PeerMessage.StreamOriginReply r) {
+            streamOrigins.onReply(r);
         } else if (m instanceof PeerMessage.Records r) {
             records.received().accept(r);
             if (r.complete()) {
