--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -0,0 +1,274 @@
+package org.quetzalvane.core.serve;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.choice.AdapterDemand;
+import org.quetzalvane.core.choice.Admission;
+import org.quetzalvane.core.choice.EndpointLoads;
+import org.quetzalvane.core.choice.EngineSelector;
+import org.quetzalvane.core.choice.OutlierDetector;
+import org.quetzalvane.core.choice.PrefillEstimator;
+import org.quetzalvane.core.choice.RetryBudgetShare;
+import org.quetzalvane.core.choice.ServiceEndpointSelector;
+import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.fleet.EndpointTable;
+import org.quetzalvane.core.residency.AdapterLoader;
+import org.quetzalvane.core.residency.AdapterUsage;
+import org.quetzalvane.core.residency.LoadRequest;
+import org.quetzalvane.core.residency.ResidencyTable;
+import org.quetzalvane.core.routes.AdapterRef;
+import org.quetzalvane.core.routes.CurrentConfig;
+import org.quetzalvane.core.routes.EngineSpec;
+import org.quetzalvane.core.routes.IngressLimits;
+import org.quetzalvane.core.routes.RequiredVersions;
+import org.quetzalvane.core.routes.Route;
+import org.quetzalvane.core.routes.RouteKind;
+import org.quetzalvane.core.routes.ServiceSpec;
+import org.quetzalvane.core.routes.ServingConfig;
+import org.quetzalvane.core.routes.TrafficSplit;
+import org.quetzalvane.core.time.ManualScheduler;
+
+/** Requests on a manual clock, with endpoints, loads and stream origins controlled by the test. */
+abstract class RequestFlowFixture {
+    static final AdapterRef RESIDENT_ADAPTER = new AdapterRef("m", "a1");
+    static final AdapterRef MISSING_ADAPTER = new AdapterRef("m", "a9");
+
+    final ManualScheduler clock = new ManualScheduler();
+    private final CurrentConfig config = new CurrentConfig();
+    final EndpointTable endpoints = new EndpointTable(clock);
+    final EndpointLoads loads = new EndpointLoads();
+    private final AdapterUsage adapterUsage = new AdapterUsage(clock);
+    final FakeEndpointClient client = new FakeEndpointClient();
+    final FakeAdapterLoader loader = new FakeAdapterLoader();
+    final FakeStreamOrigins origins = new FakeStreamOrigins();
+    final FakeCallerResponse response = new FakeCallerResponse();
+    private final ServingContext context = context();
+
+    private ServingContext context() {
+        OutlierDetector outliers = new OutlierDetector(clock);
+        ResidencyTable residency = new ResidencyTable(clock);
+        PrefillEstimator prefill = new PrefillEstimator();
+        AdapterDemand demand = new AdapterDemand(clock);
+        EngineSelector.Inputs inputs =
+                new EngineSelector.Inputs(loads, adapterUsage, demand, residency, outliers, prefill);
+        return new ServingContext(
+                clock,
+                config,
+                new RequiredVersions(),
+                endpoints,
+                loads,
+                adapterUsage,
+                residency,
+                loader,
+                outliers,
+                prefill,
+                demand,
+                new EngineSelector(inputs, "a", e -> true),
+                new ServiceEndpointSelector(loads, outliers, "a"),
+                new Admission(),
+                new RetryBudgetShare(clock, 0.2, 50, 10_000, () -> 1),
+                origins,
+                client,
+                (code, subject, fields) -> {});
+    }
+
+    @BeforeEach
+    void configure() {
+        List<Route> routes = new ArrayList<>();
+        for (RouteKind kind : RouteKind.values()) {
+            String service = kind == RouteKind.STREAMING ? "engines" : "plain";
+            routes.add(new Route(
+                    kind.name(),
+                    "h",
+                    "/" + kind + "/",
+                    kind,
+                    3_000,
+                    300,
+                    1,
+                    List.of(new TrafficSplit(service, 1)),
+                    2,
+                    true,
+                    300));
+        }
+        ServiceSpec plain = new ServiceSpec("plain", 10, null);
+        ServiceSpec engines = new ServiceSpec("engines", 10, new EngineSpec(4, 1_000, List.of(), 10, 4));
+        config.update(new ServingConfig(1, routes, List.of(plain, engines), IngressLimits.DEFAULT));
+        for (int n = 1; n <= 2; n++) {
+            endpoints.apply(endpoint("plain-" + n, "plain"));
+            endpoints.apply(endpoint("engine-" + n, "engines"));
+        }
+    }
+
+    private static Endpoint endpoint(String id, String service) {
+        return endpoint(id, service, "v1", Map.of("m", Map.of("a1", 1)));
+    }
+
+    static Endpoint endpoint(
+            String id, String service, String softwareVersion, Map<String, Map<String, Integer>> resident) {
+        return new Endpoint(id, service, "127.0.0.1", 1, "a", softwareVersion, Endpoint.State.READY, 4, 1, resident);
+    }
+
+    /** A new instance of an engine, without adapters. */
+    static Endpoint restarted(String id) {
+        return new Endpoint(
+                id, "engines", "127.0.0.1", 1, "a", "v1", Endpoint.State.READY, 4, 2, Map.of("m", Map.of()));
+    }
+
+    RequestFlow start(RouteKind kind, AdapterRef adapter) {
+        return start(kind, adapter, null, null);
+    }
+
+    RequestFlow start(RouteKind kind, AdapterRef adapter, String lastEventId, String resumes) {
+        CallerRequest r = new CallerRequest(
+                "id",
+                "POST",
+                "h",
+                "/" + kind + "/x",
+                "/" + kind + "/x",
+                List.of(),
+                new byte[0],
+                5_000,
+                adapter,
+                new TokenCounts(100, 0, 0),
+                lastEventId,
+                resumes);
+        RequestFlow flow = new RequestFlow(context, r, response);
+        flow.start();
+        return flow;
+    }
+
+    static ResponseHead head(int status, boolean notRun) {
+        return new ResponseHead(status, List.of(), notRun, status == 421, true, status == 200, -1, false);
+    }
+
+    void advance(long ms) {
+        clock.advance(Duration.ofMillis(ms));
+    }
+
+    /** Fake that keeps each request open until the test responds to it. */
+    static final class FakeEndpointClient implements EndpointClient {
+        final List<String> sent = new ArrayList<>();
+        final List<EndpointRequest> requests = new ArrayList<>();
+        final List<Listener> listeners = new ArrayList<>();
+        int cancelled;
+
+        Listener last() {
+            return listeners.get(listeners.size() - 1);
+        }
+
+        @Override
+        public Call send(Endpoint endpoint, EndpointRequest request, Listener listener) {
+            sent.add(endpoint.id());
+            requests.add(request);
+            listeners.add(listener);
+            return new Call() {
+                @Override
+                public void cancel() {
+                    cancelled++;
+                }
+
+                @Override
+                public void setReading(boolean on) {}
+            };
+        }
+    }
+
+    /** Fake that keeps each load request open until the test completes it. */
+    static final class FakeAdapterLoader implements AdapterLoader {
+        final List<String> engines = new ArrayList<>();
+        final Map<Integer, Consumer<Outcome>> open = new HashMap<>();
+        LoadRequest lastRequest;
+
+        void complete(Outcome outcome) {
+            Consumer<Outcome> last = open.remove(engines.size());
+            if (last != null) {
+                last.accept(outcome);
+            }
+        }
+
+        @Override
+        public void load(Endpoint engine, LoadRequest request, Consumer<Outcome> done) {
+            lastRequest = request;
+            engines.add(engine.id());
+            if (request.adapter().equals(RESIDENT_ADAPTER)) {
+                done.accept(Outcome.RESIDENT);
+            } else {
+                open.put(engines.size(), done);
+            }
+        }
+
+        @Override
+        public boolean hasOwner(Endpoint engine) {
+            return true;
+        }
+    }
+
+    /** Fake that records what the caller receives. */
+    static final class FakeCallerResponse implements CallerResponse {
+        final StringBuilder body = new StringBuilder();
+        ResultCode errorCode;
+        long retryAfterMs;
+        boolean ended;
+        boolean aborted;
+
+        @Override
+        public void send(ResponseHead head, byte[] content) {
+            body.append(new String(content));
+            ended = true;
+        }
+
+        @Override
+        public void begin(ResponseHead head) {}
+
+        @Override
+        public boolean write(byte[] chunk) {
+            body.append(new String(chunk));
+            return true;
+        }
+
+        @Override
+        public void end() {
+            ended = true;
+        }
+
+        @Override
+        public void abort() {
+            aborted = true;
+        }
+
+        @Override
+        public void sendError(ResultCode code, long retryAfter) {
+            errorCode = code;
+            retryAfterMs = retryAfter;
+        }
+    }
+
+    /** Fake that completes each lookup at once, or when the test does. */
+    static final class FakeStreamOrigins implements StreamOrigins {
+        final Map<String, String> known = new HashMap<>();
+        final List<Runnable> pending = new ArrayList<>();
+        boolean held;
+
+        @Override
+        public void record(String requestId, String softwareVersion) {
+            known.put(requestId, softwareVersion);
+        }
+
+        @Override
+        public void find(String requestId, Consumer<String> done) {
+            Runnable complete = () -> done.accept(known.get(requestId));
+            if (held) {
+                pending.add(complete);
+            } else {
+                complete.run();
+            }
+        }
+    }
+}
