Follow the store through a restore from a copy

A follower ignored every record up to the offset that it had reached, and an assignment of a lower generation, so a node would have missed configurations and held on to lost partitions.

After a rise the records are listed again; keys that the copy lacks are kept for 2.5 s, since their writers write them again. 2013 STORE_RESTORED logs the old and the new era; a value that is no era is logged as 1006 and changes nothing.

RecordFollowerTest counts the listings after a restore: two for each topic and hub.

--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -21,6 +21,7 @@
     CONFIG_MOVED(2009, "A newer configuration of the platform operator is in force."),
     STORE_LOST(2010, "The platform store does not respond."),
     STORE_BACK(2011, "The platform store responds again."),
+    STORE_RESTORED(2013, "The platform store came back from a copy; its records are read again."),
     BAD_RECORD(2012, "A record of the platform store is invalid and was skipped."),
     LOG_DOWN(2003, "The log service is unreachable."),
     LOG_UP(2004, "The log service is reachable again."),
--- a/core/src/main/java/org/quetzalvane/core/store/KeyedTopic.java
+++ b/core/src/main/java/org/quetzalvane/core/store/KeyedTopic.java
@@ -20,6 +20,11 @@
         OK,
         /** The offset has expired: the newest records must be read again. */
         EXPIRED,
+        /**
+         * The store came back from a copy without the newest records: the newest records must be read again, and what
+         * the copy lacks is written again within {@link RecordFollower#REWRITE_MS}.
+         */
+        RESTORED,
         FAILED
     }
 
@@ -41,6 +46,10 @@
             return new ReadResult(Outcome.EXPIRED, List.of(), 0, "");
         }
 
+        public static ReadResult restored() {
+            return new ReadResult(Outcome.RESTORED, List.of(), 0, "");
+        }
+
         public static ReadResult failed(String cause) {
             return new ReadResult(Outcome.FAILED, List.of(), 0, cause);
         }
--- a/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
+++ b/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
@@ -29,6 +29,11 @@
     private static final long RETRY_DELAY_MS = 250;
     /** Interval at which it is checked whether another node still passes the records on, ms. */
     private static final long RELAY_CHECK_INTERVAL_MS = 100;
+    /**
+     * Time after a restore of the store for which keys that it lacks are kept, ms: endpoints write their entries again
+     * within about 2 s.
+     */
+    static final long REWRITE_MS = 2_500;
 
     private final Scheduler scheduler;
     private final KeyedTopic topic;
@@ -44,6 +49,10 @@
     private boolean initialized;
     private boolean reachable = true;
     private long lastResponseNanos;
+    /** Whether the store came back from a copy and what it lost may still be written again. */
+    private boolean rewriting;
+
+    private long restoredNanos;
 
     /**
      * Creates a follower.
@@ -111,6 +120,10 @@
 
     private void readNewest() {
         topic.readNewest(page -> {
+            if (page.outcome() == KeyedTopic.Outcome.RESTORED) {
+                onRestored();
+                return;
+            }
             if (page.outcome() != KeyedTopic.Outcome.OK) {
                 onFailure(page.cause(), this::readNewest);
                 return;
@@ -118,7 +131,9 @@
             onResponse();
             applyAll(page.records());
             if (page.endOffset() >= offset) {
-                removeAbsent(page);
+                if (!rewriting) {
+                    removeAbsent(page);
+                }
                 offset = page.endOffset();
             }
             initialized = true;
@@ -126,6 +141,34 @@
         });
     }
 
+    /** Reads all records again, and once more when those that the store lost are written again. */
+    private void onRestored() {
+        restoredNanos = scheduler.nanoTime();
+        if (!rewriting) {
+            rewriting = true;
+            scheduler.schedule(Duration.ofMillis(REWRITE_MS), this::endRewriting);
+        }
+        readNewest();
+    }
+
+    /** Removes the keys that a listing still lacks. */
+    private void endRewriting() {
+        long leftMs = REWRITE_MS - (scheduler.nanoTime() - restoredNanos) / 1_000_000;
+        if (leftMs > 0) {
+            scheduler.schedule(Duration.ofMillis(leftMs), this::endRewriting);
+            return;
+        }
+        topic.readNewest(page -> {
+            if (page.outcome() == KeyedTopic.Outcome.OK) {
+                rewriting = false;
+                applyAll(page.records());
+                removeAbsent(page);
+            } else {
+                scheduler.schedule(Duration.ofMillis(RETRY_DELAY_MS), this::endRewriting);
+            }
+        });
+    }
+
     /** Marks keys that a newer listing lacks as removed, at the listing's end offset. */
     private void removeAbsent(KeyedTopic.ReadResult page) {
         Set<String> present = new HashSet<>();
@@ -145,6 +188,7 @@
         topic.read(offset, waitMs, page -> {
             switch (page.outcome()) {
                 case EXPIRED -> readNewest();
+                case RESTORED -> onRestored();
                 case FAILED -> onFailure(page.cause(), this::read);
                 default -> {
                     onResponse();
--- a/core/src/test/java/org/quetzalvane/core/store/RecordFollowerTest.java
+++ b/core/src/test/java/org/quetzalvane/core/store/RecordFollowerTest.java
@@ -9,6 +9,8 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.quetzalvane.core.time.ManualScheduler;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -121,10 +123,60 @@
         assertThat(follower.appliedOffset()).isEqualTo(4);
     }
 
+    /** Keys that the copy lacks are kept while they may be written again; era 2 has greater positions than era 1. */
+    @ParameterizedTest
+    @CsvSource({"true, 'a=1,b=1,a=1,b=2'", "false, 'a=1,b=1,a=1,b=-'"})
+    void keyThatTheStoreLostIsRemovedOnlyIfItIsNotWrittenAgain(boolean writtenAgain, String expected) {
+        topic.respond(KeyedTopic.ReadResult.restored());
+        topic.respond(KeyedTopic.ReadResult.ok(List.of(record("a", "1", 1_000)), 1_001));
+        assertThat(received).containsExactly("a=1", "b=1", "a=1");
+        List<StoreRecord> rewritten = writtenAgain ? List.of(record("b", "2", 1_001)) : List.of();
+        topic.respond(KeyedTopic.ReadResult.ok(rewritten, 1_001 + rewritten.size()));
+        clock.advance(Duration.ofMillis(RecordFollower.REWRITE_MS));
+        List<StoreRecord> all = new ArrayList<>(List.of(record("a", "1", 1_000)));
+        all.addAll(rewritten);
+        respondToListing(KeyedTopic.ReadResult.ok(all, 1_010));
+        assertThat(received).containsExactly(expected.split(","));
+    }
+
+    /** The time for writing again starts anew with the second restore. */
+    @Test
+    void secondRestoreExtendsTheTimeForWritingAgain() {
+        topic.respond(KeyedTopic.ReadResult.restored());
+        topic.respond(KeyedTopic.ReadResult.ok(List.of(), 1_000));
+        clock.advance(Duration.ofMillis(RecordFollower.REWRITE_MS - 100));
+        topic.respond(KeyedTopic.ReadResult.restored());
+        topic.respond(KeyedTopic.ReadResult.ok(List.of(), 2_000));
+        clock.advance(Duration.ofMillis(RecordFollower.REWRITE_MS - 100));
+        assertThat(topic.listings).isEqualTo(3);
+        clock.advance(Duration.ofMillis(100));
+        assertThat(topic.listings).isEqualTo(4);
+    }
+
+    /** A restore must not start a herd: each follower lists the records twice in the ten seconds after it. */
+    @Test
+    void restoreCausesTwoListings() {
+        int before = topic.listings;
+        topic.respond(KeyedTopic.ReadResult.restored());
+        for (int i = 0; i < 1_000; i++) {
+            clock.advance(Duration.ofMillis(10));
+            while (!topic.open.isEmpty()) {
+                topic.respond(KeyedTopic.ReadResult.ok(List.of(record("a", "1", 1_000 + i)), 1_001 + i));
+            }
+        }
+        assertThat(topic.listings - before).isEqualTo(2);
+    }
+
+    /** Responds to the newest call, which is the listing; the read before it stays open. */
+    private void respondToListing(KeyedTopic.ReadResult page) {
+        topic.open.removeLast().accept(page);
+    }
+
     /** Fake that keeps each call open until the test responds to it. */
     private static final class FakeTopic implements KeyedTopic {
         private final Deque<Consumer<ReadResult>> open = new ArrayDeque<>();
         private long lastOffset;
+        private int listings;
 
         void respond(ReadResult page) {
             open.remove().accept(page);
@@ -137,6 +189,7 @@
 
         @Override
         public void readNewest(Consumer<ReadResult> done) {
+            listings++;
             open.add(done);
         }
 
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -117,7 +117,8 @@
         log = this::logEvent;
         loop.onFailure(this::logTaskFailure);
         HttpClient http = new HttpClient(loop, CONNECT_TIMEOUT_MS);
-        StoreClient store = new StoreClient(http, loop, settings.storeAddress(), STORE_TIMEOUT_MS);
+        StoreClient store =
+                new StoreClient(http, loop, settings.storeAddress(), STORE_TIMEOUT_MS, new StoreEraLog(log));
         platform = new PlatformState(loop, store, log, this::reconcile);
         gateway = new EndpointGateway(
                 http, loop, settings.peerAddress(), ENGINE_CALL_TIMEOUT_MS, NON_RETRYABLE_MAX_IDLE_MS);
--- /dev/null
+++ b/entry/src/main/java/org/quetzalvane/entry/StoreEraLog.java
@@ -0,0 +1,23 @@
+package org.quetzalvane.entry;
+
+import org.quetzalvane.core.event.EventCode;
+import org.quetzalvane.core.event.StructuredLog;
+import org.quetzalvane.platform.StoreClient;
+
+/**
+ * Logs the changes of the store's era.
+ *
+ * @param log structured log
+ */
+record StoreEraLog(StructuredLog log) implements StoreClient.EraListener {
+
+    @Override
+    public void restored(long before, long after) {
+        log.log(EventCode.STORE_RESTORED, "store", "era_before", before, "era", after);
+    }
+
+    @Override
+    public void rejected(String value, long known) {
+        log.log(EventCode.BAD_INPUT, "store", "field", "era", "value", value, "known", known);
+    }
+}
