Heed endpoints that say in an answer that they leave or want to be left alone

An endpoint that leaves says so in all its answers, before the store does; an endpoint that turns a request away may ask for a time in which it wants nothing. Both were ignored: requests went on to the one until its entry changed, and to the other at once.

Each answer of an endpoint, also to orders and reports, is read for both. A leaving endpoint is marked as draining at once, for this instance only; the other hubs, and through them their members, are told in a message. For the time of a Retry-After on a 503, at most 60 s, an endpoint gets no request, retry, resumed stream, order or report from this node. Callers are refused at once, with the earliest time among the endpoints and a spread, only if all endpoints of the service asked to wait. A value that cannot be read is logged (1006) and changes nothing.

EndpointNoticesTest counts what reaches a refusing and a leaving endpoint from two nodes: one request and none. It was not run without the change.

--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -54,6 +54,8 @@
     ENDPOINT_CHANGED(4008, "An endpoint appeared, restarted as a new instance, changed its state or was removed."),
     ENDPOINT_SUSPENDED(4009, "An endpoint failed or did not respond and is suspended."),
 
+    ENDPOINT_BACKOFF(4012, "An endpoint asked this node to send it nothing for a time."),
+
     LOAD_REFUSED(4010, "A load request was refused: the adapter did not become resident on the engine in time."),
     UNLOAD_WAITS(4011, "An unload waits for running requests of the adapter; the slot stays occupied meanwhile."),
 
--- a/core/src/main/java/org/quetzalvane/core/fleet/EndpointTable.java
+++ b/core/src/main/java/org/quetzalvane/core/fleet/EndpointTable.java
@@ -35,11 +35,13 @@
     private static final long NOT_LEAVING = Long.MIN_VALUE;
 
     private final Scheduler scheduler;
+    private final EndpointBackoff backoff;
     private final Map<String, TrackedEndpoint> tracked = new HashMap<>();
     private final List<Consumer<Endpoint>> newInstanceListeners = new ArrayList<>();
 
     public EndpointTable(Scheduler scheduler) {
         this.scheduler = scheduler;
+        this.backoff = new EndpointBackoff(scheduler);
     }
 
     /** Registers a listener for endpoints that appear or start a new instance. */
@@ -64,6 +66,28 @@
         }
     }
 
+    /**
+     * Marks an instance as draining because it says so itself, before its entry does; returns whether this is news.
+     */
+    public boolean markDraining(String id, long bornMs) {
+        TrackedEndpoint known = tracked.get(id);
+        if (known == null || known.endpoint.bornMs() != bornMs || !known.endpoint.ready()) {
+            return false;
+        }
+        apply(known.endpoint.withState(Endpoint.State.DRAINING));
+        return true;
+    }
+
+    /** Sends nothing to an endpoint for the given time, ms, as it has asked. */
+    public void backOff(Endpoint e, long ms) {
+        backoff.add(e, ms);
+    }
+
+    /** Time left for which an endpoint wants nothing, ms; 0 if it takes requests. */
+    public long backoffMs(Endpoint e) {
+        return backoff.remainingMs(e);
+    }
+
     /** Marks an endpoint as leaving because its entry was removed from the list. */
     public void entryRemoved(String id) {
         TrackedEndpoint known = tracked.get(id);
@@ -88,11 +112,28 @@
     }
 
     /**
-     * Endpoints of a service that accept new requests, or the leaving ones if there are no others.
+     * Endpoints of a service that requests may be sent to: those that accept new ones, or the leaving ones if there are
+     * no others; without those that asked to be sent nothing for now.
      *
      * @param softwareVersion version that the endpoints must have, or null for any
      */
     public List<Endpoint> usable(String service, String softwareVersion) {
+        return candidates(service, softwareVersion).stream()
+                .filter(e -> backoffMs(e) == 0)
+                .toList();
+    }
+
+    /**
+     * Time after which the first endpoint takes requests again, ms, if all that could serve asked to be sent nothing
+     * for now; otherwise 0.
+     *
+     * @param softwareVersion version that the endpoints must have, or null for any
+     */
+    public long backoffMs(String service, String softwareVersion) {
+        return backoff.shortestMs(candidates(service, softwareVersion));
+    }
+
+    private List<Endpoint> candidates(String service, String softwareVersion) {
         List<Endpoint> ready = new ArrayList<>();
         List<Endpoint> leaving = new ArrayList<>();
         for (Iterator<TrackedEndpoint> i = tracked.values().iterator(); i.hasNext(); ) {
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -151,8 +151,8 @@
     public void selectNext() {
         String version = streamVersion.required();
         List<Endpoint> usable = context.endpoints().usable(service.name(), version);
-        if (usable.isEmpty() && version != null) {
-            giveUp(ResultCode.STREAM_NOT_RESUMABLE, "no endpoint of software version " + version);
+        if (usable.isEmpty()) {
+            giveUpWithoutEndpoint(version);
             return;
         }
         if (service.servesModels() && request.adapter() != null) {
@@ -242,9 +242,7 @@
     @Override
     public void completed(Attempt a) {
         Endpoint e = endAttempt(a);
-        // first_ms and gap_ms belong to the last attempt, also if it resumed an earlier stream; sends leaves out
-        // refused
-        // attempts.
+        // first_ms and gap_ms belong to the last attempt, also of a resumed stream; sends leaves out refused attempts.
         log(
                 EventCode.REQUEST_DONE,
                 "endpoint",
@@ -291,6 +289,18 @@
         return streamVersion;
     }
 
+    private void giveUpWithoutEndpoint(String version) {
+        long backoffMs = context.endpoints().backoffMs(service.name(), version);
+        if (backoffMs > 0) {
+            long retryAfterMs = RetryAfter.spread(backoffMs, request.id());
+            giveUp(ResultCode.OVERLOADED, retryAfterMs, "all endpoints asked to wait, shortest_ms=" + backoffMs);
+        } else if (version != null) {
+            giveUp(ResultCode.STREAM_NOT_RESUMABLE, "no endpoint of software version " + version);
+        } else {
+            giveUp(ResultCode.NO_ENGINE, "endpoints=0 tried=" + triedEndpoints.size());
+        }
+    }
+
     private Endpoint endAttempt(Attempt a) {
         current = null;
         lastEndpoint = a.endpoint().id();
--- a/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
@@ -116,6 +116,15 @@
      */
     record Records(String from, String topic, boolean complete, List<StoreRecord> records) implements PeerMessage {}
 
+    /**
+     * An endpoint states that it leaves; sent to all hubs, and by a hub to which it is news to its members.
+     *
+     * @param from address of the sender for peers, IP:PORT
+     * @param endpoint id of the endpoint
+     * @param bornMs start of the instance that leaves, milliseconds since the epoch
+     */
+    record EndpointLeaving(String from, String endpoint, long bornMs) implements PeerMessage {}
+
     /**
      * Software versions that have begun streams, sent to all hubs.
      *
--- a/core/src/test/java/org/quetzalvane/core/fleet/EndpointTableTest.java
+++ b/core/src/test/java/org/quetzalvane/core/fleet/EndpointTableTest.java
@@ -7,6 +7,8 @@
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.quetzalvane.core.time.ManualScheduler;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -65,4 +67,48 @@
         table.apply(endpoint("e1", 5, Endpoint.State.READY));
         assertThat(instances).containsExactly(1L, 5L);
     }
+
+    /** The mark precedes the entry, whose late ready state must not lift it; it does not hold for a new instance. */
+    @ParameterizedTest
+    @CsvSource({"1, true, ''", "2, false, 'e1'"})
+    void endpointThatSaysItLeavesIsDrainingUntilItsNextInstance(long born, boolean news, String usableAfter) {
+        table.apply(endpoint("e1", 1, Endpoint.State.READY));
+        assertThat(table.markDraining("e1", born)).isEqualTo(news);
+        assertThat(table.markDraining("e1", born)).isFalse();
+        assertThat(table.markDraining("unknown", born)).isFalse();
+        clock.advance(Duration.ofMillis(EndpointTable.LAST_RESORT_MS + 1));
+        table.apply(endpoint("e1", 1, Endpoint.State.READY));
+        assertThat(String.join(",", usable())).isEqualTo(usableAfter);
+        table.apply(endpoint("e1", 3, Endpoint.State.READY));
+        assertThat(usable()).containsExactly("e1");
+    }
+
+    @Test
+    void endpointThatAskedToWaitIsNotUsableUntilTheWaitEnds() {
+        Endpoint e1 = endpoint("e1", 1, Endpoint.State.READY);
+        table.apply(e1);
+        table.apply(endpoint("e2", 1, Endpoint.State.READY));
+        table.backOff(e1, 3_000);
+        table.backOff(e1, 1_000);
+        assertThat(usable()).containsExactly("e2");
+        assertThat(table.backoffMs("s", null)).isZero();
+        clock.advance(Duration.ofMillis(2_999));
+        assertThat(usable()).containsExactly("e2");
+        clock.advance(Duration.ofMillis(1));
+        assertThat(usable()).containsExactlyInAnyOrder("e1", "e2");
+    }
+
+    @Test
+    void earliestEndOfAllWaitsIsKnownAndANewInstanceTakesRequests() {
+        Endpoint e1 = endpoint("e1", 1, Endpoint.State.READY);
+        Endpoint e2 = endpoint("e2", 1, Endpoint.State.READY);
+        table.apply(e1);
+        table.apply(e2);
+        table.backOff(e1, 5_000);
+        table.backOff(e2, 2_000);
+        assertThat(usable()).isEmpty();
+        assertThat(table.backoffMs("s", null)).isEqualTo(2_000);
+        table.apply(endpoint("e1", 2, Endpoint.State.READY));
+        assertThat(usable()).containsExactly("e1");
+    }
 }
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.core.serve;
 
 import java.util.List;
+import java.util.Map;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -192,4 +193,22 @@
         }
         assertThat(response.errorCode).isEqualTo(ResultCode.LOAD_FAILED);
     }
+
+    @Test
+    void requestIsRefusedAtOnceWhileAllEndpointsAskedToWait() {
+        endpoints.backOff(endpoint("plain-1", "plain", "v1", Map.of()), 4_000);
+        endpoints.backOff(endpoint("plain-2", "plain", "v1", Map.of()), 2_000);
+        start(RouteKind.IDEMPOTENT, null);
+        assertThat(client.sent).isEmpty();
+        assertThat(response.errorCode.provesNotRun()).isTrue();
+        assertThat(response.retryAfterMs).isBetween(2_000L, 2_500L);
+    }
+
+    /** A wait of the engine that holds the adapter must not cut the adapter off where another engine may load it. */
+    @Test
+    void waitOfOneEngineLeavesTheOthers() {
+        endpoints.backOff(endpoint("engine-1", "engines", "v1", Map.of()), 4_000);
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        assertThat(client.sent).containsExactly("engine-2");
+    }
 }
--- a/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
+++ b/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
@@ -103,7 +103,8 @@
                 new PeerMessage.Records("p", "t", true, List.of(new StoreRecord("k", new byte[1], 1))),
                 new PeerMessage.StreamOrigins("p", Map.of("v", List.of(1L))),
                 new PeerMessage.StreamOriginRequest("p", 1, 1),
-                new PeerMessage.StreamOriginReply("p", 1, "v"));
+                new PeerMessage.StreamOriginReply("p", 1, "v"),
+                new PeerMessage.EndpointLeaving("p", "e", 1));
         for (PeerMessage m : all) {
             codec.decode(codec.encode(m));
         }
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -120,8 +120,10 @@
         StoreClient store =
                 new StoreClient(http, loop, settings.storeAddress(), STORE_TIMEOUT_MS, new StoreEraLog(log));
         platform = new PlatformState(loop, store, log, this::reconcile);
+        EndpointNoticeHandler notices = new EndpointNoticeHandler(
+                platform.endpoints(), log, loop::wallMillis, this::announceLeaving, this::reconcile);
         gateway = new EndpointGateway(
-                http, loop, settings.peerAddress(), ENGINE_CALL_TIMEOUT_MS, NON_RETRYABLE_MAX_IDLE_MS);
+                http, loop, settings.peerAddress(), ENGINE_CALL_TIMEOUT_MS, NON_RETRYABLE_MAX_IDLE_MS, notices);
         peerTable = new PeerTable(loop, settings.peerAddress(), settings.seeds());
         loadTimes = new LoadTimeEstimator(loop, peerTable::loadsInFlight, platform::readyEnginesWithBaseModel);
         lease = new AssignmentLease(
@@ -138,7 +140,8 @@
                         peerTable, endpointLoads, adapterUsage, residency, lease, assignedEngines, loadTimes, log),
                 localNode(),
                 new PeerService.RecordAccess(platform::records, platform::applyFromPeer),
-                relay);
+                relay,
+                m -> notices.markDraining(m.endpoint(), m.bornMs(), m.from()));
         platform.exchange(relay, peerService::relayRecords);
         assignmentMember = new AssignmentMember(
                 loop,
@@ -305,6 +308,10 @@
         log.log(EventCode.TASK_FAILED, "loop", "cause", t, "at", at.length == 0 ? "" : at[0]);
     }
 
+    private void announceLeaving(Endpoint e) {
+        peerService.announceLeaving(e);
+    }
+
     private void reconcile() {
         assignedEngines.reconcile(platform.endpoints().ready());
     }
@@ -323,7 +330,7 @@
         EngineController.TokenSource token = new EngineController.TokenSource() {
             @Override
             public long current() {
-                return lease.tokenForOrder(partition);
+                return platform.endpoints().backoffMs(e) > 0 ? -1 : lease.tokenForOrder(partition);
             }
 
             @Override
--- a/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
@@ -30,7 +30,8 @@
             PeerMessage.View.class,
             PeerMessage.StreamOrigins.class,
             PeerMessage.StreamOriginRequest.class,
-            PeerMessage.StreamOriginReply.class);
+            PeerMessage.StreamOriginReply.class,
+            PeerMessage.EndpointLeaving.class);
 
     private final ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
 
--- a/entry/src/main/java/org/quetzalvane/entry/PeerService.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerService.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import org.quetzalvane.core.event.EventCode;
@@ -41,6 +42,7 @@
     private final RecordAccess records;
     private final RecordRelay relay;
     private final StreamOriginTable streamOrigins;
+    private final Predicate<PeerMessage.EndpointLeaving> endpointLeaving;
     private final PeerCodec codec = new PeerCodec();
     private final Map<Long, Consumer<Outcome>> pendingLoads = new HashMap<>();
     private PeerTransport transport;
@@ -54,12 +56,19 @@
      */
     record RecordAccess(Supplier<Map<String, List<StoreRecord>>> known, Consumer<PeerMessage.Records> received) {}
 
+    /**
+     * Creates the service.
+     *
+     * @param endpointLeaving marks an endpoint as leaving; returns whether this is news
+     */
     PeerService(
             Scheduler scheduler,
             StatusExchange.Components components,
             StatusExchange.LocalNode local,
             RecordAccess records,
-            RecordRelay relay) {
+            RecordRelay relay,
+            Predicate<PeerMessage.EndpointLeaving> endpointLeaving) {
+        this.endpointLeaving = endpointLeaving;
         this.scheduler = scheduler;
         this.components = components;
         this.log = components.log();
@@ -100,12 +109,20 @@
         components.peers().contacts().forEach(p -> send(p, new PeerMessage.RecordsRequest(address)));
     }
 
+    /** Tells the hubs, and the nodes that report to this one, that an endpoint leaves. */
+    void announceLeaving(Endpoint e) {
+        PeerMessage.EndpointLeaving m = new PeerMessage.EndpointLeaving(address, e.id(), e.bornMs());
+        components.peers().knownHubs().forEach(h -> send(h, m));
+        sendToMembers(m);
+    }
+
+    private void sendToMembers(PeerMessage m) {
+        components.peers().members().forEach(member -> send(member.address(), m));
+    }
+
     /** Passes records that were just applied on to the nodes that report to this one. */
     void relayRecords(String topic, List<StoreRecord> applied) {
-        PeerMessage.Records m = new PeerMessage.Records(address, topic, false, applied);
-        for (NodeInfo member : components.peers().members()) {
-            send(member.address(), m);
-        }
+        sendToMembers(new PeerMessage.Records(address, topic, false, applied));
     }
 
     @Override
@@ -176,6 +193,10 @@
             records.known()
                     .get()
                     .forEach((topic, known) -> send(a.from(), new PeerMessage.Records(address, topic, true, known)));
+        } else if (m instanceof PeerMessage.EndpointLeaving l) {
+            if (endpointLeaving.test(l)) {
+                sendToMembers(l);
+            }
         } else if (m instanceof PeerMessage.StreamOrigins o) {
             streamOrigins.onOrigins(o);
         } else if (m instanceof PeerMessage.StreamOriginRequest r) {
--- /dev/null
+++ b/entry/src/test/java/org/quetzalvane/entry/EndpointNoticesTest.java
@@ -0,0 +1,133 @@
+package org.quetzalvane.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.quetzalvane.platform.BootSettings;
+import org.quetzalvane.platform.standin.CallerClient;
+import org.quetzalvane.platform.standin.EndpointStandIn;
+import org.quetzalvane.platform.standin.PlatformStoreStandIn;
+import org.quetzalvane.platform.standin.SampleConfig;
+import org.quetzalvane.transport.ServerExchange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Endpoints that say in their answers that they leave or want to be left alone, over loopback with two nodes. */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class EndpointNoticesTest {
+    private static final int REQUESTS = 20;
+    private static final int MAX_TRIES = 250;
+
+    private final PlatformStoreStandIn store = new PlatformStoreStandIn();
+    private final List<EndpointStandIn> endpoints = new ArrayList<>();
+    private final List<EntryNode> nodes = new ArrayList<>();
+    private BootSettings first;
+    private BootSettings second;
+    private final String metricsAddress = TestPorts.freeAddress();
+
+    @AfterEach
+    void close() {
+        endpoints.forEach(EndpointStandIn::close);
+        store.close();
+        nodes.forEach(EntryNode::close);
+    }
+
+    @Test
+    void leavingEndpointReceivesNothingNewFromAnyNode() throws Exception {
+        EndpointStandIn leaving =
+                endpoint("plain-1", "plain", (self, x) -> self.respondComplete(x, "ok", "Server-Leaving", "1"));
+        EndpointStandIn other = endpoint("plain-2", "plain", (self, x) -> self.respondComplete(x, "ok"));
+        startNodes();
+        for (int i = 0; i < MAX_TRIES && leaving.ranRequests().isEmpty(); i++) {
+            send(first, "first-" + i);
+        }
+        int ran = leaving.ranRequests().size();
+        int ranByOther = other.ranRequests().size();
+        for (int i = 0; i < MAX_TRIES && !secondNodeKnowsLeaving(); i++) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        for (int i = 0; i < REQUESTS; i++) {
+            assertThat(send(first, "a-" + i)).startsWith("HTTP/1.1 200");
+            assertThat(send(second, "b-" + i)).startsWith("HTTP/1.1 200");
+        }
+        assertThat(leaving.ranRequests()).hasSize(ran);
+        assertThat(other.ranRequests()).hasSize(ranByOther + 2 * REQUESTS);
+    }
+
+    /** Bad values change nothing: the endpoint is used again and again. */
+    @ParameterizedTest
+    @CsvSource({"Retry-After, 30, 1", "Retry-After, soon, 2", "Server-Leaving, yes, 2"})
+    void refusingEndpointReceivesAtMostOneRequestWhileItAskedToWait(String header, String value, int atLeast)
+            throws Exception {
+        EndpointStandIn refusing = endpoint("plain-1", "plain", (self, x) -> self.refuse(x, header, value));
+        endpoint("plain-2", "plain", (self, x) -> self.respondComplete(x, "ok"));
+        startNodes();
+        for (int i = 0; i < REQUESTS; i++) {
+            assertThat(send(first, "id-" + i)).startsWith("HTTP/1.1 200");
+        }
+        if (atLeast == 1) {
+            assertThat(refusing.refusedRequests()).isEqualTo(1);
+        } else {
+            assertThat(refusing.refusedRequests()).isGreaterThanOrEqualTo(atLeast);
+        }
+    }
+
+    @Test
+    void callersAreRefusedAtOnceWithTheEarliestWaitOfAllEndpoints() throws Exception {
+        EndpointStandIn one = endpoint("plain-1", "plain", (self, x) -> self.refuse(x, "Retry-After", "30"));
+        EndpointStandIn two = endpoint("plain-2", "plain", (self, x) -> self.refuse(x, "Retry-After", "20"));
+        startNodes();
+        send(first, "id-first");
+        for (int i = 0; i < REQUESTS; i++) {
+            assertThat(send(first, "id-" + i)).startsWith("HTTP/1.1 503").containsPattern("(?i)retry-after: 2[0-5]");
+        }
+        assertThat(one.refusedRequests()).isEqualTo(1);
+        assertThat(two.refusedRequests()).isEqualTo(1);
+    }
+
+    /** Whether the second node has heard of the leaving endpoint: its third change after the two that appeared. */
+    private boolean secondNodeKnowsLeaving() throws Exception {
+        String metrics =
+                CallerClient.sendRaw(metricsAddress, "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        return metrics.contains("event=\"endpoint_changed\"} 3");
+    }
+
+    private static String send(BootSettings node, String id) throws Exception {
+        return CallerClient.send(node.callerAddress(), "GET", "/again/x", id, null);
+    }
+
+    private EndpointStandIn endpoint(String id, String service, BiConsumer<EndpointStandIn, ServerExchange> behaviour) {
+        EndpointStandIn e = new EndpointStandIn(id, service, behaviour);
+        endpoints.add(e);
+        store.writeEndpoint(id, e.entry());
+        return e;
+    }
+
+    private void startNodes() throws Exception {
+        store.writeConfig(SampleConfig.withVersion(1));
+        first = TestSettings.of("n1", Set.of(), store.address());
+        second = TestSettings.of("n2", Set.of(first.peerAddress()), store.address());
+        for (BootSettings s : List.of(first, second)) {
+            EntryNode node = new EntryNode(s);
+            nodes.add(node);
+            node.start();
+            while (!CallerClient.readiness(s.readinessAddress()).startsWith("HTTP/1.1 200")) {
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+        }
+        nodes.get(1).listenMetrics(Integer.parseInt(metricsAddress.substring(metricsAddress.indexOf(':') + 1)));
+        for (BootSettings s : List.of(first, second)) {
+            while (CallerClient.directory(s.directoryAddress()).split("127\\.0\\.0\\.1", -1).length < 3) {
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+        }
+    }
+}
--- a/entry/src/test/java/org/quetzalvane/entry/PeerServiceTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/PeerServiceTest.java
@@ -62,7 +62,8 @@
                 new StatusExchange.LocalNode(
                         "n1:1", "n1:2", "a", 100, () -> true, () -> false, () -> Map.of(), owner -> {}),
                 new PeerService.RecordAccess(() -> Map.of(), r -> {}),
-                new RecordRelay(clock, topic -> -1L));
+                new RecordRelay(clock, topic -> -1L),
+                m -> false);
         lease.update(1, Set.of(0), clock.nanoTime());
         clock.advance(Duration.ofSeconds(1));
         assignedEngines.reconcile(List.of(ENGINE));
