--- a/entry/src/test/java/org/quetzalvane/entry/EndpointNoticesTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EndpointNoticesTest.java
@@ -42,8 +42,8 @@
 
     @Test
     void leavingEndpointReceivesNothingNewFromAnyNode() throws Exception {
-        EndpointStandIn leaving =
-                endpoint("plain-1", "plain", (self, x) -> self.respondComplete(x, "ok", "Server-Leaving", "1"));
+        EndpointStandIn leaving = endpoint(
+                "plain-1", "plain", (self, x) -> self.respondComplete(x, "ok", EndpointStandIn.LEAVING_HEADER, "1"));
         EndpointStandIn other = endpoint("plain-2", "plain", (self, x) -> self.respondComplete(x, "ok"));
         startNodes();
         for (int i = 0; i < MAX_TRIES && leaving.ranRequests().isEmpty(); i++) {
@@ -64,7 +64,7 @@
 
     /** Bad values change nothing: the endpoint is used again and again. */
     @ParameterizedTest
-    @CsvSource({"Retry-After, 30, 1", "Retry-After, soon, 2", "Server-Leaving, yes, 2"})
+    @CsvSource({"Retry-After, 30, 1", "Retry-After, soon, 2", EndpointStandIn.LEAVING_HEADER + ", yes, 2"})
     void refusingEndpointReceivesAtMostOneRequestWhileItAskedToWait(String header, String value, int atLeast)
             throws Exception {
         EndpointStandIn refusing = endpoint("plain-1", "plain", (self, x) -> self.refuse(x, header, value));
--- a/entry/src/test/java/org/quetzalvane/entry/MixedVersionStreamTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/MixedVersionStreamTest.java
@@ -145,9 +145,7 @@
     }
 
     private static String requestResume(BootSettings node, String resumes, String id) throws IOException {
-        String headers = "Connection: close\r\nLast-Event-Id: 3\r\nResumes: " + resumes + "\r\n";
-        return CallerClient.sendRaw(
-                node.callerAddress(), CallerClient.request("POST", "/events/x", id, "m/a1", headers));
+        return CallerClient.resume(node.callerAddress(), "/events/x", id, "m/a1", resumes, 3);
     }
 
     private static Set<String> versions(String response) {
