Log what could replace an attempt whose endpoint is silent

A request that is broken off logged only that it made no progress. Event 5013 states whether the response has begun, whether it can go on elsewhere and whether the route and the endpoints permit another attempt, so that a silence can be told from a broken connection.

--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -70,7 +70,8 @@
     REQUEST_FORWARDED(5009, "A request was forwarded to the owner of its endpoint."),
     LATE_ANSWER_DROPPED(5010, "A response to an attempt that is no longer current was dropped."),
     REQUEST_RESUMED(5011, "A broken stream was resumed at another endpoint."),
-    LINES_DROPPED(5012, "Log lines were dropped because the output did not keep up.");
+    LINES_DROPPED(5012, "Log lines were dropped because the output did not keep up."),
+    ATTEMPT_SILENT(5013, "An attempt made no progress within its timeout; states what could replace it.");
 
     private final int number;
     private final String description;
--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 
 import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.routes.Route;
 import org.quetzalvane.core.time.Scheduler;
@@ -171,7 +172,23 @@
         long leftMs = limitMs - (context.scheduler().nanoTime() - lastProgressNanos) / 1_000_000;
         if (leftMs > 0) {
             progressTimer = context.scheduler().schedule(Duration.ofMillis(leftMs), this::failIfStalled);
-        } else if (hasAlternative()) {
+            return;
+        }
+        boolean resumable = !callerResponseBegun() || handler.responseStream().resumable();
+        context.log().log(
+                EventCode.ATTEMPT_SILENT,
+                request.id(),
+                "endpoint",
+                endpoint.id(),
+                "silent_ms",
+                limitMs - leftMs,
+                "begun",
+                callerResponseBegun(),
+                "resumable",
+                resumable,
+                "alternative",
+                hasAlternative());
+        if (hasAlternative()) {
             SuspensionLog.logIfSuspended(
                     context, endpoint, context.outlierDetector().recordUnreachable(endpoint.id()), "silent");
             failed(false, "no progress within " + limitMs + " ms");
