--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -49,6 +49,7 @@
     final FakeAdapterLoader loader = new FakeAdapterLoader();
     final FakeStreamOrigins origins = new FakeStreamOrigins();
     final FakeCallerResponse response = new FakeCallerResponse();
+    private final RetryBudgetShare retryBudget = new RetryBudgetShare(clock, 0.2, 50, 10_000, () -> 1);
     private final ServingContext context = context();
 
     private ServingContext context() {
@@ -73,7 +74,7 @@
                 new EngineSelector(inputs, "a", e -> true),
                 new ServiceEndpointSelector(loads, outliers, "a"),
                 new Admission(),
-                new RetryBudgetShare(clock, 0.2, 50, 10_000, () -> 1),
+                retryBudget,
                 origins,
                 client,
                 (code, subject, fields) -> {});
@@ -148,6 +149,18 @@
         return new ResponseHead(status, List.of(), notRun, status == 421, true, status == 200, -1, false);
     }
 
+    /** Head of a complete response that is not a stream. */
+    static ResponseHead plainHead(int status) {
+        return new ResponseHead(status, List.of(), false, false, true, false, -1, true);
+    }
+
+    void spendRetryBudget(String service) {
+        boolean granted;
+        do {
+            granted = retryBudget.tryAcquire(service);
+        } while (granted);
+    }
+
     void advance(long ms) {
         clock.advance(Duration.ofMillis(ms));
     }
--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
@@ -0,0 +1,158 @@
+package org.quetzalvane.core.serve;
+
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.quetzalvane.core.residency.AdapterLoader;
+import org.quetzalvane.core.routes.RouteKind;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Requests whose endpoint falls silent and goes on, on a manual clock. */
+class SilentEndpointTest extends RequestFlowFixture {
+    private static final byte[] FIRST_EVENT = "id: 1\ndata: a\n\n".getBytes();
+    private static final byte[] SECOND_EVENT = "id: 2\ndata: b\n\n".getBytes();
+    private static final String BOTH_EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+    @ParameterizedTest
+    @ValueSource(longs = {1_000, 1_250, 1_900, 2_900})
+    void responseThatIsTooLargeToBeRepeatedSurvivesASilence(long silenceMs) {
+        byte[] half = new byte[BodyBuffer.MAX_BYTES + 1];
+        start(RouteKind.IDEMPOTENT, null);
+        client.last().head(plainHead(200));
+        client.last().body(half);
+        advance(silenceMs);
+        client.last().body(half);
+        client.last().end();
+        assertThat(client.sent).hasSize(1);
+        assertThat(response.aborted).isFalse();
+        assertThat(response.ended).isTrue();
+        assertThat(response.body).hasSize(2 * half.length);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1_000, 1_250, 1_900, 2_900})
+    void streamSurvivesASilenceWithoutARetryLeft(long silenceMs) {
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        client.last().head(head(200, false));
+        client.last().body(FIRST_EVENT);
+        spendRetryBudget("engines");
+        advance(silenceMs);
+        client.last().body(SECOND_EVENT);
+        client.last().end();
+        assertStreamedByOneEndpoint();
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = RouteKind.class,
+            names = {"IDEMPOTENT", "STREAMING"})
+    void responseThatHasNotBegunIsAwaitedWithoutARetryLeft(RouteKind kind) {
+        boolean stream = kind == RouteKind.STREAMING;
+        start(kind, stream ? RESIDENT_ADAPTER : null);
+        spendRetryBudget(stream ? "engines" : "plain");
+        advance(2_000);
+        client.last().head(stream ? head(200, false) : plainHead(200));
+        client.last().body(FIRST_EVENT);
+        client.last().end();
+        assertThat(response.errorCode).isNull();
+        assertThat(response.body).hasToString(new String(FIRST_EVENT));
+    }
+
+    @Test
+    void silentEndpointIsKeptWhileTheOthersAreFull() {
+        start(RouteKind.IDEMPOTENT, null);
+        String other = client.sent.get(0).equals("plain-1") ? "plain-2" : "plain-1";
+        for (int i = 0; i < 4; i++) {
+            loads.requestStarted(other, 0);
+        }
+        advance(1_500);
+        assertThat(client.sent).hasSize(1);
+        assertThat(client.cancelled).isZero();
+        loads.requestEnded(other, 0);
+        advance(500);
+        assertThat(client.sent).hasSize(2);
+        assertThat(client.cancelled).isEqualTo(1);
+    }
+
+    @Test
+    void streamGoesOnAtAnotherEngineOnlyOnceItsAdapterIsLoadedThere() {
+        startOnLoadedEngine();
+        advance(1_300);
+        assertThat(loader.engines).hasSize(2);
+        assertThat(client.cancelled).isZero();
+        loader.complete(AdapterLoader.Outcome.RESIDENT);
+        assertThat(client.cancelled).isEqualTo(1);
+        assertThat(client.sent).containsExactly(loader.engines.get(0), loader.engines.get(1));
+        assertThat(client.requests.get(1).lastEventId()).isEqualTo("1");
+    }
+
+    @ParameterizedTest
+    @EnumSource(AdapterLoader.Outcome.class)
+    void streamStaysAtAnEngineThatGoesOnBeforeALoadElsewhereEnds(AdapterLoader.Outcome outcome) {
+        startOnLoadedEngine();
+        advance(1_300);
+        client.last().body(SECOND_EVENT);
+        loader.complete(outcome);
+        advance(200);
+        client.last().end();
+        assertStreamedByOneEndpoint();
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = AdapterLoader.Outcome.class,
+            names = {"REFUSED", "NO_OWNER"})
+    void streamStaysAtASilentEngineWhileNoOtherCanLoadItsAdapter(AdapterLoader.Outcome outcome) {
+        startOnLoadedEngine();
+        for (int i = 0; i < 18; i++) {
+            advance(100);
+            loader.complete(outcome);
+        }
+        client.last().body(SECOND_EVENT);
+        client.last().end();
+        assertStreamedByOneEndpoint();
+    }
+
+    @Test
+    void streamStaysAtASilentEngineWhoseSoftwareVersionNoOtherRuns() {
+        endpoints.apply(endpoint("engine-2", "engines", "v2", Map.of("m", Map.of("a1", 1))));
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        client.last().head(head(200, false));
+        client.last().body(FIRST_EVENT);
+        advance(1_900);
+        client.last().body(SECOND_EVENT);
+        client.last().end();
+        assertStreamedByOneEndpoint();
+    }
+
+    /** A stream that breaks off while a replacement is being prepared is resumed as one that was not silent. */
+    @Test
+    void streamThatBreaksOffDuringItsSilenceIsResumedOnce() {
+        startOnLoadedEngine();
+        advance(1_300);
+        client.last().failed(false, "reset");
+        loader.complete(AdapterLoader.Outcome.RESIDENT);
+        loader.open.values().forEach(load -> load.accept(AdapterLoader.Outcome.RESIDENT));
+        assertThat(client.sent).hasSize(2);
+        assertThat(response.aborted).isFalse();
+    }
+
+    /** Starts a stream on an engine that had to load the adapter, up to its first event. */
+    private void startOnLoadedEngine() {
+        start(RouteKind.STREAMING, MISSING_ADAPTER);
+        loader.complete(AdapterLoader.Outcome.RESIDENT);
+        client.last().head(head(200, false));
+        client.last().body(FIRST_EVENT);
+    }
+
+    private void assertStreamedByOneEndpoint() {
+        assertThat(client.sent).hasSize(1);
+        assertThat(response.aborted).isFalse();
+        assertThat(response.ended).isTrue();
+        assertThat(response.body).hasToString(BOTH_EVENTS);
+    }
+}
