Give a silent attempt up only once another one can continue it

Callers saw a response break off, or got 502, although its endpoint was about to go on: after 1.2 s without a chunk (or 1.6 latency objectives without a first byte) an attempt was given up as soon as the route permitted another one and a second endpoint was listed. Whether the response could go on there, whether a retry was left and whether an endpoint could take it was asked only afterwards; if not, the caller's connection was closed.

The decision has one owner now. A silent attempt stays open and is reported to its request, which searches for a replacement (AttemptReplacement): an endpoint that is not suspended and has a free slot, with the adapter resident there, the software version of the stream, and last a retry of the budget. Only then is the silent attempt cancelled. If it goes on meanwhile, the search ends. Otherwise the deadline of the request decides.

The search is repeated every 200 ms while the silence lasts, the rate at which loads are already asked for again.

--- a/core/src/main/java/org/quetzalvane/core/choice/OutlierDetector.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/OutlierDetector.java
@@ -90,16 +90,17 @@
 
     /** The given endpoints without the suspended ones, or all of them if every one is suspended. */
     public <T> List<T> healthy(List<T> endpoints, Function<T, String> id) {
-        long now = scheduler.nanoTime();
-        List<T> healthy = endpoints.stream()
-                .filter(e -> {
-                    Health h = byEndpoint.get(id.apply(e));
-                    return h == null || h.suspendedUntilNanos <= now;
-                })
-                .toList();
+        List<T> healthy =
+                endpoints.stream().filter(e -> !isSuspended(id.apply(e))).toList();
         return healthy.isEmpty() ? endpoints : healthy;
     }
 
+    /** Whether an endpoint is suspended now. */
+    public boolean isSuspended(String endpoint) {
+        Health h = byEndpoint.get(endpoint);
+        return h != null && h.suspendedUntilNanos > scheduler.nanoTime();
+    }
+
     private boolean suspend(Health h) {
         long now = scheduler.nanoTime();
         if (h.suspendedUntilNanos > now) {
--- a/core/src/main/java/org/quetzalvane/core/choice/RetryBudgetShare.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/RetryBudgetShare.java
@@ -47,18 +47,23 @@
         counts(service).requests.add(scheduler.nanoTime());
     }
 
-    /** Takes one retry from the budget; returns false if none is left. */
-    public boolean tryAcquire(String service) {
+    /** Whether a retry is left in the budget. */
+    public boolean hasRetry(String service) {
         Counts c = counts(service);
         long now = scheduler.nanoTime();
         int nodeCount = nodes.getAsInt();
         double extraShare = extra / (nodeCount <= 0 ? ASSUMED_NODES : nodeCount);
         double allowed = USED_FRACTION * (ratio * c.requests.count(now) + extraShare);
-        if (c.retries.count(now) + 1 > allowed) {
-            return false;
+        return c.retries.count(now) + 1 <= allowed;
+    }
+
+    /** Takes one retry from the budget; returns false if none is left. */
+    public boolean tryAcquire(String service) {
+        boolean left = hasRetry(service);
+        if (left) {
+            counts(service).retries.add(scheduler.nanoTime());
         }
-        c.retries.add(now);
-        return true;
+        return left;
     }
 
     private Counts counts(String service) {
--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -16,15 +16,17 @@
  */
 final class Attempt implements EndpointClient.Listener {
     /**
-     * Timeout for the first byte as a multiple of the latency objective; twice the expected prefill wait is added to
-     * it.
+     * Time without a first byte after which the attempt counts as silent, as a multiple of the latency objective; twice
+     * the expected prefill wait is added to it.
      */
     private static final double FIRST_BYTE_OBJECTIVE_FACTOR = 1.6;
     /**
-     * Timeout for the next chunk of a response that has begun, ms; below the shortest idle timeout of callers, 2 s
-     * ({@link Route#callerIdleTimeoutMs()}).
+     * Time without a chunk after which a response that has begun counts as silent, ms; below the shortest idle timeout
+     * of callers, 2 s ({@link Route#callerIdleTimeoutMs()}).
      */
     private static final long NEXT_CHUNK_TIMEOUT_MS = 1_200;
+    /** Interval at which a silent attempt is reported again, ms. */
+    private static final long SILENT_CHECK_INTERVAL_MS = 200;
 
     /**
      * Receives the outcome of an attempt and decides on retries; implemented by the request.
@@ -45,6 +47,12 @@
          */
         void failed(Attempt a, ResultCode code, String cause, boolean retryAcquired);
 
+        /**
+         * The attempt has made no progress within its timeout. Its endpoint may still go on, so the attempt stays open
+         * until the request gives it up; called again at intervals while the silence lasts.
+         */
+        void silent(Attempt a);
+
         /** The complete response was passed on to the caller. */
         void completed(Attempt a);
 
@@ -82,6 +90,7 @@
     private long lastProgressNanos;
     private long firstByteNanos;
     private long longestGapMs;
+    private long loggedSilenceNanos = Long.MIN_VALUE;
     private Scheduler.Timer progressTimer;
     private ResponseHead head;
     private BodyBuffer buffer;
@@ -115,7 +124,7 @@
      */
     void send(EndpointRequest endpointRequest) {
         if (route.retryable()) {
-            progressTimer = context.scheduler().schedule(Duration.ofMillis(firstByteTimeoutMs()), this::failIfStalled);
+            scheduleProgressCheck(firstByteTimeoutMs());
         }
         call = context.endpointClient().send(endpoint, endpointRequest, this);
     }
@@ -154,26 +163,39 @@
         }
     }
 
-    /** Timeout for the first byte of a response that can be retried elsewhere, ms. */
+    /** Time without a first byte after which a response that can be retried elsewhere counts as silent, ms. */
     private long firstByteTimeoutMs() {
         double expected = endpointIsEngine ? context.prefillEstimator().waitMs(pendingTokens) : 0;
         return Math.round(FIRST_BYTE_OBJECTIVE_FACTOR * route.objectiveMs() + 2 * expected);
     }
 
     /**
-     * Fails the attempt if it made no progress within the timeout and another endpoint can be tried; reschedules itself
-     * while time is left. Without an alternative the check ends for good.
+     * Reports the attempt as silent if it made no progress within the timeout, and again at intervals until it goes on
+     * or ends. The attempt goes on meanwhile.
      */
-    private void failIfStalled() {
+    private void checkProgress() {
         if (!open) {
             return;
         }
         long limitMs = firstByteReceived ? NEXT_CHUNK_TIMEOUT_MS : firstByteTimeoutMs();
         long leftMs = limitMs - (context.scheduler().nanoTime() - lastProgressNanos) / 1_000_000;
+        scheduleProgressCheck(leftMs > 0 ? leftMs : SILENT_CHECK_INTERVAL_MS);
         if (leftMs > 0) {
-            progressTimer = context.scheduler().schedule(Duration.ofMillis(leftMs), this::failIfStalled);
             return;
         }
+        if (loggedSilenceNanos != lastProgressNanos) {
+            loggedSilenceNanos = lastProgressNanos;
+            recordSilence(limitMs - leftMs);
+        }
+        handler.silent(this);
+    }
+
+    private void scheduleProgressCheck(long ms) {
+        progressTimer = context.scheduler().schedule(Duration.ofMillis(ms), this::checkProgress);
+    }
+
+    private void recordSilence(long silentMs) {
+        boolean alternative = hasAlternative();
         boolean resumable = !callerResponseBegun() || handler.responseStream().resumable();
         context.log().log(
                 EventCode.ATTEMPT_SILENT,
@@ -181,17 +203,16 @@
                 "endpoint",
                 endpoint.id(),
                 "silent_ms",
-                limitMs - leftMs,
+                silentMs,
                 "begun",
                 callerResponseBegun(),
                 "resumable",
                 resumable,
                 "alternative",
-                hasAlternative());
-        if (hasAlternative()) {
+                alternative);
+        if (alternative) {
             SuspensionLog.logIfSuspended(
                     context, endpoint, context.outlierDetector().recordUnreachable(endpoint.id()), "silent");
-            failed(false, "no progress within " + limitMs + " ms");
         }
     }
 
@@ -295,13 +316,22 @@
             handler.unreachable(this, cause);
             return;
         }
-        if (handler.responseStream() != null) {
-            handler.responseStream().discardPartialEvent();
-        }
+        discardPartialEvent();
         handler.failed(
                 this, callerResponseBegun() ? ResultCode.STREAM_BROKEN : ResultCode.OUTCOME_UNKNOWN, cause, false);
     }
 
+    /** Whether the attempt has had no outcome yet. */
+    boolean isOpen() {
+        return open;
+    }
+
+    /** Cancels a silent attempt without an outcome, so that another one can continue the response. */
+    void giveUp() {
+        cancel();
+        discardPartialEvent();
+    }
+
     /** Cancels the attempt without an outcome; has no effect after the outcome. */
     void cancel() {
         if (open) {
@@ -309,6 +339,12 @@
         }
     }
 
+    private void discardPartialEvent() {
+        if (callerResponseBegun()) {
+            handler.responseStream().discardPartialEvent();
+        }
+    }
+
     private void beginEventStream(ResponseHead h) {
         if (handler.responseStream() == null) {
             beginStreamedResponse(ResponseStream.ofEvents(request.lastEventId(), route.retryable()));
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -24,7 +24,7 @@
  * route allows that; it is reported as not run only if every attempt was refused by its endpoint or never reached one.
  * Confined to the event loop.
  */
-public final class RequestFlow implements Attempt.Handler, EngineAcquisition.Handler {
+public final class RequestFlow implements Attempt.Handler, EngineAcquisition.Handler, AttemptReplacement.Handler {
     /** Attempts refused by endpoints without running the request, after which the request is refused. */
     private static final int MAX_REFUSED_ATTEMPTS = 3;
     /** Failed connections after which the request is refused. */
@@ -59,6 +59,7 @@
     private int refusedAttempts;
     private int failedConnects;
     private EngineAcquisition acquisition;
+    private AttemptReplacement replacement;
     private Attempt.Shared shared;
 
     /** Creates the flow of a request that has just arrived. */
@@ -220,25 +221,52 @@
     @Override
     public void failed(Attempt a, ResultCode code, String cause, boolean retryAcquired) {
         boolean retry = retryAcquired || mayRetryAfterThis() && streamResumable() && tryAcquireRetry();
-        Endpoint e = endAttempt(a);
-        SuspensionLog.logIfSuspended(context, e, context.outlierDetector().recordFailure(e.id()), cause);
-        attemptsThatMayHaveRun++;
-        acquisition.resetAfterAttempt(responseStream == null ? arrivedNanos : a.lastProgressNanos());
+        recordFailedAttempt(a, cause);
         if (retry) {
-            log(
-                    responseStream == null ? EventCode.REQUEST_RETRIED : EventCode.REQUEST_RESUMED,
-                    "endpoint",
-                    e.id(),
-                    "software",
-                    e.softwareVersion(),
-                    "cause",
-                    cause);
+            logRetry(a.endpoint(), cause);
             selectNext();
         } else {
             fail(code, cause);
         }
     }
 
+    @Override
+    public void silent(Attempt a) {
+        boolean searching = replacement != null && !replacement.isDone();
+        boolean replaceable = mayRetryAfterThis()
+                && streamResumable()
+                && context.retryBudget().hasRetry(service.name());
+        if (!searching && replaceable) {
+            replacement = new AttemptReplacement(shared, service, this, a, waitsSince(a));
+            replacement.selectNext();
+        }
+    }
+
+    @Override
+    public void replace(Attempt a, Endpoint by, int version) {
+        a.giveUp();
+        recordFailedAttempt(a, "silent");
+        logRetry(a.endpoint(), "silent");
+        send(by, version);
+    }
+
+    private void recordFailedAttempt(Attempt a, String cause) {
+        Endpoint e = endAttempt(a);
+        SuspensionLog.logIfSuspended(context, e, context.outlierDetector().recordFailure(e.id()), cause);
+        attemptsThatMayHaveRun++;
+        acquisition.resetAfterAttempt(waitsSince(a));
+    }
+
+    /** Time since which the caller has received nothing: the last chunk, or the request's arrival. */
+    private long waitsSince(Attempt a) {
+        return responseStream == null ? arrivedNanos : a.lastProgressNanos();
+    }
+
+    private void logRetry(Endpoint e, String cause) {
+        EventCode code = responseStream == null ? EventCode.REQUEST_RETRIED : EventCode.REQUEST_RESUMED;
+        log(code, "endpoint", e.id(), "software", e.softwareVersion(), "cause", cause);
+    }
+
     @Override
     public void completed(Attempt a) {
         Endpoint e = endAttempt(a);
@@ -289,6 +317,16 @@
         return streamVersion;
     }
 
+    @Override
+    public String requiredSoftwareVersion() {
+        return streamVersion.required();
+    }
+
+    @Override
+    public Set<String> triedEndpoints() {
+        return triedEndpoints;
+    }
+
     private void giveUpWithoutEndpoint(String version) {
         long backoffMs = context.endpoints().backoffMs(service.name(), version);
         if (backoffMs > 0) {
