--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -1,12 +1,9 @@
 package org.quetzalvane.core.serve;
 
-import java.time.Duration;
-
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.routes.Route;
-import org.quetzalvane.core.time.Scheduler;
 
 /**
  * One attempt of a request at an endpoint, up to the first outcome, which is reported to the {@link Handler}.
@@ -25,8 +22,6 @@
      * of callers, 2 s ({@link Route#callerIdleTimeoutMs()}).
      */
     private static final long NEXT_CHUNK_TIMEOUT_MS = 1_200;
-    /** Interval at which a silent attempt is reported again, ms. */
-    private static final long SILENT_CHECK_INTERVAL_MS = 200;
 
     /**
      * Receives the outcome of an attempt and decides on retries; implemented by the request.
@@ -87,11 +82,9 @@
     private EndpointClient.Call call;
     private boolean open = true;
     private boolean firstByteReceived;
-    private long lastProgressNanos;
+    private final SilenceMonitor silence;
     private long firstByteNanos;
     private long longestGapMs;
-    private long loggedSilenceNanos = Long.MIN_VALUE;
-    private Scheduler.Timer progressTimer;
     private ResponseHead head;
     private BodyBuffer buffer;
 
@@ -109,7 +102,7 @@
         this.endpoint = endpoint;
         this.endpointIsEngine = endpointIsEngine;
         this.sentNanos = context.scheduler().nanoTime();
-        this.lastProgressNanos = sentNanos;
+        this.silence = new SilenceMonitor(context.scheduler(), this::silenceLimitMs, this::reportSilence);
         context.endpointLoads()
                 .requestStarted(endpoint.id(), request.tokenCounts().prompt());
         pendingTokens = context.endpointLoads().total(endpoint.id()).pendingTokens();
@@ -124,7 +117,7 @@
      */
     void send(EndpointRequest endpointRequest) {
         if (route.retryable()) {
-            scheduleProgressCheck(firstByteTimeoutMs());
+            silence.start();
         }
         call = context.endpointClient().send(endpoint, endpointRequest, this);
     }
@@ -148,7 +141,7 @@
 
     /** Time of the last chunk, or of the start of the attempt if no chunk has arrived. */
     long lastProgressNanos() {
-        return lastProgressNanos;
+        return silence.lastProgressNanos();
     }
 
     /** Longest gap between two chunks observed so far, ms. */
@@ -169,29 +162,15 @@
         return Math.round(FIRST_BYTE_OBJECTIVE_FACTOR * route.objectiveMs() + 2 * expected);
     }
 
-    /**
-     * Reports the attempt as silent if it made no progress within the timeout, and again at intervals until it goes on
-     * or ends. The attempt goes on meanwhile.
-     */
-    private void checkProgress() {
-        if (!open) {
-            return;
-        }
-        long limitMs = firstByteReceived ? NEXT_CHUNK_TIMEOUT_MS : firstByteTimeoutMs();
-        long leftMs = limitMs - (context.scheduler().nanoTime() - lastProgressNanos) / 1_000_000;
-        scheduleProgressCheck(leftMs > 0 ? leftMs : SILENT_CHECK_INTERVAL_MS);
-        if (leftMs > 0) {
-            return;
-        }
-        if (loggedSilenceNanos != lastProgressNanos) {
-            loggedSilenceNanos = lastProgressNanos;
-            recordSilence(limitMs - leftMs);
-        }
-        handler.silent(this);
+    private long silenceLimitMs() {
+        return firstByteReceived ? NEXT_CHUNK_TIMEOUT_MS : firstByteTimeoutMs();
     }
 
-    private void scheduleProgressCheck(long ms) {
-        progressTimer = context.scheduler().schedule(Duration.ofMillis(ms), this::checkProgress);
+    private void reportSilence(boolean first, long silentMs) {
+        if (first) {
+            recordSilence(silentMs);
+        }
+        handler.silent(this);
     }
 
     private void recordSilence(long silentMs) {
@@ -253,9 +232,9 @@
         boolean first = !firstByteReceived;
         recordFirstByte();
         long now = context.scheduler().nanoTime();
-        long gapMs = (now - lastProgressNanos) / 1_000_000;
+        long gapMs = (now - silence.lastProgressNanos()) / 1_000_000;
         longestGapMs = Math.max(longestGapMs, gapMs);
-        lastProgressNanos = now;
+        silence.recordProgress();
         if (endpointIsEngine && !first) {
             SuspensionLog.logIfSuspended(
                     context,
@@ -372,8 +351,8 @@
             return;
         }
         firstByteReceived = true;
-        lastProgressNanos = context.scheduler().nanoTime();
-        firstByteNanos = lastProgressNanos;
+        silence.recordProgress();
+        firstByteNanos = silence.lastProgressNanos();
         context.endpointLoads().prefillDone(endpoint.id(), request.tokenCounts().prompt());
         context.prefillEstimator()
                 .recordWait(pendingTokens, (context.scheduler().nanoTime() - sentNanos) / 1e6);
@@ -393,9 +372,7 @@
 
     private void close(boolean cancelCall) {
         open = false;
-        if (progressTimer != null) {
-            progressTimer.cancel();
-        }
+        silence.stop();
         context.endpointLoads()
                 .requestEnded(
                         endpoint.id(),
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -1,8 +1,6 @@
 package org.quetzalvane.core.serve;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -43,6 +41,7 @@
     private final ServingContext context;
     private final CallerRequest request;
     private final CallerResponse response;
+    private final RequestLog requestLog;
     private final long arrivedNanos;
 
     private Route route;
@@ -67,6 +66,7 @@
         this.context = context;
         this.request = request;
         this.response = response;
+        this.requestLog = new RequestLog(context, request);
         this.arrivedNanos = context.scheduler().nanoTime();
     }
 
@@ -269,26 +269,8 @@
 
     @Override
     public void completed(Attempt a) {
-        Endpoint e = endAttempt(a);
-        // first_ms and gap_ms belong to the last attempt, also of a resumed stream; sends leaves out refused attempts.
-        log(
-                EventCode.REQUEST_DONE,
-                "endpoint",
-                e.id(),
-                "software",
-                e.softwareVersion(),
-                "status",
-                a.head().status(),
-                "delimited",
-                a.head().delimited(),
-                "sends",
-                attemptsThatMayHaveRun + 1,
-                "held_ms",
-                (a.sentNanos() - arrivedNanos) / 1_000_000,
-                "first_ms",
-                a.firstByteNanos() == 0 ? -1 : (a.firstByteNanos() - arrivedNanos) / 1_000_000,
-                "gap_ms",
-                a.longestGapMs());
+        endAttempt(a);
+        log(EventCode.REQUEST_DONE, RequestLog.doneFields(a, attemptsThatMayHaveRun + 1, arrivedNanos));
         finish();
     }
 
@@ -422,15 +404,6 @@
     }
 
     private void log(EventCode code, Object... fields) {
-        List<Object> all = new ArrayList<>(Arrays.asList(fields));
-        all.addAll(List.of("route", route == null ? request.path() : route.name(), "ms", elapsedMs()));
-        if (request.adapter() != null) {
-            TokenCounts t = request.tokenCounts();
-            all.addAll(List.of("adapter", request.adapter(), "prompt", t.prompt(), "output", t.expectedOutput()));
-        }
-        if (request.resumes() != null) {
-            all.addAll(List.of("resumes", request.resumes()));
-        }
-        context.log().log(code, request.id(), all.toArray());
+        requestLog.log(code, route == null ? request.path() : route.name(), elapsedMs(), fields);
     }
 }
