Keep idle connections open for the idle limit in force

A connection kept the limits of the moment at which it was accepted. After a configuration that raises the idle limit, callers reuse connections for up to four fifths of the new limit, and the node closed them by the old one; a request on its way then met a closed connection. The limits are read when they are used, and a timer that was started under a lower limit goes on.

KeptConnectionTest#raisedIdleLimitHoldsForConnectionsThatAreOpen failed before (the connection was closed after the old limit) and passes.

--- a/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
@@ -87,6 +87,11 @@
         return connections.stream().filter(ServerConnection::busy).count();
     }
 
+    /** Number of open connections. */
+    int connectionCount() {
+        return connections.size();
+    }
+
     boolean draining() {
         return draining;
     }
@@ -101,7 +106,7 @@
 
     private void initConnection(Channel ch) {
         ServerLimits l = limits.get();
-        ServerConnection c = new ServerConnection(this, loop, l);
+        ServerConnection c = new ServerConnection(this, loop, limits);
         connections.add(c);
         HttpDecoderConfig config = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
--- a/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Supplier;
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -37,17 +38,18 @@
 
     private final HttpServer server;
     private final NettyEventLoop loop;
-    private final ServerLimits limits;
+    private final Supplier<ServerLimits> limits;
     private final Deque<ServerExchange> queued = new ArrayDeque<>();
     private ChannelHandlerContext ctx;
     private HttpRequest requestHead;
     private ByteArrayOutputStream body;
     private ServerExchange current;
     private Scheduler.Timer timer;
+    private long idleSince;
     private boolean rejecting;
     private boolean firstByteReceived;
 
-    ServerConnection(HttpServer server, NettyEventLoop loop, ServerLimits limits) {
+    ServerConnection(HttpServer server, NettyEventLoop loop, Supplier<ServerLimits> limits) {
         this.server = server;
         this.loop = loop;
         this.limits = limits;
@@ -60,7 +62,7 @@
             public void channelRead(ChannelHandlerContext c, Object msg) {
                 if (!firstByteReceived && current == null) {
                     firstByteReceived = true;
-                    startTimer(limits.headerTimeoutMs(), ServerConnection.this::headerTimeout);
+                    startTimer(limits.get().headerTimeoutMs(), ServerConnection.this::headerTimeout);
                 }
                 c.fireChannelRead(msg);
             }
@@ -80,7 +82,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext c) {
         ctx = c;
-        startTimer(limits.idleTimeoutMs(), c::close);
+        startIdleTimer();
     }
 
     @Override
@@ -115,13 +117,13 @@
             reject(HttpResponseStatus.BAD_REQUEST);
             return;
         }
-        if (HttpUtil.getContentLength(r, 0L) > limits.maxBodyBytes()) {
+        if (HttpUtil.getContentLength(r, 0L) > limits.get().maxBodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
         requestHead = r;
         body = new ByteArrayOutputStream();
-        startTimer(limits.idleTimeoutMs(), () -> reject(HttpResponseStatus.REQUEST_TIMEOUT));
+        startTimer(limits.get().idleTimeoutMs(), () -> reject(HttpResponseStatus.REQUEST_TIMEOUT));
         if (HttpUtil.is100ContinueExpected(r)) {
             ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
@@ -129,7 +131,7 @@
 
     private void handleBody(HttpContent chunk) {
         body.writeBytes(ByteBufUtil.getBytes(chunk.content()));
-        if (body.size() > limits.maxBodyBytes()) {
+        if (body.size() > limits.get().maxBodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
@@ -165,7 +167,7 @@
             return;
         }
         ctx.channel().config().setAutoRead(true);
-        startTimer(limits.idleTimeoutMs(), ctx::close);
+        startIdleTimer();
         handleNext();
     }
 
@@ -222,6 +224,21 @@
         c.close();
     }
 
+    private void startIdleTimer() {
+        idleSince = loop.nanoTime();
+        startTimer(limits.get().idleTimeoutMs(), this::closeIfIdleTooLong);
+    }
+
+    /** Closes the connection unless the idle limit was raised since the timer was started. */
+    private void closeIfIdleTooLong() {
+        long leftMs = limits.get().idleTimeoutMs() - (loop.nanoTime() - idleSince) / 1_000_000;
+        if (leftMs > 0) {
+            startTimer(leftMs, this::closeIfIdleTooLong);
+        } else {
+            ctx.close();
+        }
+    }
+
     private void startTimer(long ms, Runnable task) {
         stopTimer();
         timer = loop.schedule(Duration.ofMillis(ms), () -> {
--- /dev/null
+++ b/transport/src/test/java/org/quetzalvane/transport/KeptConnectionTest.java
@@ -0,0 +1,110 @@
+package org.quetzalvane.transport;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Whole requests on kept connections get their responses, also when limits change or the connection is to be closed. */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class KeptConnectionTest {
+    private static final String REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    private static final long SHORT_IDLE_MS = 200;
+
+    private final NettyEventLoop loop = new NettyEventLoop();
+    private final Queue<ServerExchange> held = new ArrayDeque<>();
+    private volatile ServerLimits limits = limits(60_000);
+    private HttpServer server;
+    private Socket client;
+
+    @BeforeEach
+    void connect() throws Exception {
+        server = new HttpServer(loop, () -> limits, held::add);
+        InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0));
+        client = new Socket(at.getAddress(), at.getPort());
+        boolean[] accepted = new boolean[1];
+        do {
+            onLoop(() -> accepted[0] = server.connectionCount() > 0);
+        } while (!accepted[0]);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        client.close();
+        loop.close();
+    }
+
+    @Test
+    void raisedIdleLimitHoldsForConnectionsThatAreOpen() throws Exception {
+        limits = limits(SHORT_IDLE_MS);
+        client.close();
+        connect();
+        send(REQUEST);
+        respondToAll(1);
+        limits = limits(60_000);
+        CountDownLatch idle = new CountDownLatch(1);
+        loop.schedule(Duration.ofMillis(2 * SHORT_IDLE_MS), idle::countDown);
+        idle.await();
+        send(REQUEST);
+        respondToAll(1);
+        client.shutdownOutput();
+        assertThat(responses()).isEqualTo(2);
+    }
+
+    private static ServerLimits limits(long idleMs) {
+        return new ServerLimits(8_192, 8_192, 10_000, idleMs);
+    }
+
+    private void send(String bytes) throws IOException {
+        client.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Responds to a number of requests, one after the other; stops when the connection is closed. */
+    private void respondToAll(int count) throws InterruptedException {
+        for (int i = 0; i < count && awaitHeld(); i++) {
+            onLoop(() -> held.remove().respond(200, EmptyHttpHeaders.INSTANCE, new byte[0]));
+        }
+    }
+
+    /** Waits for a request; returns false if the connection is closed before one arrives. */
+    private boolean awaitHeld() throws InterruptedException {
+        boolean[] state = new boolean[2];
+        do {
+            onLoop(() -> {
+                state[0] = !held.isEmpty();
+                state[1] = server.connectionCount() == 0;
+            });
+        } while (!state[0] && !state[1]);
+        return state[0];
+    }
+
+    private void onLoop(Runnable task) throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        loop.execute(() -> {
+            task.run();
+            done.countDown();
+        });
+        done.await();
+    }
+
+    /** Number of responses up to the end of the connection. */
+    private int responses() throws IOException {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        client.getInputStream().transferTo(all);
+        return all.toString(StandardCharsets.US_ASCII).split("HTTP/1.1 ", -1).length - 1;
+    }
+}
