Answer the whole requests on a connection before it is closed

Requests that had been read whole behind another one were dropped without an answer when a later one could not be read, or when the node drained after the first response. The connection now closes after the response to the last whole request; the one that cannot be read gets its status as before.

KeptConnectionTest#wholeRequestsBeforeOneThatCannotBeReadAreAnswered and #wholeRequestsOnOneConnectionAreAnsweredWhenTheServerDrains failed before (one response instead of three, and of two) and pass.

--- a/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
@@ -46,7 +46,7 @@
     private ServerExchange current;
     private Scheduler.Timer timer;
     private long idleSince;
-    private boolean rejecting;
+    private HttpResponseStatus rejection;
     private boolean firstByteReceived;
 
     ServerConnection(HttpServer server, NettyEventLoop loop, Supplier<ServerLimits> limits) {
@@ -88,7 +88,7 @@
     @Override
     public void channelRead(ChannelHandlerContext c, Object msg) {
         try {
-            if (!rejecting) {
+            if (rejection == null) {
                 handle((HttpObject) msg);
             }
         } finally {
@@ -156,8 +156,9 @@
         server.handle(current);
     }
 
+    /** Whether the response to a request is the last one; the whole requests behind it are answered first. */
     boolean closesAfterResponse(HttpRequest r) {
-        return server.draining() || !HttpUtil.isKeepAlive(r);
+        return server.draining() && queued.isEmpty() && rejection == null || !HttpUtil.isKeepAlive(r);
     }
 
     /** Called when the response to the current request is complete. */
@@ -166,6 +167,10 @@
         if (close) {
             return;
         }
+        if (queued.isEmpty() && rejection != null) {
+            sendRejection();
+            return;
+        }
         ctx.channel().config().setAutoRead(true);
         startIdleTimer();
         handleNext();
@@ -182,22 +187,20 @@
      * it.
      */
     private void reject(HttpResponseStatus status) {
-        rejecting = true;
+        rejection = status;
         stopTimer();
-        if (busy()) {
-            queued.clear();
-            return;
+        if (!busy()) {
+            sendRejection();
         }
-        DefaultFullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    }
+
+    private void sendRejection() {
+        DefaultFullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, rejection, Unpooled.EMPTY_BUFFER);
         HttpUtil.setContentLength(r, 0);
         HttpUtil.setKeepAlive(r, false);
         ctx.writeAndFlush(r).addListener(ChannelFutureListener.CLOSE);
     }
 
-    boolean isRejecting() {
-        return rejecting;
-    }
-
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext c) {
         if (c.channel().isWritable() && current != null) {
--- a/transport/src/main/java/org/quetzalvane/transport/ServerExchange.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerExchange.java
@@ -117,17 +117,16 @@
     }
 
     private void setKeepAlive(HttpResponse r) {
-        closeAfterResponse = connection.closesAfterResponse(head) || connection.isRejecting();
+        closeAfterResponse = connection.closesAfterResponse(head);
         HttpUtil.setKeepAlive(r, !closeAfterResponse);
     }
 
     private void finish(ChannelFuture last) {
         finished = true;
-        boolean close = closeAfterResponse || connection.isRejecting();
-        if (close) {
+        if (closeAfterResponse) {
             last.addListener(ChannelFutureListener.CLOSE);
         }
-        connection.responseCompleted(close);
+        connection.responseCompleted(closeAfterResponse);
     }
 
     void disconnected() {
--- a/transport/src/test/java/org/quetzalvane/transport/KeptConnectionTest.java
+++ b/transport/src/test/java/org/quetzalvane/transport/KeptConnectionTest.java
@@ -65,6 +65,22 @@
         assertThat(responses()).isEqualTo(2);
     }
 
+    @Test
+    void wholeRequestsBeforeOneThatCannotBeReadAreAnswered() throws Exception {
+        send(REQUEST + REQUEST + "broken\r\n\r\n");
+        respondToAll(2);
+        assertThat(responses()).isEqualTo(3);
+    }
+
+    @Test
+    void wholeRequestsOnOneConnectionAreAnsweredWhenTheServerDrains() throws Exception {
+        send(REQUEST + REQUEST);
+        awaitHeld();
+        onLoop(server::drain);
+        respondToAll(2);
+        assertThat(responses()).isEqualTo(2);
+    }
+
     private static ServerLimits limits(long idleMs) {
         return new ServerLimits(8_192, 8_192, 10_000, idleMs);
     }
