Take a caller that does not read for no silence of its endpoint

While a caller does not read, the node stops reading from the endpoint. That pause counted as silence: after 1.2 s the attempt was given up, the stream run again at another engine, and the pause also counted towards the suspension of the engine as slow. Silence is counted only while the node reads.

SilentEndpointTest#callerThatDoesNotReadIsNoSilenceOfItsEndpoint: both cases failed before (a second attempt was sent) and pass.

--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -81,6 +81,7 @@
     private final long pendingTokens;
     private EndpointClient.Call call;
     private boolean open = true;
+    private boolean reading = true;
     private boolean firstByteReceived;
     private final SilenceMonitor silence;
     private long firstByteNanos;
@@ -151,11 +152,19 @@
 
     /** Resumes reading the response once the caller can be written to again. */
     void resumeReading() {
-        if (call != null) {
+        if (call != null && !reading) {
+            reading = true;
+            silence.resume();
             call.setReading(true);
         }
     }
 
+    private void pauseReading() {
+        reading = false;
+        silence.pause();
+        call.setReading(false);
+    }
+
     /** Time without a first byte after which a response that can be retried elsewhere counts as silent, ms. */
     private long firstByteTimeoutMs() {
         double expected = endpointIsEngine ? context.prefillEstimator().waitMs(pendingTokens) : 0;
@@ -255,7 +264,7 @@
             beginStreamedResponse(ResponseStream.opaque());
         }
         if (!response.write(toSend)) {
-            call.setReading(false);
+            pauseReading();
         }
     }
 
@@ -342,7 +351,7 @@
         }
         handler.streamVersion().eventsSentFrom(endpoint);
         if (!response.write(toSend)) {
-            call.setReading(false);
+            pauseReading();
         }
     }
 
--- a/core/src/main/java/org/quetzalvane/core/serve/SilenceMonitor.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/SilenceMonitor.java
@@ -18,6 +18,7 @@
     private final Listener listener;
     private long lastProgressNanos;
     private long reportedProgressNanos = Long.MIN_VALUE;
+    private boolean started;
     private Scheduler.Timer timer;
 
     /** Receives the reports. */
@@ -44,12 +45,26 @@
     }
 
     void start() {
+        started = true;
         checkAfter(limitMs.getAsLong());
     }
 
     void stop() {
-        if (timer != null) {
-            timer.cancel();
+        started = false;
+        cancelTimer();
+    }
+
+    /** Stops counting while nothing is read from the endpoint. */
+    void pause() {
+        cancelTimer();
+    }
+
+    /** Counts again from now on. */
+    void resume() {
+        recordProgress();
+        if (started) {
+            cancelTimer();
+            checkAfter(limitMs.getAsLong());
         }
     }
 
@@ -74,6 +89,12 @@
         listener.silent(first, silentMs);
     }
 
+    private void cancelTimer() {
+        if (timer != null) {
+            timer.cancel();
+        }
+    }
+
     private void checkAfter(long ms) {
         timer = scheduler.schedule(Duration.ofMillis(ms), this::check);
     }
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -171,6 +171,7 @@
         final List<EndpointRequest> requests = new ArrayList<>();
         final List<Listener> listeners = new ArrayList<>();
         int cancelled;
+        boolean reading = true;
 
         Listener last() {
             return listeners.get(listeners.size() - 1);
@@ -188,7 +189,9 @@
                 }
 
                 @Override
-                public void setReading(boolean on) {}
+                public void setReading(boolean on) {
+                    reading = on;
+                }
             };
         }
     }
@@ -230,6 +233,7 @@
         long retryAfterMs;
         boolean ended;
         boolean aborted;
+        boolean full;
 
         @Override
         public void send(ResponseHead head, byte[] content) {
@@ -243,7 +247,7 @@
         @Override
         public boolean write(byte[] chunk) {
             body.append(new String(chunk));
-            return true;
+            return !full;
         }
 
         @Override
--- a/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
@@ -129,6 +129,23 @@
         assertStreamedByOneEndpoint();
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {1_250, 2_500})
+    void callerThatDoesNotReadIsNoSilenceOfItsEndpoint(long pauseMs) {
+        RequestFlow flow = start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        client.last().head(head(200, false));
+        response.full = true;
+        client.last().body(FIRST_EVENT);
+        assertThat(client.reading).isFalse();
+        advance(pauseMs);
+        response.full = false;
+        flow.callerWritable();
+        assertThat(client.reading).isTrue();
+        client.last().body(SECOND_EVENT);
+        client.last().end();
+        assertStreamedByOneEndpoint();
+    }
+
     /** A stream that breaks off while a replacement is being prepared is resumed as one that was not silent. */
     @Test
     void streamThatBreaksOffDuringItsSilenceIsResumedOnce() {
