--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -1,11 +1,9 @@
 package org.quetzalvane.core.serve;
 
-import java.time.Duration;
-
 import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.routes.Route;
-import org.quetzalvane.core.time.Scheduler;
 
 /**
  * One attempt of a request at an endpoint, up to the first outcome, which is reported to the {@link Handler}.
@@ -15,13 +13,13 @@
  */
 final class Attempt implements EndpointClient.Listener {
     /**
-     * Timeout for the first byte as a multiple of the latency objective; twice the expected prefill wait is added to
-     * it.
+     * Time without a first byte after which the attempt counts as silent, as a multiple of the latency objective; twice
+     * the expected prefill wait is added to it.
      */
     private static final double FIRST_BYTE_OBJECTIVE_FACTOR = 1.6;
     /**
-     * Timeout for the next chunk of a response that has begun, ms; below the shortest idle timeout of callers, 2 s
-     * ({@link Route#callerIdleTimeoutMs()}).
+     * Time without a chunk after which a response that has begun counts as silent, ms; below the shortest idle timeout
+     * of callers, 2 s ({@link Route#callerIdleTimeoutMs()}).
      */
     private static final long NEXT_CHUNK_TIMEOUT_MS = 1_200;
 
@@ -44,6 +42,12 @@
          */
         void failed(Attempt a, ResultCode code, String cause, boolean retryAcquired);
 
+        /**
+         * The attempt has made no progress within its timeout. Its endpoint may still go on, so the attempt stays open
+         * until the request gives it up; called again at intervals while the silence lasts.
+         */
+        void silent(Attempt a);
+
         /** The complete response was passed on to the caller. */
         void completed(Attempt a);
 
@@ -77,11 +81,11 @@
     private final long pendingTokens;
     private EndpointClient.Call call;
     private boolean open = true;
+    private boolean reading = true;
     private boolean firstByteReceived;
-    private long lastProgressNanos;
+    private final SilenceMonitor silence;
     private long firstByteNanos;
     private long longestGapMs;
-    private Scheduler.Timer progressTimer;
     private ResponseHead head;
     private BodyBuffer buffer;
 
@@ -99,7 +103,7 @@
         this.endpoint = endpoint;
         this.endpointIsEngine = endpointIsEngine;
         this.sentNanos = context.scheduler().nanoTime();
-        this.lastProgressNanos = sentNanos;
+        this.silence = new SilenceMonitor(context.scheduler(), this::silenceLimitMs, this::reportSilence);
         context.endpointLoads()
                 .requestStarted(endpoint.id(), request.tokenCounts().prompt());
         pendingTokens = context.endpointLoads().total(endpoint.id()).pendingTokens();
@@ -114,7 +118,7 @@
      */
     void send(EndpointRequest endpointRequest) {
         if (route.retryable()) {
-            progressTimer = context.scheduler().schedule(Duration.ofMillis(firstByteTimeoutMs()), this::failIfStalled);
+            silence.start();
         }
         call = context.endpointClient().send(endpoint, endpointRequest, this);
     }
@@ -138,7 +142,7 @@
 
     /** Time of the last chunk, or of the start of the attempt if no chunk has arrived. */
     long lastProgressNanos() {
-        return lastProgressNanos;
+        return silence.lastProgressNanos();
     }
 
     /** Longest gap between two chunks observed so far, ms. */
@@ -148,33 +152,55 @@
 
     /** Resumes reading the response once the caller can be written to again. */
     void resumeReading() {
-        if (call != null) {
+        if (call != null && !reading) {
+            reading = true;
+            silence.resume();
             call.setReading(true);
         }
     }
 
-    /** Timeout for the first byte of a response that can be retried elsewhere, ms. */
+    private void pauseReading() {
+        reading = false;
+        silence.pause();
+        call.setReading(false);
+    }
+
+    /** Time without a first byte after which a response that can be retried elsewhere counts as silent, ms. */
     private long firstByteTimeoutMs() {
         double expected = endpointIsEngine ? context.prefillEstimator().waitMs(pendingTokens) : 0;
         return Math.round(FIRST_BYTE_OBJECTIVE_FACTOR * route.objectiveMs() + 2 * expected);
     }
 
-    /**
-     * Fails the attempt if it made no progress within the timeout and another endpoint can be tried; reschedules itself
-     * while time is left. Without an alternative the check ends for good.
-     */
-    private void failIfStalled() {
-        if (!open) {
-            return;
+    private long silenceLimitMs() {
+        return firstByteReceived ? NEXT_CHUNK_TIMEOUT_MS : firstByteTimeoutMs();
+    }
+
+    private void reportSilence(boolean first, long silentMs) {
+        if (first) {
+            recordSilence(silentMs);
         }
-        long limitMs = firstByteReceived ? NEXT_CHUNK_TIMEOUT_MS : firstByteTimeoutMs();
-        long leftMs = limitMs - (context.scheduler().nanoTime() - lastProgressNanos) / 1_000_000;
-        if (leftMs > 0) {
-            progressTimer = context.scheduler().schedule(Duration.ofMillis(leftMs), this::failIfStalled);
-        } else if (hasAlternative()) {
+        handler.silent(this);
+    }
+
+    private void recordSilence(long silentMs) {
+        boolean alternative = hasAlternative();
+        boolean resumable = !callerResponseBegun() || handler.responseStream().resumable();
+        context.log().log(
+                EventCode.ATTEMPT_SILENT,
+                request.id(),
+                "endpoint",
+                endpoint.id(),
+                "silent_ms",
+                silentMs,
+                "begun",
+                callerResponseBegun(),
+                "resumable",
+                resumable,
+                "alternative",
+                alternative);
+        if (alternative) {
             SuspensionLog.logIfSuspended(
                     context, endpoint, context.outlierDetector().recordUnreachable(endpoint.id()), "silent");
-            failed(false, "no progress within " + limitMs + " ms");
         }
     }
 
@@ -215,9 +241,9 @@
         boolean first = !firstByteReceived;
         recordFirstByte();
         long now = context.scheduler().nanoTime();
-        long gapMs = (now - lastProgressNanos) / 1_000_000;
+        long gapMs = (now - silence.lastProgressNanos()) / 1_000_000;
         longestGapMs = Math.max(longestGapMs, gapMs);
-        lastProgressNanos = now;
+        silence.recordProgress();
         if (endpointIsEngine && !first) {
             SuspensionLog.logIfSuspended(
                     context,
@@ -238,7 +264,7 @@
             beginStreamedResponse(ResponseStream.opaque());
         }
         if (!response.write(toSend)) {
-            call.setReading(false);
+            pauseReading();
         }
     }
 
@@ -278,13 +304,22 @@
             handler.unreachable(this, cause);
             return;
         }
-        if (handler.responseStream() != null) {
-            handler.responseStream().discardPartialEvent();
-        }
+        discardPartialEvent();
         handler.failed(
                 this, callerResponseBegun() ? ResultCode.STREAM_BROKEN : ResultCode.OUTCOME_UNKNOWN, cause, false);
     }
 
+    /** Whether the attempt has had no outcome yet. */
+    boolean isOpen() {
+        return open;
+    }
+
+    /** Cancels a silent attempt without an outcome, so that another one can continue the response. */
+    void giveUp() {
+        cancel();
+        discardPartialEvent();
+    }
+
     /** Cancels the attempt without an outcome; has no effect after the outcome. */
     void cancel() {
         if (open) {
@@ -292,6 +327,12 @@
         }
     }
 
+    private void discardPartialEvent() {
+        if (callerResponseBegun()) {
+            handler.responseStream().discardPartialEvent();
+        }
+    }
+
     private void beginEventStream(ResponseHead h) {
         if (handler.responseStream() == null) {
             beginStreamedResponse(ResponseStream.ofEvents(request.lastEventId(), route.retryable()));
@@ -310,7 +351,7 @@
         }
         handler.streamVersion().eventsSentFrom(endpoint);
         if (!response.write(toSend)) {
-            call.setReading(false);
+            pauseReading();
         }
     }
 
@@ -319,8 +360,8 @@
             return;
         }
         firstByteReceived = true;
-        lastProgressNanos = context.scheduler().nanoTime();
-        firstByteNanos = lastProgressNanos;
+        silence.recordProgress();
+        firstByteNanos = silence.lastProgressNanos();
         context.endpointLoads().prefillDone(endpoint.id(), request.tokenCounts().prompt());
         context.prefillEstimator()
                 .recordWait(pendingTokens, (context.scheduler().nanoTime() - sentNanos) / 1e6);
@@ -340,9 +381,7 @@
 
     private void close(boolean cancelCall) {
         open = false;
-        if (progressTimer != null) {
-            progressTimer.cancel();
-        }
+        silence.stop();
         context.endpointLoads()
                 .requestEnded(
                         endpoint.id(),
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -1,8 +1,6 @@
 package org.quetzalvane.core.serve;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -24,7 +22,7 @@
  * route allows that; it is reported as not run only if every attempt was refused by its endpoint or never reached one.
  * Confined to the event loop.
  */
-public final class RequestFlow implements Attempt.Handler, EngineAcquisition.Handler {
+public final class RequestFlow implements Attempt.Handler, EngineAcquisition.Handler, AttemptReplacement.Handler {
     /** Attempts refused by endpoints without running the request, after which the request is refused. */
     private static final int MAX_REFUSED_ATTEMPTS = 3;
     /** Failed connections after which the request is refused. */
@@ -43,6 +41,7 @@
     private final ServingContext context;
     private final CallerRequest request;
     private final CallerResponse response;
+    private final RequestLog requestLog;
     private final long arrivedNanos;
 
     private Route route;
@@ -59,6 +58,7 @@
     private int refusedAttempts;
     private int failedConnects;
     private EngineAcquisition acquisition;
+    private AttemptReplacement replacement;
     private Attempt.Shared shared;
 
     /** Creates the flow of a request that has just arrived. */
@@ -66,6 +66,7 @@
         this.context = context;
         this.request = request;
         this.response = response;
+        this.requestLog = new RequestLog(context, request);
         this.arrivedNanos = context.scheduler().nanoTime();
     }
 
@@ -220,19 +221,9 @@
     @Override
     public void failed(Attempt a, ResultCode code, String cause, boolean retryAcquired) {
         boolean retry = retryAcquired || mayRetryAfterThis() && streamResumable() && tryAcquireRetry();
-        Endpoint e = endAttempt(a);
-        SuspensionLog.logIfSuspended(context, e, context.outlierDetector().recordFailure(e.id()), cause);
-        attemptsThatMayHaveRun++;
-        acquisition.resetAfterAttempt(responseStream == null ? arrivedNanos : a.lastProgressNanos());
+        recordFailedAttempt(a, cause);
         if (retry) {
-            log(
-                    responseStream == null ? EventCode.REQUEST_RETRIED : EventCode.REQUEST_RESUMED,
-                    "endpoint",
-                    e.id(),
-                    "software",
-                    e.softwareVersion(),
-                    "cause",
-                    cause);
+            logRetry(a.endpoint(), cause);
             selectNext();
         } else {
             fail(code, cause);
@@ -240,27 +231,46 @@
     }
 
     @Override
-    public void completed(Attempt a) {
+    public void silent(Attempt a) {
+        boolean searching = replacement != null && !replacement.isDone();
+        boolean replaceable = mayRetryAfterThis()
+                && streamResumable()
+                && context.retryBudget().hasRetry(service.name());
+        if (!searching && replaceable) {
+            replacement = new AttemptReplacement(shared, service, this, a, waitsSince(a));
+            replacement.selectNext();
+        }
+    }
+
+    @Override
+    public void replace(Attempt a, Endpoint by, int version) {
+        a.giveUp();
+        recordFailedAttempt(a, "silent");
+        logRetry(a.endpoint(), "silent");
+        send(by, version);
+    }
+
+    private void recordFailedAttempt(Attempt a, String cause) {
         Endpoint e = endAttempt(a);
-        // first_ms and gap_ms belong to the last attempt, also of a resumed stream; sends leaves out refused attempts.
-        log(
-                EventCode.REQUEST_DONE,
-                "endpoint",
-                e.id(),
-                "software",
-                e.softwareVersion(),
-                "status",
-                a.head().status(),
-                "delimited",
-                a.head().delimited(),
-                "sends",
-                attemptsThatMayHaveRun + 1,
-                "held_ms",
-                (a.sentNanos() - arrivedNanos) / 1_000_000,
-                "first_ms",
-                a.firstByteNanos() == 0 ? -1 : (a.firstByteNanos() - arrivedNanos) / 1_000_000,
-                "gap_ms",
-                a.longestGapMs());
+        SuspensionLog.logIfSuspended(context, e, context.outlierDetector().recordFailure(e.id()), cause);
+        attemptsThatMayHaveRun++;
+        acquisition.resetAfterAttempt(waitsSince(a));
+    }
+
+    /** Time since which the caller has received nothing: the last chunk, or the request's arrival. */
+    private long waitsSince(Attempt a) {
+        return responseStream == null ? arrivedNanos : a.lastProgressNanos();
+    }
+
+    private void logRetry(Endpoint e, String cause) {
+        EventCode code = responseStream == null ? EventCode.REQUEST_RETRIED : EventCode.REQUEST_RESUMED;
+        log(code, "endpoint", e.id(), "software", e.softwareVersion(), "cause", cause);
+    }
+
+    @Override
+    public void completed(Attempt a) {
+        endAttempt(a);
+        log(EventCode.REQUEST_DONE, RequestLog.doneFields(a, attemptsThatMayHaveRun + 1, arrivedNanos));
         finish();
     }
 
@@ -289,6 +299,16 @@
         return streamVersion;
     }
 
+    @Override
+    public String requiredSoftwareVersion() {
+        return streamVersion.required();
+    }
+
+    @Override
+    public Set<String> triedEndpoints() {
+        return triedEndpoints;
+    }
+
     private void giveUpWithoutEndpoint(String version) {
         long backoffMs = context.endpoints().backoffMs(service.name(), version);
         if (backoffMs > 0) {
@@ -384,15 +404,6 @@
     }
 
     private void log(EventCode code, Object... fields) {
-        List<Object> all = new ArrayList<>(Arrays.asList(fields));
-        all.addAll(List.of("route", route == null ? request.path() : route.name(), "ms", elapsedMs()));
-        if (request.adapter() != null) {
-            TokenCounts t = request.tokenCounts();
-            all.addAll(List.of("adapter", request.adapter(), "prompt", t.prompt(), "output", t.expectedOutput()));
-        }
-        if (request.resumes() != null) {
-            all.addAll(List.of("resumes", request.resumes()));
-        }
-        context.log().log(code, request.id(), all.toArray());
+        requestLog.log(code, route == null ? request.path() : route.name(), elapsedMs(), fields);
     }
 }
