Cancel a silent attempt only once another endpoint has taken the request

A silent attempt was cancelled when the request was sent elsewhere. If that endpoint refused, could not be reached or failed, the caller's response broke off although the silent endpoint was about to go on; it happens most when a whole engine falls silent and all its requests look for another one at the same moment. Searches also had adapters loaded without holding a retry, so that many silent streams took the adapter slots of other requests.

The silent attempt now stays open beside the new one until that endpoint answers with success or has not refused for 250 ms; the platform lets two endpoints work on one request for 400 ms. The retry is reserved before the search and returned if the search ends without effect. Event 5017 names the replacements that were withdrawn.

--- a/core/src/main/java/org/quetzalvane/core/choice/RetryBudgetShare.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/RetryBudgetShare.java
@@ -47,16 +47,6 @@
         counts(service).requests.add(scheduler.nanoTime());
     }
 
-    /** Whether a retry is left in the budget. */
-    public boolean hasRetry(String service) {
-        Counts c = counts(service);
-        long now = scheduler.nanoTime();
-        int nodeCount = nodes.getAsInt();
-        double extraShare = extra / (nodeCount <= 0 ? ASSUMED_NODES : nodeCount);
-        double allowed = USED_FRACTION * (ratio * c.requests.count(now) + extraShare);
-        return c.retries.count(now) + 1 <= allowed;
-    }
-
     /** Takes one retry from the budget; returns false if none is left. */
     public boolean tryAcquire(String service) {
         boolean left = hasRetry(service);
@@ -66,6 +56,38 @@
         return left;
     }
 
+    /**
+     * Reserves one retry, to be used or returned later; returns false if none is left. A reserved retry is left to no
+     * other request.
+     */
+    public boolean tryReserve(String service) {
+        boolean left = hasRetry(service);
+        if (left) {
+            counts(service).reserved++;
+        }
+        return left;
+    }
+
+    /** Takes a reserved retry from the budget. */
+    public void useReserved(String service) {
+        counts(service).reserved--;
+        counts(service).retries.add(scheduler.nanoTime());
+    }
+
+    /** Returns a reserved retry that is not needed. */
+    public void returnReserved(String service) {
+        counts(service).reserved--;
+    }
+
+    private boolean hasRetry(String service) {
+        Counts c = counts(service);
+        long now = scheduler.nanoTime();
+        int nodeCount = nodes.getAsInt();
+        double extraShare = extra / (nodeCount <= 0 ? ASSUMED_NODES : nodeCount);
+        double allowed = USED_FRACTION * (ratio * c.requests.count(now) + extraShare);
+        return c.retries.count(now) + c.reserved + 1 <= allowed;
+    }
+
     private Counts counts(String service) {
         return byService.computeIfAbsent(service, s -> new Counts(windowNanos));
     }
@@ -73,6 +95,7 @@
     private static final class Counts {
         private final SlidingWindowCounter requests;
         private final SlidingWindowCounter retries;
+        private int reserved;
 
         Counts(long windowNanos) {
             requests = new SlidingWindowCounter(windowNanos);
--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -71,7 +71,8 @@
     LATE_ANSWER_DROPPED(5010, "A response to an attempt that is no longer current was dropped."),
     REQUEST_RESUMED(5011, "A broken stream was resumed at another endpoint."),
     LINES_DROPPED(5012, "Log lines were dropped because the output did not keep up."),
-    ATTEMPT_SILENT(5013, "An attempt made no progress within its timeout; states what could replace it.");
+    ATTEMPT_SILENT(5013, "An attempt made no progress within its timeout; states what could replace it."),
+    ATTEMPT_KEPT(5017, "The attempt that was to replace a silent one failed or was withdrawn; the silent one goes on.");
 
     private final int number;
     private final String description;
--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -48,6 +48,15 @@
          */
         void silent(Attempt a);
 
+        /** A head or a chunk of the response arrived. */
+        void progressed(Attempt a);
+
+        /**
+         * Whether a response that the endpoint ran may be passed on; otherwise the attempt ends without another
+         * outcome.
+         */
+        boolean accept(Attempt a, ResponseHead head);
+
         /** The complete response was passed on to the caller. */
         void completed(Attempt a);
 
@@ -210,6 +219,7 @@
             return;
         }
         head = h;
+        handler.progressed(this);
         if (h.notRun()) {
             close(true);
             handler.refused(this, h);
@@ -220,6 +230,8 @@
                     ResultCode.WRONG_ECHO,
                     "response lacks the attempt id or signature, or has a content encoding",
                     false);
+        } else if (!handler.accept(this, h)) {
+            close(true);
         } else if (h.serverError() && !callerResponseBegun() && hasAlternative() && handler.tryAcquireRetry()) {
             close(true);
             handler.failed(this, ResultCode.ENDPOINT_FAILED, "status=" + h.status(), true);
@@ -238,6 +250,7 @@
         if (!open) {
             return;
         }
+        handler.progressed(this);
         boolean first = !firstByteReceived;
         recordFirstByte();
         long now = context.scheduler().nanoTime();
--- a/core/src/main/java/org/quetzalvane/core/serve/AttemptReplacement.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/AttemptReplacement.java
@@ -1,34 +1,45 @@
 package org.quetzalvane.core.serve;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 
 import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.choice.RetryBudgetShare;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.routes.RequiredVersions;
-import org.quetzalvane.core.routes.Route;
 import org.quetzalvane.core.routes.ServiceSpec;
+import org.quetzalvane.core.time.Scheduler;
 
 /**
- * Searches for an endpoint that can continue a request whose endpoint is silent.
+ * Replaces a silent attempt by one at another endpoint.
  *
- * <p>The silent endpoint may be sound and go on, so its attempt stays open until another endpoint can take the request
- * now, with its adapter resident, and a retry has been granted. The search ends without effect when the silent attempt
- * goes on or ends. Confined to the event loop.
+ * <p>The silent endpoint may be sound and go on, so its attempt stays open until another endpoint has taken the
+ * request: a retry is reserved, an endpoint is searched that has a free slot and the adapter resident, the request
+ * is sent there, and the endpoint answers with success or does not refuse for {@link #ACCEPTANCE_MS}. If the
+ * silent attempt goes on before that, the replacement is withdrawn; if the other endpoint refuses, the silent
+ * attempt remains. Confined to the event loop.
  */
 final class AttemptReplacement implements EngineAcquisition.Handler {
+    /**
+     * Time without a refusal after which an endpoint counts as having taken the request, ms; below the 400 ms for which
+     * the platform lets two endpoints work on one request.
+     */
+    static final long ACCEPTANCE_MS = 250;
+
     private final ServingContext context;
     private final CallerRequest request;
     private final ServiceSpec service;
     private final Handler handler;
     private final Attempt silent;
-    private final long lastProgressNanos;
     private final Set<String> excluded;
     private final EngineAcquisition acquisition;
+    private Attempt candidate;
+    private Scheduler.Timer acceptance;
     private boolean ended;
 
-    /** The request that needs a replacement. */
+    /** The request whose attempt is silent. */
     interface Handler {
         /** Ids of the endpoints that have failed the request. */
         Set<String> triedEndpoints();
@@ -36,31 +47,80 @@
         /** Software version that the rest of the response must come from, or null if any will do. */
         String requiredSoftwareVersion();
 
-        /** Takes one retry from the retry budget, if there is one left. */
-        boolean tryAcquireRetry();
+        /** Creates an attempt at another endpoint beside the silent one; null if none may be sent any more. */
+        Attempt createCandidate(Endpoint e);
+
+        void sendCandidate(Attempt candidate, int version);
 
-        /** Gives the silent attempt up and sends the request to another endpoint. */
-        void replace(Attempt silent, Endpoint by, int version);
+        /** Gives the silent attempt up; the candidate takes its place. */
+        void replace(Attempt silent, Attempt candidate);
     }
 
-    /** Creates a search; {@link #selectNext} starts it. */
+    /**
+     * Creates a replacement; {@link #selectNext} starts the search. A retry must have been reserved.
+     *
+     * @param waitsSince time since which the caller has received nothing
+     */
     AttemptReplacement(Attempt.Shared shared, ServiceSpec service, Handler handler, Attempt silent, long waitsSince) {
         this.context = shared.context();
         this.request = shared.request();
         this.service = service;
         this.handler = handler;
         this.silent = silent;
-        this.lastProgressNanos = silent.lastProgressNanos();
         this.excluded = new HashSet<>(handler.triedEndpoints());
         excluded.add(silent.endpoint().id());
-        Route route = shared.route();
-        acquisition = new EngineAcquisition(context, request, route, this);
+        acquisition = new EngineAcquisition(context, request, shared.route(), this);
         acquisition.resetAfterAttempt(waitsSince);
     }
 
+    /** Whether the replacement has succeeded, failed or been withdrawn. */
+    boolean hasEnded() {
+        return ended;
+    }
+
+    /** Whether an attempt is the candidate that has not been accepted yet. */
+    boolean isCandidate(Attempt a) {
+        return !ended && a == candidate;
+    }
+
+    /**
+     * Ends the replacement without effect, because the silent attempt goes on or the request ends; returns the
+     * candidate that was cancelled, or null.
+     */
+    Attempt withdraw() {
+        if (ended) {
+            return null;
+        }
+        if (candidate == null) {
+            budget().returnReserved(service.name());
+        } else {
+            candidate.cancel();
+            acceptance.cancel();
+        }
+        ended = true;
+        return candidate;
+    }
+
+    /** The endpoint of the candidate has refused or failed. */
+    void candidateFailed() {
+        acceptance.cancel();
+        ended = true;
+    }
+
+    /** Makes the candidate the attempt of the request; returns false if there is none yet. */
+    boolean accept() {
+        if (ended || candidate == null) {
+            return false;
+        }
+        acceptance.cancel();
+        ended = true;
+        handler.replace(silent, candidate);
+        return true;
+    }
+
     @Override
     public boolean isDone() {
-        return ended || !silent.isOpen() || silent.lastProgressNanos() != lastProgressNanos;
+        return ended || candidate != null;
     }
 
     @Override
@@ -74,7 +134,7 @@
                 .filter(this::canTakeRequest)
                 .toList();
         if (free.isEmpty()) {
-            ended = true;
+            withdraw();
         } else if (service.servesModels() && request.adapter() != null) {
             acquisition.tryNext(free, excluded);
         } else {
@@ -87,15 +147,24 @@
         if (isDone()) {
             return;
         }
-        ended = true;
-        if (handler.tryAcquireRetry()) {
-            handler.replace(silent, e, version);
+        Attempt created = handler.createCandidate(e);
+        if (created == null) {
+            withdraw();
+            return;
         }
+        candidate = created;
+        budget().useReserved(service.name());
+        acceptance = context.scheduler().schedule(Duration.ofMillis(ACCEPTANCE_MS), this::accept);
+        handler.sendCandidate(candidate, version);
     }
 
     @Override
     public void giveUp(ResultCode code, long retryAfterMs, String cause) {
-        ended = true;
+        withdraw();
+    }
+
+    private RetryBudgetShare budget() {
+        return context.retryBudget();
     }
 
     private boolean canTakeRequest(Endpoint e) {
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -170,21 +170,31 @@
 
     @Override
     public void send(Endpoint e, int version) {
-        long leftMs = (deadlineNanos - context.scheduler().nanoTime()) / 1_000_000;
-        long remainingMs = leftMs - NETWORK_MARGIN_MS;
-        if (remainingMs <= 0) {
+        current = createCandidate(e);
+        if (current == null) {
             deadlineReached();
-            return;
+        } else {
+            sendCandidate(current, version);
         }
+    }
+
+    @Override
+    public Attempt createCandidate(Endpoint e) {
+        return remainingMs() <= 0 ? null : new Attempt(shared, e, service.servesModels());
+    }
+
+    @Override
+    public void sendCandidate(Attempt a, int version) {
         String lastEventId = responseStream == null ? request.lastEventId() : responseStream.lastId();
         // Route priorities 0, 1 and 2 become engine priorities 1, 3 and 5; larger ones are limited to 9.
         int enginePriority = Math.min(9, 1 + 2 * route.priority());
         boolean requireFresh = !route.retryable();
-        EndpointRequest r =
-                new EndpointRequest(request, remainingMs, enginePriority, version, lastEventId, requireFresh);
-        Attempt a = new Attempt(shared, e, service.servesModels());
-        current = a;
-        a.send(r);
+        a.send(new EndpointRequest(request, remainingMs(), enginePriority, version, lastEventId, requireFresh));
+    }
+
+    /** Time left to an endpoint, ms. */
+    private long remainingMs() {
+        return (deadlineNanos - context.scheduler().nanoTime()) / 1_000_000 - NETWORK_MARGIN_MS;
     }
 
     @Override
@@ -195,6 +205,10 @@
             context.residency().recordAbsent(e, request.adapter());
         }
         refusedAttempts++;
+        if (isCandidate(a)) {
+            keepSilentAttempt(a, "status=" + head.status());
+            return;
+        }
         boolean again = refusedAttempts < MAX_REFUSED_ATTEMPTS && tryAcquireRetry();
         log(EventCode.REQUEST_RETRIED, "endpoint", e.id(), "status", head.status(), "not_run", true, "again", again);
         if (again && lacksAdapter && acquisition.repeatLoad(e, triedEndpoints)) {
@@ -211,7 +225,9 @@
     public void unreachable(Attempt a, String cause) {
         Endpoint e = endAttempt(a);
         SuspensionLog.logIfSuspended(context, e, context.outlierDetector().recordUnreachable(e.id()), cause);
-        if (++failedConnects < MAX_FAILED_CONNECTS) {
+        if (isCandidate(a)) {
+            keepSilentAttempt(a, cause);
+        } else if (++failedConnects < MAX_FAILED_CONNECTS) {
             selectNext();
         } else {
             giveUp(ResultCode.ENDPOINT_UNREACHABLE, cause);
@@ -220,6 +236,15 @@
 
     @Override
     public void failed(Attempt a, ResultCode code, String cause, boolean retryAcquired) {
+        if (isCandidate(a)) {
+            countFailedAttempt(a, cause);
+            keepSilentAttempt(a, cause);
+            return;
+        }
+        if (replacement != null && replacement.accept()) {
+            return;
+        }
+        withdrawReplacement("broken off");
         boolean retry = retryAcquired || mayRetryAfterThis() && streamResumable() && tryAcquireRetry();
         recordFailedAttempt(a, cause);
         if (retry) {
@@ -230,31 +255,77 @@
         }
     }
 
+    @Override
+    public boolean accept(Attempt a, ResponseHead head) {
+        if (!isCandidate(a)) {
+            return true;
+        }
+        if (head.success()) {
+            return replacement.accept();
+        }
+        countFailedAttempt(a, "status=" + head.status());
+        keepSilentAttempt(a, "status=" + head.status());
+        return false;
+    }
+
     @Override
     public void silent(Attempt a) {
-        boolean searching = replacement != null && !replacement.isDone();
-        boolean replaceable = mayRetryAfterThis()
-                && streamResumable()
-                && context.retryBudget().hasRetry(service.name());
-        if (!searching && replaceable) {
+        boolean replaceable = !isReplacementActive() && mayRetryAfterThis() && streamResumable();
+        if (replaceable && context.retryBudget().tryReserve(service.name())) {
             replacement = new AttemptReplacement(shared, service, this, a, waitsSince(a));
             replacement.selectNext();
         }
     }
 
     @Override
-    public void replace(Attempt a, Endpoint by, int version) {
-        a.giveUp();
-        recordFailedAttempt(a, "silent");
-        logRetry(a.endpoint(), "silent");
-        send(by, version);
+    public void progressed(Attempt a) {
+        if (a == current) {
+            withdrawReplacement("the endpoint goes on");
+        }
+    }
+
+    @Override
+    public void replace(Attempt silent, Attempt candidate) {
+        silent.giveUp();
+        recordFailedAttempt(silent, "silent");
+        logRetry(silent.endpoint(), "silent");
+        current = candidate;
+    }
+
+    private boolean isReplacementActive() {
+        return replacement != null && !replacement.hasEnded();
+    }
+
+    private boolean isCandidate(Attempt a) {
+        return replacement != null && replacement.isCandidate(a);
+    }
+
+    private void withdrawReplacement(String why) {
+        Attempt cancelled = replacement == null ? null : replacement.withdraw();
+        if (cancelled != null) {
+            attemptsThatMayHaveRun++;
+            logKept(cancelled, why);
+        }
+    }
+
+    private void keepSilentAttempt(Attempt failedCandidate, String why) {
+        replacement.candidateFailed();
+        logKept(failedCandidate, why);
+    }
+
+    private void logKept(Attempt candidate, String why) {
+        log(EventCode.ATTEMPT_KEPT, "candidate", candidate.endpoint().id(), "why", why);
     }
 
     private void recordFailedAttempt(Attempt a, String cause) {
+        countFailedAttempt(a, cause);
+        acquisition.resetAfterAttempt(waitsSince(a));
+    }
+
+    private void countFailedAttempt(Attempt a, String cause) {
         Endpoint e = endAttempt(a);
         SuspensionLog.logIfSuspended(context, e, context.outlierDetector().recordFailure(e.id()), cause);
         attemptsThatMayHaveRun++;
-        acquisition.resetAfterAttempt(waitsSince(a));
     }
 
     /** Time since which the caller has received nothing: the last chunk, or the request's arrival. */
@@ -322,7 +393,9 @@
     }
 
     private Endpoint endAttempt(Attempt a) {
-        current = null;
+        if (current == a) {
+            current = null;
+        }
         lastEndpoint = a.endpoint().id();
         triedEndpoints.add(lastEndpoint);
         return a.endpoint();
@@ -394,6 +467,9 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel();
         }
+        if (replacement != null) {
+            replacement.withdraw();
+        }
         if (current != null) {
             current.cancel();
         }
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -155,10 +155,22 @@
     }
 
     void spendRetryBudget(String service) {
-        boolean granted;
-        do {
-            granted = retryBudget.tryAcquire(service);
-        } while (granted);
+        spendRetryBudget(service, 0);
+    }
+
+    /** Spends all retries of a service but some. */
+    void spendRetryBudget(String service, int left) {
+        int available = 0;
+        while (retryBudget.tryReserve(service)) {
+            available++;
+        }
+        for (int i = 0; i < available; i++) {
+            if (i < left) {
+                retryBudget.returnReserved(service);
+            } else {
+                retryBudget.useReserved(service);
+            }
+        }
     }
 
     void advance(long ms) {
--- a/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.core.serve;
 
 import java.util.Map;
+import java.util.function.Consumer;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -85,6 +86,8 @@
         assertThat(loader.engines).hasSize(2);
         assertThat(client.cancelled).isZero();
         loader.complete(AdapterLoader.Outcome.RESIDENT);
+        assertThat(client.cancelled).isZero();
+        client.last().head(head(200, false));
         assertThat(client.cancelled).isEqualTo(1);
         assertThat(client.sent).containsExactly(loader.engines.get(0), loader.engines.get(1));
         assertThat(client.requests.get(1).lastEventId()).isEqualTo("1");
@@ -129,6 +132,115 @@
         assertStreamedByOneEndpoint();
     }
 
+    /** How the endpoint that is to replace a silent one turns the request down. */
+    private enum Denial {
+        NOT_RUN(c -> c.head(head(503, true))),
+        UNREACHABLE(c -> c.failed(true, "refused")),
+        BROKEN(c -> c.failed(false, "reset")),
+        FAILED(c -> c.head(head(500, false)));
+
+        private final Consumer<EndpointClient.Listener> act;
+
+        Denial(Consumer<EndpointClient.Listener> act) {
+            this.act = act;
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Denial.class)
+    void streamStaysAtASilentEngineIfTheOtherOneTurnsItDown(Denial denial) {
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        client.last().head(head(200, false));
+        client.last().body(FIRST_EVENT);
+        EndpointClient.Listener silent = client.last();
+        advance(1_300);
+        assertThat(client.sent).hasSize(2);
+        denial.act.accept(client.last());
+        advance(500);
+        silent.body(SECOND_EVENT);
+        silent.end();
+        assertThat(response.aborted).isFalse();
+        assertThat(response.body).hasToString(BOTH_EVENTS);
+        assertThat(response.ended).isTrue();
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = Denial.class,
+            names = {"NOT_RUN", "UNREACHABLE", "BROKEN"})
+    void plainResponseIsAwaitedIfTheOtherEndpointTurnsTheRequestDown(Denial denial) {
+        start(RouteKind.IDEMPOTENT, null);
+        EndpointClient.Listener silent = client.last();
+        advance(600);
+        assertThat(client.sent).hasSize(2);
+        denial.act.accept(client.last());
+        advance(500);
+        silent.head(plainHead(200));
+        silent.body(FIRST_EVENT);
+        silent.end();
+        assertThat(response.errorCode).isNull();
+        assertThat(response.ended).isTrue();
+    }
+
+    @Test
+    void silentEngineThatGoesOnBeforeTheOtherOneAcceptsKeepsItsStream() {
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        client.last().head(head(200, false));
+        client.last().body(FIRST_EVENT);
+        EndpointClient.Listener silent = client.last();
+        advance(1_300);
+        silent.body(SECOND_EVENT);
+        assertThat(client.cancelled).isEqualTo(1);
+        client.last().head(head(200, false));
+        client.last().body(SECOND_EVENT);
+        silent.end();
+        assertThat(response.body).hasToString(BOTH_EVENTS);
+        assertThat(response.ended).isTrue();
+    }
+
+    /** The platform lets two endpoints work on one request for 400 ms. */
+    @Test
+    void silentAttemptIsCancelledSoonAfterTheOtherEngineDidNotRefuse() {
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        client.last().head(head(200, false));
+        client.last().body(FIRST_EVENT);
+        advance(1_200);
+        assertThat(client.sent).hasSize(2);
+        advance(350);
+        assertThat(client.cancelled).isEqualTo(1);
+        client.last().head(head(200, false));
+        client.last().body(SECOND_EVENT);
+        client.last().end();
+        assertThat(response.body).hasToString(BOTH_EVENTS);
+    }
+
+    @Test
+    void streamWhoseSilentEngineBreaksOffGoesOnAtTheOneThatWasAsked() {
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        client.last().head(head(200, false));
+        client.last().body(FIRST_EVENT);
+        EndpointClient.Listener silent = client.last();
+        advance(1_300);
+        silent.failed(false, "reset");
+        client.last().head(head(200, false));
+        client.last().body(SECOND_EVENT);
+        client.last().end();
+        assertThat(client.sent).hasSize(2);
+        assertThat(response.body).hasToString(BOTH_EVENTS);
+        assertThat(response.ended).isTrue();
+    }
+
+    /** Loads for streams that cannot be resumed would take the adapter slots of other requests. */
+    @Test
+    void silentStreamsWithoutARetryOrderNoLoads() {
+        for (int i = 0; i < 4; i++) {
+            startOnLoadedEngine();
+        }
+        spendRetryBudget("engines", 1);
+        advance(1_300);
+        assertThat(loader.engines).hasSize(5);
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1_250, 2_500})
     void callerThatDoesNotReadIsNoSilenceOfItsEndpoint(long pauseMs) {
