Use a suspended engine while no other can serve the adapter

Callers got 503 (203) for a model that a single engine holds, for 1 to 4 s after two of its responses had paused: suspended engines were removed from all engines of the service before it was asked which of them hold the model, so the rule that suspended endpoints are used if there is no other did not apply.

The selection is repeated with the suspended engines if it finds none without them.

SilentEndpointTest#suspendedEngineIsUsedWhileNoOtherHasTheModel failed before and passes.

--- a/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
@@ -107,8 +107,8 @@
     public record Selection(Endpoint engine, double waitMs, boolean resident, Endpoint copyTarget) {}
 
     /**
-     * Selects one of the candidates. Returns null if no candidate has the adapter resident and none has its base model
-     * resident.
+     * Selects one of the candidates, a suspended one only if no other can serve the adapter. Returns null if no
+     * candidate has the adapter resident and none has its base model resident.
      *
      * @param candidates usable engines
      * @param ref requested adapter
@@ -116,8 +116,15 @@
      * @param excluded ids of engines that are not selected
      */
     public Selection select(List<Endpoint> candidates, AdapterRef ref, int version, Set<String> excluded) {
-        List<Endpoint> healthy = outliers.healthy(
-                candidates.stream().filter(e -> !excluded.contains(e.id())).toList(), Endpoint::id);
+        List<Endpoint> remaining =
+                candidates.stream().filter(e -> !excluded.contains(e.id())).toList();
+        List<Endpoint> healthy = outliers.healthy(remaining, Endpoint::id);
+        Selection selection = select(healthy, ref, version);
+        boolean someSuspended = healthy.size() < remaining.size();
+        return selection == null && someSuspended ? select(remaining, ref, version) : selection;
+    }
+
+    private Selection select(List<Endpoint> healthy, AdapterRef ref, int version) {
         Endpoint resident = bestResident(healthy.stream()
                 .filter(e -> residency.residencyOf(e).serves(ref, version))
                 .toList());
--- a/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
@@ -241,6 +241,17 @@
         assertThat(loader.engines).hasSize(5);
     }
 
+    @Test
+    void suspendedEngineIsUsedWhileNoOtherHasTheModel() {
+        endpoints.apply(endpoint("engine-2", "engines", "v1", Map.of("m2", Map.of())));
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        advance(1_300);
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        assertThat(response.errorCode).isNull();
+        assertThat(client.sent).containsExactly("engine-1", "engine-1", "engine-1");
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1_250, 2_500})
     void callerThatDoesNotReadIsNoSilenceOfItsEndpoint(long pauseMs) {
