Do not refuse the replacement of a request that was admitted

A silent attempt was not replaced while the other engines were busy, although the same stream would have been resumed there after a reset: the search for a replacement applied admission again. A request that has been attempted stays admitted.

SilentEndpointTest#replacementOfAnAdmittedRequestIsNotRefusedForTheLoad failed before and passes.

--- a/core/src/main/java/org/quetzalvane/core/serve/EngineAcquisition.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EngineAcquisition.java
@@ -100,13 +100,14 @@
     }
 
     /**
-     * Restarts the limits after an attempt that may have run.
+     * Restarts the limits after an attempt that may have run; the request stays admitted.
      *
      * @param progressNanos time at which the caller last received a chunk, or of the request's arrival
      */
     void resetAfterAttempt(long progressNanos) {
         loadRequests = 0;
         startNanos = progressNanos;
+        admitted = true;
     }
 
     /**
--- a/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
@@ -241,6 +241,16 @@
         assertThat(loader.engines).hasSize(5);
     }
 
+    @Test
+    void replacementOfAnAdmittedRequestIsNotRefusedForTheLoad() {
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        client.last().head(head(200, false));
+        client.last().body(FIRST_EVENT);
+        loads.requestStarted("engine-2", 100_000);
+        advance(1_300);
+        assertThat(client.sent).containsExactly("engine-1", "engine-2");
+    }
+
     @Test
     void suspendedEngineIsUsedWhileNoOtherHasTheModel() {
         endpoints.apply(endpoint("engine-2", "engines", "v1", Map.of("m2", Map.of())));
