Count the silence of an attempt once towards the suspension of its endpoint

One stream with two short silences suspended its engine, for which two independent attempts without progress are wanted; since a silent attempt stays open, it can be silent several times.

SilentEndpointTest#repeatedSilencesOfOneStreamDoNotSuspendItsEngine failed before and passes.

--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -91,6 +91,7 @@
     private EndpointClient.Call call;
     private boolean open = true;
     private boolean reading = true;
+    private boolean silenceCounted;
     private boolean firstByteReceived;
     private final SilenceMonitor silence;
     private long firstByteNanos;
@@ -207,7 +208,8 @@
                 resumable,
                 "alternative",
                 alternative);
-        if (alternative) {
+        if (alternative && !silenceCounted) {
+            silenceCounted = true;
             SuspensionLog.logIfSuspended(
                     context, endpoint, context.outlierDetector().recordUnreachable(endpoint.id()), "silent");
         }
--- a/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
@@ -241,6 +241,22 @@
         assertThat(loader.engines).hasSize(5);
     }
 
+    @Test
+    void repeatedSilencesOfOneStreamDoNotSuspendItsEngine() {
+        endpoints.apply(restarted("engine-2"));
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        EndpointClient.Listener silent = client.last();
+        silent.head(head(200, false));
+        spendRetryBudget("engines");
+        for (int i = 0; i < 2; i++) {
+            silent.body(FIRST_EVENT);
+            advance(1_225);
+        }
+        silent.body(FIRST_EVENT);
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        assertThat(client.sent).startsWith("engine-1").endsWith("engine-1");
+    }
+
     @Test
     void replacementOfAnAdmittedRequestIsNotRefusedForTheLoad() {
         start(RouteKind.STREAMING, RESIDENT_ADAPTER);
