Replace no silent attempt without time for another one

A silent attempt could be given up a tenth of a second before the deadline, where the new one cannot answer and the silent one might. It is replaced only while at least one latency objective is left.

SilentEndpointTest#silentAttemptIsNotReplacedWithoutTimeLeftForAnotherOne failed before and passes.

--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -270,7 +270,10 @@
 
     @Override
     public void silent(Attempt a) {
-        boolean replaceable = !isReplacementActive() && mayRetryAfterThis() && streamResumable();
+        boolean replaceable = !isReplacementActive()
+                && remainingMs() >= route.objectiveMs()
+                && mayRetryAfterThis()
+                && streamResumable();
         if (replaceable && context.retryBudget().tryReserve(service.name())) {
             replacement = new AttemptReplacement(shared, service, this, a, waitsSince(a));
             replacement.selectNext();
--- a/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
@@ -267,6 +267,19 @@
         assertThat(client.sent).containsExactly("engine-1", "engine-2");
     }
 
+    @Test
+    void silentAttemptIsNotReplacedWithoutTimeLeftForAnotherOne() {
+        start(RouteKind.IDEMPOTENT, null);
+        String other = client.sent.get(0).equals("plain-1") ? "plain-2" : "plain-1";
+        for (int i = 0; i < 4; i++) {
+            loads.requestStarted(other, 0);
+        }
+        advance(2_850);
+        loads.requestEnded(other, 0);
+        advance(100);
+        assertThat(client.sent).hasSize(1);
+    }
+
     @Test
     void suspendedEngineIsUsedWhileNoOtherHasTheModel() {
         endpoints.apply(endpoint("engine-2", "engines", "v1", Map.of("m2", Map.of())));
