Take the head of a response for progress

An engine whose head had arrived counted as silent until its first event, and another engine was searched at the next check.

SilentEndpointTest#headOfAResponseEndsTheSilence failed before and passes.

--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -221,6 +221,7 @@
             return;
         }
         head = h;
+        silence.recordProgress();
         handler.progressed(this);
         if (h.notRun()) {
             close(true);
--- a/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
@@ -280,6 +280,19 @@
         assertThat(client.sent).hasSize(1);
     }
 
+    @Test
+    void headOfAResponseEndsTheSilence() {
+        start(RouteKind.STREAMING, MISSING_ADAPTER);
+        loader.complete(AdapterLoader.Outcome.RESIDENT);
+        advance(600);
+        assertThat(loader.engines).hasSize(2);
+        client.last().head(head(200, false));
+        loader.complete(AdapterLoader.Outcome.RESIDENT);
+        advance(400);
+        assertThat(loader.engines).hasSize(2);
+        assertThat(client.sent).hasSize(1);
+    }
+
     @Test
     void suspendedEngineIsUsedWhileNoOtherHasTheModel() {
         endpoints.apply(endpoint("engine-2", "engines", "v1", Map.of("m2", Map.of())));
