Share one fixture of store, endpoints and nodes among the tests over loopback

Four tests of the entry module held the same set-up of nodes: start, wait for readiness, wait until the nodes list each other, close. LoopbackCluster holds it now, as an extension that also closes everything after the test.

--- a/entry/src/test/java/org/quetzalvane/entry/EndpointNoticesTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EndpointNoticesTest.java
@@ -1,14 +1,11 @@
 package org.quetzalvane.entry;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.quetzalvane.platform.BootSettings;
@@ -26,20 +23,14 @@
     private static final int REQUESTS = 20;
     private static final int MAX_TRIES = 250;
 
-    private final PlatformStoreStandIn store = new PlatformStoreStandIn();
-    private final List<EndpointStandIn> endpoints = new ArrayList<>();
-    private final List<EntryNode> nodes = new ArrayList<>();
+    @RegisterExtension
+    final LoopbackCluster cluster = new LoopbackCluster();
+
+    private final PlatformStoreStandIn store = cluster.store();
     private BootSettings first;
     private BootSettings second;
     private final String metricsAddress = TestPorts.freeAddress();
 
-    @AfterEach
-    void close() {
-        endpoints.forEach(EndpointStandIn::close);
-        store.close();
-        nodes.forEach(EntryNode::close);
-    }
-
     @Test
     void leavingEndpointReceivesNothingNewFromAnyNode() throws Exception {
         EndpointStandIn leaving = endpoint(
@@ -105,29 +96,16 @@
     }
 
     private EndpointStandIn endpoint(String id, String service, BiConsumer<EndpointStandIn, ServerExchange> behaviour) {
-        EndpointStandIn e = new EndpointStandIn(id, service, behaviour);
-        endpoints.add(e);
+        EndpointStandIn e = cluster.add(new EndpointStandIn(id, service, behaviour));
         store.writeEndpoint(id, e.entry());
         return e;
     }
 
     private void startNodes() throws Exception {
         store.writeConfig(SampleConfig.withVersion(1));
-        first = TestSettings.of("n1", Set.of(), store.address());
-        second = TestSettings.of("n2", Set.of(first.peerAddress()), store.address());
-        for (BootSettings s : List.of(first, second)) {
-            EntryNode node = new EntryNode(s);
-            nodes.add(node);
-            node.start();
-            while (!CallerClient.readiness(s.readinessAddress()).startsWith("HTTP/1.1 200")) {
-                TimeUnit.MILLISECONDS.sleep(20);
-            }
-        }
-        nodes.get(1).listenMetrics(Integer.parseInt(metricsAddress.substring(metricsAddress.indexOf(':') + 1)));
-        for (BootSettings s : List.of(first, second)) {
-            while (CallerClient.directory(s.directoryAddress()).split("127\\.0\\.0\\.1", -1).length < 3) {
-                TimeUnit.MILLISECONDS.sleep(20);
-            }
-        }
+        first = cluster.startNode();
+        second = cluster.startNode();
+        cluster.node(1).listenMetrics(Integer.parseInt(metricsAddress.substring(metricsAddress.indexOf(':') + 1)));
+        cluster.awaitNodesKnowEachOther();
     }
 }
--- a/entry/src/test/java/org/quetzalvane/entry/MixedVersionStreamTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/MixedVersionStreamTest.java
@@ -9,10 +9,10 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -32,9 +32,11 @@
     private static final int MAX_TRIES = 100;
     private static final Pattern EVENT_VERSION = Pattern.compile("event: (v\\d)\n");
 
-    private final PlatformStoreStandIn store = new PlatformStoreStandIn();
+    @RegisterExtension
+    final LoopbackCluster cluster = new LoopbackCluster();
+
+    private final PlatformStoreStandIn store = cluster.store();
     private final List<EndpointStandIn> engines = new ArrayList<>();
-    private final List<EntryNode> nodes = new ArrayList<>();
     private BootSettings first;
     private BootSettings second;
 
@@ -50,13 +52,6 @@
         store.writeConfig(SampleConfig.withVersion(1));
     }
 
-    @AfterEach
-    void close() {
-        engines.forEach(EndpointStandIn::close);
-        store.close();
-        nodes.forEach(EntryNode::close);
-    }
-
     @Test
     void streamResumedWithinOneResponseKeepsItsSoftwareVersion() throws Exception {
         startEngines("v1", "v1", "v2", "v2");
@@ -81,7 +76,7 @@
         startEngine("engine-2", "v1");
         awaitNewStreamsAt("v1");
         if (at == ResumeAt.OTHER_NODE_AFTER_LOSS_OF_THE_FIRST) {
-            nodes.get(0).close();
+            cluster.node(0).close();
         }
         for (int i = 0; i < STREAMS; i++) {
             String rest = resume(at == ResumeAt.SAME_NODE ? first : second, "broken-" + i, "again-" + i);
@@ -167,7 +162,7 @@
     }
 
     private void startEngine(String id, String version) {
-        EndpointStandIn e = new EndpointStandIn(id, "engines", version, MixedVersionStreamTest::respond);
+        EndpointStandIn e = cluster.add(new EndpointStandIn(id, "engines", version, MixedVersionStreamTest::respond));
         engines.add(e);
         store.writeEndpoint(id, e.entry());
     }
@@ -186,20 +181,8 @@
     }
 
     private void startNodes() throws Exception {
-        first = TestSettings.of("n1", Set.of(), store.address());
-        second = TestSettings.of("n2", Set.of(first.peerAddress()), store.address());
-        for (BootSettings s : List.of(first, second)) {
-            EntryNode node = new EntryNode(s);
-            nodes.add(node);
-            node.start();
-            while (!CallerClient.readiness(s.readinessAddress()).startsWith("HTTP/1.1 200")) {
-                TimeUnit.MILLISECONDS.sleep(20);
-            }
-        }
-        for (BootSettings s : List.of(first, second)) {
-            while (CallerClient.directory(s.directoryAddress()).split("127\\.0\\.0\\.1", -1).length < 3) {
-                TimeUnit.MILLISECONDS.sleep(20);
-            }
-        }
+        first = cluster.startNode();
+        second = cluster.startNode();
+        cluster.awaitNodesKnowEachOther();
     }
 }
--- a/entry/src/test/java/org/quetzalvane/entry/StoreRestoreTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/StoreRestoreTest.java
@@ -1,16 +1,13 @@
 package org.quetzalvane.entry;
 
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.quetzalvane.platform.BootSettings;
 import org.quetzalvane.platform.standin.CallerClient;
 import org.quetzalvane.platform.standin.EndpointStandIn;
@@ -25,24 +22,15 @@
 class StoreRestoreTest {
     private static final int MAX_TRIES = 250;
 
-    private final PlatformStoreStandIn store = new PlatformStoreStandIn();
-    private final List<EndpointStandIn> endpoints = new ArrayList<>();
+    @RegisterExtension
+    final LoopbackCluster cluster = new LoopbackCluster();
+
+    private final PlatformStoreStandIn store = cluster.store();
     private BootSettings settings;
-    private EntryNode node;
 
     @BeforeEach
     void configure() {
         store.writeConfig(SampleConfig.withVersion(1));
-        settings = TestSettings.of("n1", Set.of(), store.address());
-    }
-
-    @AfterEach
-    void close() {
-        endpoints.forEach(EndpointStandIn::close);
-        store.close();
-        if (node != null) {
-            node.close();
-        }
     }
 
     /** The record of version 3 gets the offset that version 2 had. */
@@ -119,17 +107,12 @@
     }
 
     private EndpointStandIn endpoint(String id, String service, BiConsumer<EndpointStandIn, ServerExchange> behaviour) {
-        EndpointStandIn e = new EndpointStandIn(id, service, behaviour);
-        endpoints.add(e);
+        EndpointStandIn e = cluster.add(new EndpointStandIn(id, service, behaviour));
         store.writeEndpoint(id, e.entry());
         return e;
     }
 
     private void start() throws Exception {
-        node = new EntryNode(settings);
-        node.start();
-        while (!CallerClient.readiness(settings.readinessAddress()).startsWith("HTTP/1.1 200")) {
-            TimeUnit.MILLISECONDS.sleep(20);
-        }
+        settings = cluster.startNode();
     }
 }
--- a/entry/src/test/java/org/quetzalvane/entry/TruncatedStreamTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/TruncatedStreamTest.java
@@ -1,19 +1,14 @@
 package org.quetzalvane.entry;
 
-import java.io.IOException;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Locale;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.quetzalvane.platform.BootSettings;
 import org.quetzalvane.platform.standin.CallerClient;
-import org.quetzalvane.platform.standin.PlatformStoreStandIn;
 import org.quetzalvane.platform.standin.RawEndpointStandIn;
 import org.quetzalvane.platform.standin.RawEndpointStandIn.End;
 import org.quetzalvane.platform.standin.RawEndpointStandIn.Reply;
@@ -28,9 +23,8 @@
     private static final String CUT_EVENT = EVENT + "id: 2\ndata: ha";
     private static final String LAST_CHUNK = "0\r\n\r\n";
 
-    private final PlatformStoreStandIn store = new PlatformStoreStandIn();
-    private final List<RawEndpointStandIn> engines = new ArrayList<>();
-    private EntryNode node;
+    @RegisterExtension
+    final LoopbackCluster cluster = new LoopbackCluster();
 
     /** How an engine frames its stream. */
     private enum Framing {
@@ -48,15 +42,6 @@
         }
     }
 
-    @AfterEach
-    void close() {
-        engines.forEach(RawEndpointStandIn::close);
-        store.close();
-        if (node != null) {
-            node.close();
-        }
-    }
-
     @ParameterizedTest
     @CsvSource({
         "/single/, NONE, CLOSE, text/event-stream",
@@ -110,18 +95,17 @@
      */
     private String requestOnKeptConnections(String path, Framing framing, End end, String contentType, String body)
             throws Exception {
-        RawEndpointStandIn engine = new RawEndpointStandIn(request -> {
+        RawEndpointStandIn engine = cluster.add(new RawEndpointStandIn(request -> {
             boolean first =
                     RawEndpointStandIn.header(request, CallerClient.ID_HEADER).equals("first");
             String head = RawEndpointStandIn.streamHead(request, contentType);
             return first
                     ? new Reply(Framing.LENGTH.frame(head, EVENT), End.KEEP)
                     : new Reply(framing.frame(head, body), end);
-        });
-        engines.add(engine);
-        store.writeConfig(SampleConfig.withVersion(1));
-        store.writeEndpoint("engine-1", engine.entry());
-        BootSettings settings = start();
+        }));
+        cluster.store().writeConfig(SampleConfig.withVersion(1));
+        cluster.store().writeEndpoint("engine-1", engine.entry());
+        BootSettings settings = cluster.startNode();
         String responses = CallerClient.sendRaw(
                 settings.callerAddress(),
                 CallerClient.request("POST", path + "x", "first", "m/a1", "")
@@ -129,14 +113,4 @@
         assertThat(engine.requestsOnKeptConnections()).isPositive();
         return responses.substring(responses.lastIndexOf("HTTP/1.1 "));
     }
-
-    private BootSettings start() throws IOException, InterruptedException {
-        BootSettings settings = TestSettings.of("n1", Set.of(), store.address());
-        node = new EntryNode(settings);
-        node.start();
-        while (!CallerClient.readiness(settings.readinessAddress()).startsWith("HTTP/1.1 200")) {
-            TimeUnit.MILLISECONDS.sleep(20);
-        }
-        return settings;
-    }
 }
