--- a/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
+++ b/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
@@ -10,6 +10,12 @@
 
     /** Settings with free addresses for a node that uses the given peers and store. */
     static BootSettings of(String name, Set<String> seeds, String storeAddress) {
+        return withRetryBudget(name, seeds, storeAddress, 0.2, 50);
+    }
+
+    /** The same with the given part of the requests, and number beyond it, that all nodes may retry in a window. */
+    static BootSettings withRetryBudget(
+            String name, Set<String> seeds, String storeAddress, double ratio, double extra) {
         String[] addresses = new String[4];
         for (int i = 0; i < addresses.length; i++) {
             addresses[i] = TestPorts.freeAddress();
@@ -29,8 +35,8 @@
                 8_000,
                 3_000,
                 true,
-                0.2,
-                50,
+                ratio,
+                extra,
                 10_000,
                 5);
     }
