Count a response as outstanding until it has been sent

A node that stopped counted a response as done when it was written to its own buffer, and ended while the rest of it was unsent; an idle limit closed such a connection as well. A caller that reads slowly got a truncated response. A connection is busy until its response has been sent, and is idle only if its client has read nothing of it for two idle limits.

KeptConnectionTest#connectionIsBusyUntilItsResponseIsSent and #responseToASlowReaderIsNotCutOffAsIdle (two cases) failed before and pass.

--- a/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
@@ -82,9 +82,11 @@
         List.copyOf(connections).forEach(ServerConnection::closeIfIdle);
     }
 
-    /** Number of connections with a complete request whose response is not complete. */
+    /** Number of connections with a complete request whose response is not complete or not sent completely. */
     public long busyConnections() {
-        return connections.stream().filter(ServerConnection::busy).count();
+        return connections.stream()
+                .filter(c -> c.busy() || c.hasUnsentResponse())
+                .count();
     }
 
     /** Number of open connections. */
--- a/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
@@ -8,6 +8,7 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -36,6 +37,9 @@
     /** Number of queued requests above which reading is paused; clients usually send one at a time. */
     private static final int MAX_QUEUED_REQUESTS = 8;
 
+    /** Checks, one idle limit apart, after which a client that has read nothing of its response counts as gone. */
+    private static final int MAX_STALLED_CHECKS = 2;
+
     private final HttpServer server;
     private final NettyEventLoop loop;
     private final Supplier<ServerLimits> limits;
@@ -44,6 +48,9 @@
     private HttpRequest requestHead;
     private ByteArrayOutputStream body;
     private ServerExchange current;
+    private ChannelFuture lastResponse;
+    private long unsentBytes;
+    private int stalledChecks;
     private Scheduler.Timer timer;
     private long idleSince;
     private HttpResponseStatus rejection;
@@ -73,8 +80,16 @@
         return current != null || !queued.isEmpty();
     }
 
+    /** Whether a complete response has not been sent yet, because the client reads slowly. */
+    boolean hasUnsentResponse() {
+        return lastResponse != null && !lastResponse.isDone();
+    }
+
+    /** Closes the connection if it carries no request, after a response that has not been sent yet. */
     void closeIfIdle() {
-        if (!busy() && !firstByteReceived) {
+        if (hasUnsentResponse()) {
+            lastResponse.addListener(f -> closeIfIdle());
+        } else if (!busy() && !firstByteReceived) {
             ctx.close();
         }
     }
@@ -161,9 +176,14 @@
         return server.draining() && queued.isEmpty() && rejection == null || !HttpUtil.isKeepAlive(r);
     }
 
-    /** Called when the response to the current request is complete. */
-    void responseCompleted(boolean close) {
+    /**
+     * Called when the response to the current request is complete.
+     *
+     * @param written done when the response has been sent
+     */
+    void responseCompleted(boolean close, ChannelFuture written) {
         current = null;
+        lastResponse = written;
         if (close) {
             return;
         }
@@ -232,8 +252,12 @@
         startTimer(limits.get().idleTimeoutMs(), this::closeIfIdleTooLong);
     }
 
-    /** Closes the connection unless the idle limit was raised since the timer was started. */
+    /** Closes the connection unless a response is being sent or the idle limit was raised meanwhile. */
     private void closeIfIdleTooLong() {
+        if (hasUnsentResponse() && clientReads()) {
+            startIdleTimer();
+            return;
+        }
         long leftMs = limits.get().idleTimeoutMs() - (loop.nanoTime() - idleSince) / 1_000_000;
         if (leftMs > 0) {
             startTimer(leftMs, this::closeIfIdleTooLong);
@@ -242,6 +266,14 @@
         }
     }
 
+    /** Whether the client has read something at one of the last {@link #MAX_STALLED_CHECKS} checks. */
+    private boolean clientReads() {
+        long unsent = ctx.channel().unsafe().outboundBuffer().totalPendingWriteBytes();
+        stalledChecks = unsent == unsentBytes ? stalledChecks + 1 : 0;
+        unsentBytes = unsent;
+        return stalledChecks < MAX_STALLED_CHECKS;
+    }
+
     private void startTimer(long ms, Runnable task) {
         stopTimer();
         timer = loop.schedule(Duration.ofMillis(ms), () -> {
--- a/transport/src/main/java/org/quetzalvane/transport/ServerExchange.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerExchange.java
@@ -126,7 +126,7 @@
         if (closeAfterResponse) {
             last.addListener(ChannelFutureListener.CLOSE);
         }
-        connection.responseCompleted(closeAfterResponse);
+        connection.responseCompleted(closeAfterResponse, last);
     }
 
     void disconnected() {
--- a/transport/src/test/java/org/quetzalvane/transport/KeptConnectionTest.java
+++ b/transport/src/test/java/org/quetzalvane/transport/KeptConnectionTest.java
@@ -16,6 +16,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -24,6 +26,9 @@
 class KeptConnectionTest {
     private static final String REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
     private static final long SHORT_IDLE_MS = 200;
+    private static final long SLOW_READER_IDLE_MS = 1_000;
+    /** More than the socket buffers of both sides hold. */
+    private static final int LARGE_BYTES = 30_000_000;
 
     private final NettyEventLoop loop = new NettyEventLoop();
     private final Queue<ServerExchange> held = new ArrayDeque<>();
@@ -81,6 +86,53 @@
         assertThat(responses()).isEqualTo(2);
     }
 
+    /** A node that stops when no connection is busy would cut the response off. */
+    @Test
+    void connectionIsBusyUntilItsResponseIsSent() throws Exception {
+        send(REQUEST);
+        awaitHeld();
+        onLoop(() -> held.remove().respond(200, EmptyHttpHeaders.INSTANCE, new byte[LARGE_BYTES]));
+        long[] busy = new long[1];
+        onLoop(() -> busy[0] = server.busyConnections());
+        assertThat(busy[0]).isEqualTo(1);
+        client.getInputStream().readNBytes(LARGE_BYTES);
+        do {
+            onLoop(() -> busy[0] = server.busyConnections());
+        } while (busy[0] > 0);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void responseToASlowReaderIsNotCutOffAsIdle(boolean drains) throws Exception {
+        limits = limits(SLOW_READER_IDLE_MS);
+        client.close();
+        connect();
+        send(REQUEST);
+        awaitHeld();
+        onLoop(() -> held.remove().respond(200, EmptyHttpHeaders.INSTANCE, new byte[LARGE_BYTES]));
+        if (drains) {
+            onLoop(server::drain);
+        }
+        CountDownLatch idle = new CountDownLatch(1);
+        loop.schedule(Duration.ofMillis(SLOW_READER_IDLE_MS + SHORT_IDLE_MS), idle::countDown);
+        idle.await();
+        assertThat(client.getInputStream().readNBytes(LARGE_BYTES)).hasSize(LARGE_BYTES);
+    }
+
+    @Test
+    void connectionOfAClientThatNeverReadsIsClosed() throws Exception {
+        limits = limits(SHORT_IDLE_MS);
+        client.close();
+        connect();
+        send(REQUEST);
+        awaitHeld();
+        onLoop(() -> held.remove().respond(200, EmptyHttpHeaders.INSTANCE, new byte[LARGE_BYTES]));
+        int[] open = new int[1];
+        do {
+            onLoop(() -> open[0] = server.connectionCount());
+        } while (open[0] > 0);
+    }
+
     private static ServerLimits limits(long idleMs) {
         return new ServerLimits(8_192, 8_192, 10_000, idleMs);
     }
