Split event streams at a cost linear in their bytes

Callers of a node waited while one endpoint sent a stream without the end of an event: for each chunk the splitter copied all pending bytes and looked through them again on the event loop.

Only the bytes added are now looked through and appended; the last two bytes before them are kept for an end that spans two chunks.

The new test failed before the change: 514,640,304 bytes allocated for 1,000 chunks of 1 KiB, where at most 10,240,000 are allowed. It passes now. It bounds copies, not the bytes looked through.

--- a/core/src/main/java/org/quetzalvane/core/serve/EventSplitter.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EventSplitter.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 
 /**
  * Splits a stream of server-sent events at the ends of events and keeps the id of the last complete one.
@@ -12,8 +11,13 @@
  */
 final class EventSplitter {
     private static final String ID_FIELD = "id:";
+    private static final byte[] NOTHING = new byte[0];
 
     private ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    /** The last two bytes of {@link #pending}; 0 where it has fewer. */
+    private byte last;
+
+    private byte secondLast;
     private String lastId;
     private boolean hasEvents;
 
@@ -22,19 +26,25 @@
         this.hasEvents = lastId != null;
     }
 
-    /** Adds bytes and returns those of the events that are now complete; empty if no event is complete. */
+    /**
+     * Adds bytes and returns those of the events that are now complete; empty if no event is complete. The cost is
+     * linear in the bytes added, however long the partial event is.
+     */
     byte[] feed(byte[] bytes) {
-        pending.writeBytes(bytes);
-        byte[] all = pending.toByteArray();
-        int end = lastEventEnd(all);
-        if (end == 0) {
-            return new byte[0];
+        int end = lastEventEnd(bytes);
+        pending.write(bytes, 0, end);
+        byte[] complete = NOTHING;
+        if (end > 0) {
+            complete = pending.toByteArray();
+            discardPartialEvent();
+            hasEvents = true;
+            updateLastId(complete);
+        }
+        pending.write(bytes, end, bytes.length - end);
+        for (int i = Math.max(end, bytes.length - 2); i < bytes.length; i++) {
+            secondLast = last;
+            last = bytes[i];
         }
-        byte[] complete = Arrays.copyOf(all, end);
-        pending = new ByteArrayOutputStream();
-        pending.write(all, end, all.length - end);
-        hasEvents = true;
-        updateLastId(complete);
         return complete;
     }
 
@@ -51,6 +61,8 @@
     /** Discards a partial event that will not be completed. */
     void discardPartialEvent() {
         pending = new ByteArrayOutputStream();
+        last = 0;
+        secondLast = 0;
     }
 
     /** Id of the last complete event that has one; before that the id given to the constructor, which may be null. */
@@ -58,19 +70,28 @@
         return lastId;
     }
 
-    private static int lastEventEnd(byte[] b) {
-        for (int i = b.length - 1; i > 0; i--) {
+    /** End of the last event that is complete with these bytes; the pending bytes hold no such end. */
+    private int lastEventEnd(byte[] b) {
+        for (int i = b.length - 1; i >= 0; i--) {
             if (b[i] != '\n') {
                 continue;
             }
-            boolean blank = b[i - 1] == '\n' || i > 1 && b[i - 1] == '\r' && b[i - 2] == '\n';
-            if (blank) {
+            byte before = byteAt(b, i - 1);
+            if (before == '\n' || before == '\r' && byteAt(b, i - 2) == '\n') {
                 return i + 1;
             }
         }
         return 0;
     }
 
+    /** A byte of the added bytes or, at index -1 and -2, of the pending bytes before them; 0 if there is none. */
+    private byte byteAt(byte[] added, int i) {
+        if (i >= 0) {
+            return added[i];
+        }
+        return i == -1 ? last : secondLast;
+    }
+
     private void updateLastId(byte[] complete) {
         String text = new String(complete, StandardCharsets.ISO_8859_1);
         int at = text.startsWith(ID_FIELD) ? 0 : -1;
--- a/core/src/test/java/org/quetzalvane/core/serve/EventSplitterTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/EventSplitterTest.java
@@ -1,8 +1,11 @@
 package org.quetzalvane.core.serve;
 
+import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
+import com.sun.management.ThreadMXBean;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -28,4 +31,20 @@
         assertThat(splitter.hasPartialEvent()).isFalse();
         assertThat(splitter.lastId()).isEqualTo("3");
     }
+
+    /** Allocation stands for bytes copied; it does not depend on the speed of the machine. */
+    @Test
+    void bytesCopiedForAnEventWithoutEndAreLinearInItsLength() {
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        EventSplitter splitter = new EventSplitter(null);
+        byte[] chunk = new byte[1_024];
+        Arrays.fill(chunk, (byte) 'x');
+        int chunks = 1_000;
+        long before = threads.getCurrentThreadAllocatedBytes();
+        for (int i = 0; i < chunks; i++) {
+            splitter.feed(chunk);
+        }
+        long allocated = threads.getCurrentThreadAllocatedBytes() - before;
+        assertThat(allocated).isLessThan(10L * chunks * chunk.length);
+    }
 }
