Name a bound for one event of a stream and an event code for input past its bound

No caller sees a difference yet: the splitter only states that a partial event exceeds 1 MiB. A deployment with larger memories needs a larger bound.

--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -14,6 +14,7 @@
     NODE_STOPPED(1004, "The node stopped with nothing left running."),
     TASK_FAILED(1005, "A background task failed; it will be run again."),
     BAD_INPUT(1006, "Input from outside was rejected."),
+    INPUT_TOO_LARGE(1007, "Input from outside exceeded its bound; its connection was closed."),
 
     CONFIG_APPLIED(2001, "A configuration record is in force on this node."),
     CONFIG_REFUSED(2002, "A configuration record was rejected."),
--- a/core/src/main/java/org/quetzalvane/core/serve/EventSplitter.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EventSplitter.java
@@ -10,6 +10,12 @@
  * another endpoint can follow if the stream breaks off. Not thread-safe.
  */
 final class EventSplitter {
+    /**
+     * Largest partial event that is withheld, bytes: 11 for each of the 90,000 tokens that the memory of an engine
+     * holds.
+     */
+    static final int MAX_EVENT_BYTES = 1024 * 1024;
+
     private static final String ID_FIELD = "id:";
     private static final byte[] NOTHING = new byte[0];
 
@@ -58,6 +64,11 @@
         return pending.size() > 0;
     }
 
+    /** Whether the partial event is larger than {@link #MAX_EVENT_BYTES}; nothing more should be fed then. */
+    boolean isEventTooLarge() {
+        return pending.size() > MAX_EVENT_BYTES;
+    }
+
     /** Discards a partial event that will not be completed. */
     void discardPartialEvent() {
         pending = new ByteArrayOutputStream();
--- a/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
@@ -56,6 +56,11 @@
         return splitter.hasPartialEvent() || !delimited && !splitter.hasEvents();
     }
 
+    /** Whether the stream is within an event that is too large to be withheld until its end. */
+    boolean isEventTooLarge() {
+        return splitter != null && splitter.isEventTooLarge();
+    }
+
     void discardPartialEvent() {
         if (splitter != null) {
             splitter.discardPartialEvent();
