Fail an attempt whose event exceeds its bound

An endpoint that sent an event without end filled the memory of the node until the deadline of the request, since a partial event was withheld at any size.

Past the bound the attempt fails as for a broken connection: the connection is closed and INPUT_TOO_LARGE logged, which also counts it, and the stream is resumed at another endpoint or broken off.

The fixture now records the codes of the events logged.

--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 
 import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.routes.Route;
 import org.quetzalvane.core.time.Scheduler;
@@ -305,6 +306,11 @@
 
     private void relayChunk(byte[] chunk) {
         byte[] toSend = handler.responseStream().feed(chunk);
+        if (handler.responseStream().isEventTooLarge()) {
+            context.log().log(EventCode.INPUT_TOO_LARGE, endpoint.id(), "input", "event", "request", request.id());
+            failed(false, "event too large");
+            return;
+        }
         if (toSend.length == 0) {
             return;
         }
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -17,6 +17,7 @@
 import org.quetzalvane.core.choice.PrefillEstimator;
 import org.quetzalvane.core.choice.RetryBudgetShare;
 import org.quetzalvane.core.choice.ServiceEndpointSelector;
+import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.fleet.EndpointTable;
 import org.quetzalvane.core.residency.AdapterLoader;
@@ -49,6 +50,7 @@
     final FakeAdapterLoader loader = new FakeAdapterLoader();
     final FakeStreamOrigins origins = new FakeStreamOrigins();
     final FakeCallerResponse response = new FakeCallerResponse();
+    final List<EventCode> logged = new ArrayList<>();
     private final ServingContext context = context();
 
     private ServingContext context() {
@@ -76,7 +78,7 @@
                 new RetryBudgetShare(clock, 0.2, 50, 10_000, () -> 1),
                 origins,
                 client,
-                (code, subject, fields) -> {});
+                (code, subject, fields) -> logged.add(code));
     }
 
     @BeforeEach
