Bound the responses that are awaited whole

A report of an engine, its answer to an order, and an answer of the store were buffered at any size until the timeout of the call, so that one server could fill the memory of a node.

Past a bound the connection is now closed, the response counts as missing and INPUT_TOO_LARGE is logged.

--- a/core/src/main/java/org/quetzalvane/core/fleet/EndpointNotices.java
+++ b/core/src/main/java/org/quetzalvane/core/fleet/EndpointNotices.java
@@ -1,6 +1,6 @@
 package org.quetzalvane.core.fleet;
 
-/** Receives what endpoints state about themselves in their answers. Called on the event loop. */
+/** Receives what endpoints state about themselves, and answers past their bound. Called on the event loop. */
 public interface EndpointNotices {
 
     /** The endpoint stated that it leaves. */
@@ -12,4 +12,11 @@
      * @param retryAfter value of the answer's header, not checked yet
      */
     void backOff(Endpoint e, String retryAfter);
+
+    /**
+     * The endpoint sent more than the bound of an input; the connection is closed.
+     *
+     * @param input what was too large, for the log
+     */
+    void inputTooLarge(Endpoint e, String input);
 }
--- a/entry/src/main/java/org/quetzalvane/entry/EndpointNoticeHandler.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EndpointNoticeHandler.java
@@ -66,4 +66,9 @@
         endpoints.backOff(e, ms.getAsLong());
         log.log(EventCode.ENDPOINT_BACKOFF, e.id(), "wait_ms", ms.getAsLong());
     }
+
+    @Override
+    public void inputTooLarge(Endpoint e, String input) {
+        log.log(EventCode.INPUT_TOO_LARGE, e.id(), "input", input);
+    }
 }
--- a/entry/src/main/java/org/quetzalvane/entry/StoreEraLog.java
+++ b/entry/src/main/java/org/quetzalvane/entry/StoreEraLog.java
@@ -5,7 +5,7 @@
 import org.quetzalvane.platform.StoreClient;
 
 /**
- * Logs the changes of the store's era.
+ * Logs the changes of the store's era and its answers that exceed their bound.
  *
  * @param log structured log
  */
@@ -20,4 +20,9 @@
     public void rejected(String value, long known) {
         log.log(EventCode.BAD_INPUT, "store", "field", "era", "value", value, "known", known);
     }
+
+    @Override
+    public void inputTooLarge(String input) {
+        log.log(EventCode.INPUT_TOO_LARGE, "store", "input", input);
+    }
 }
