Bound what a server may send without a response to the call

Interim responses without end, responses to another request without end and the body of one such response were read and discarded until the call timed out or its request reached its deadline. The limits of the decoder on heads, chunk lines and trailers closed the connection, but nothing reported it.

--- a/transport/src/main/java/org/quetzalvane/transport/ClientConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -25,13 +26,19 @@
  * One client connection and the call in progress on it.
  *
  * <p>The connection returns to the pool only after a complete response to a request that was written completely. It is
- * closed when data arrives while no call is in progress. A response that the listener does not match is discarded.
- * Confined to the event loop.
+ * closed when data arrives while no call is in progress. A response that the listener does not match is discarded, up
+ * to a bound in bytes. Confined to the event loop.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     /** Subtracted from the idle timeout that a server states, ms, to allow for the network delay of a request. */
     private static final long IDLE_MARGIN_MS = 300;
 
+    /**
+     * Bytes that may arrive during a call without a head or a body for its listener: interim responses, and a late
+     * response to an earlier request. They are not stored.
+     */
+    private static final long MAX_BYTES_WITHOUT_PROGRESS = 2 * 1024 * 1024;
+
     private final NettyEventLoop loop;
     private final long defaultIdleTimeoutMs;
     private final Consumer<ClientConnection> onIdle;
@@ -40,6 +47,7 @@
     private HttpResponseListener listener;
     private ChannelFuture written;
     private boolean discarding;
+    private long bytesWithoutProgress;
     private boolean keepAlive;
     private long idleSince;
     private long idleTimeoutMs;
@@ -67,6 +75,7 @@
         stopIdleTimer();
         listener = r;
         discarding = false;
+        bytesWithoutProgress = 0;
         keepAlive = false;
         decoder.headRequest = request.method().equals(HttpMethod.HEAD);
         written = ctx.writeAndFlush(request);
@@ -119,7 +128,11 @@
 
     private void handle(HttpObject o) {
         if (o.decoderResult().isFailure()) {
-            fail("invalid HTTP response: " + o.decoderResult().cause());
+            Throwable cause = o.decoderResult().cause();
+            if (cause instanceof TooLongFrameException) {
+                reportTooLarge("head, chunk line or trailers");
+            }
+            fail("invalid HTTP response: " + cause);
             return;
         }
         if (listener == null) {
@@ -140,6 +153,7 @@
         if (discarding) {
             return;
         }
+        bytesWithoutProgress = 0;
         keepAlive = HttpUtil.isKeepAlive(head) && isDelimited(head);
         idleTimeoutMs = idleTimeout(head);
         listener.onHead(head);
@@ -148,6 +162,7 @@
     private void handleBody(HttpContent chunk) {
         ByteBuf b = chunk.content();
         if (!discarding && b.isReadable()) {
+            bytesWithoutProgress = 0;
             listener.onBody(ByteBufUtil.getBytes(b));
         }
         if (listener != null && chunk instanceof LastHttpContent) {
@@ -199,6 +214,19 @@
         fail(String.valueOf(cause.getMessage()));
     }
 
+    private void failIfWithoutProgress() {
+        if (listener != null && bytesWithoutProgress > MAX_BYTES_WITHOUT_PROGRESS) {
+            reportTooLarge("bytes without a response");
+            fail("no response within " + MAX_BYTES_WITHOUT_PROGRESS + " bytes");
+        }
+    }
+
+    private void reportTooLarge(String input) {
+        if (listener != null) {
+            listener.onTooLarge(input);
+        }
+    }
+
     private void fail(String cause) {
         HttpResponseListener r = listener;
         listener = null;
@@ -230,10 +258,17 @@
         return Math.min(defaultIdleTimeoutMs, Math.max(0, Long.parseLong(digits) * 1_000 - IDLE_MARGIN_MS));
     }
 
-    /** Response decoder that expects no body after a HEAD request. */
-    private static final class Decoder extends HttpResponseDecoder {
+    /** Response decoder that expects no body after a HEAD request and counts the bytes that arrive. */
+    private final class Decoder extends HttpResponseDecoder {
         private boolean headRequest;
 
+        @Override
+        public void channelRead(ChannelHandlerContext c, Object msg) throws Exception {
+            bytesWithoutProgress += ((ByteBuf) msg).readableBytes();
+            super.channelRead(c, msg);
+            failIfWithoutProgress();
+        }
+
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage msg) {
             return headRequest && !msg.headers().contains(HttpHeaderNames.UPGRADE) || super.isContentAlwaysEmpty(msg);
--- a/transport/src/main/java/org/quetzalvane/transport/HttpResponseListener.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpResponseListener.java
@@ -19,6 +19,13 @@
 
     void onComplete();
 
+    /**
+     * Called before {@link #onFailure} if the server sent more than the bound of an input.
+     *
+     * @param input what was too large, for the log
+     */
+    default void onTooLarge(String input) {}
+
     /**
      * Called when no response will arrive or the response will remain incomplete.
      *
