Bound the first frame of a connection between nodes

Whoever connected to the port for peers could send 16 MiB as its address, which the node kept as the name of the peer. Frames past 16 MiB and negative lengths closed the connection already.

The first frame is now bounded to 64 bytes; an address IP:PORT has at most 53 characters. Past it the connection is closed and TASK_FAILED logged, as for the other frames.

Before the change, 2 of the 6 cases of frameBeyondItsBound failed: the connection stayed open for 10 s. All pass now, and so does PeerServiceTest.

--- a/transport/src/main/java/org/quetzalvane/transport/PeerTransport.java
+++ b/transport/src/main/java/org/quetzalvane/transport/PeerTransport.java
@@ -31,6 +31,9 @@
     /** Largest frame accepted, bytes: several times the size of the list of all endpoints of a deployment. */
     private static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
+    /** Largest first frame of a connection, bytes: an address of 53 characters at most. */
+    private static final int MAX_ADDRESS_BYTES = 64;
+
     private static final int LENGTH_FIELD_BYTES = 4;
     /** Delay before reconnecting to a peer, ms: one report interval of the peers. */
     private static final long RECONNECT_DELAY_MS = 300;
@@ -153,14 +156,17 @@
             protected void initChannel(Channel ch) {
                 ch.pipeline()
                         .addLast(
-                                new LengthFieldBasedFrameDecoder(
-                                        MAX_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES),
+                                frameDecoder(fromPeer ? MAX_ADDRESS_BYTES : MAX_FRAME_BYTES),
                                 new LengthFieldPrepender(LENGTH_FIELD_BYTES),
                                 new FrameHandler(fromPeer));
             }
         };
     }
 
+    private static LengthFieldBasedFrameDecoder frameDecoder(int maxBytes) {
+        return new LengthFieldBasedFrameDecoder(maxBytes, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES);
+    }
+
     private final class FrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
         private boolean awaitsAddress;
 
@@ -175,6 +181,8 @@
                 String peer = msg.toString(StandardCharsets.US_ASCII);
                 accepted.put(peer, ctx.channel());
                 ctx.channel().closeFuture().addListener(x -> acceptedClosed(peer, ctx.channel()));
+                // Last, since frames that arrived with the address are handled within this call.
+                ctx.pipeline().replace(LengthFieldBasedFrameDecoder.class, null, frameDecoder(MAX_FRAME_BYTES));
             } else {
                 handler.accept(ByteBufUtil.getBytes(msg));
             }
