--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -362,6 +362,11 @@
 
     private void relayChunk(byte[] chunk) {
         byte[] toSend = handler.responseStream().feed(chunk);
+        if (handler.responseStream().isEventTooLarge()) {
+            context.log().log(EventCode.INPUT_TOO_LARGE, endpoint.id(), "input", "event", "request", request.id());
+            failed(false, "event too large");
+            return;
+        }
         if (toSend.length == 0) {
             return;
         }
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -17,6 +17,7 @@
 import org.quetzalvane.core.choice.PrefillEstimator;
 import org.quetzalvane.core.choice.RetryBudgetShare;
 import org.quetzalvane.core.choice.ServiceEndpointSelector;
+import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.fleet.EndpointTable;
 import org.quetzalvane.core.residency.AdapterLoader;
@@ -50,6 +51,7 @@
     final FakeStreamOrigins origins = new FakeStreamOrigins();
     final FakeCallerResponse response = new FakeCallerResponse();
     private final RetryBudgetShare retryBudget = new RetryBudgetShare(clock, 0.2, 50, 10_000, () -> 1);
+    final List<EventCode> logged = new ArrayList<>();
     private final ServingContext context = context();
 
     private ServingContext context() {
@@ -77,7 +79,7 @@
                 retryBudget,
                 origins,
                 client,
-                (code, subject, fields) -> {});
+                (code, subject, fields) -> logged.add(code));
     }
 
     @BeforeEach
