Report the client's own failure in the results of the test callers

FrozenOwnerTest failed once with 210 and an empty body, and nothing said why: a result of CallerClient without a response had the code of the client's failure and dropped its message, so a refused connection, a timeout of the connect and a connection closed before the request was written looked alike, and like a refusal by the node.

The body of such a result now has the failure as its message. FrozenOwnerTest also asserts that the thawed node still runs, which it did not check, and prints the result of the request before and the directory of the logs. No assertion is removed or changed.

--- a/proofs/src/test/java/org/quetzalvane/proofs/FrozenOwnerTest.java
+++ b/proofs/src/test/java/org/quetzalvane/proofs/FrozenOwnerTest.java
@@ -46,16 +46,19 @@
             CallerClient.Result successorResult =
                     caller.completeAt(cluster.callerAddress(successor), "a2", 1, "p", SHORT_TOKENS);
             cluster.child(owner).thaw();
-            running.join();
+            CallerClient.Result runningResult = running.join();
             CallerClient.Result thawedNodeResult =
                     caller.completeAt(cluster.callerAddress(owner), "a2", 1, "p", SHORT_TOKENS);
+            assertThat(cluster.child(owner).isAlive())
+                    .as("the thawed node runs; its output is in %s", cluster.directory())
+                    .isTrue();
             assertThat(cluster.get(cluster.engineUrl(ENGINE) + "/control/ran").path("violations"))
                     .isEmpty();
             assertThat(successorResult.isComplete())
                     .as("response from the successor: %s", successorResult)
                     .isTrue();
             assertThat(thawedNodeResult.isComplete())
-                    .as("response forwarded by the thawed node: %s", thawedNodeResult)
+                    .as("response forwarded by the thawed node: %s; before it: %s", thawedNodeResult, runningResult)
                     .isTrue();
             assertThat(cluster.nodeStatus(owner).path("engines")).isEmpty();
         }
--- a/standins/src/main/java/org/quetzalvane/standins/harness/CallerClient.java
+++ b/standins/src/main/java/org/quetzalvane/standins/harness/CallerClient.java
@@ -31,7 +31,8 @@
      *
      * @param code number of the result code
      * @param text text received so far
-     * @param body JSON of the response or error
+     * @param body JSON of the response or error; if there was no response, an object whose {@code message} is the
+     *     failure of this client
      */
     public record Result(int code, String text, JsonNode body) {
 
@@ -146,7 +147,10 @@
         try {
             return parse(call.get());
         } catch (CompletionException e) {
-            return new Result(QuetzalvaneException.codeOf(e).number(), "", Json.object());
+            return new Result(
+                    QuetzalvaneException.codeOf(e).number(),
+                    "",
+                    Json.object().put("message", String.valueOf(e.getCause().getMessage())));
         }
     }
 
