Resume no stream whose last event has no id that can be sent

A stream that breaks off after events without an id was begun anew at another engine inside the same response, so that callers got events twice; an id with control characters or of any length went into a header of the next attempt, which then could not be sent. Such a stream is broken off.

--- a/core/src/main/java/org/quetzalvane/core/serve/EventSplitter.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EventSplitter.java
@@ -16,6 +16,9 @@
      */
     static final int MAX_EVENT_BYTES = 1024 * 1024;
 
+    /** Longest id that is sent to another endpoint, characters: below the usual limit of a header line, 8 KiB. */
+    private static final int MAX_ID_CHARS = 1_024;
+
     private static final String ID_FIELD = "id:";
     private static final byte[] NOTHING = new byte[0];
 
@@ -81,6 +84,15 @@
         return lastId;
     }
 
+    /** Whether the events that follow can be requested by the id of the last one, as the value of a header. */
+    boolean hasUsableId() {
+        return !hasEvents
+                || lastId != null
+                        && !lastId.isEmpty()
+                        && lastId.length() <= MAX_ID_CHARS
+                        && lastId.chars().noneMatch(Character::isISOControl);
+    }
+
     /** End of the last event that is complete with these bytes; the pending bytes hold no such end. */
     private int lastEventEnd(byte[] b) {
         for (int i = b.length - 1; i >= 0; i--) {
--- a/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
@@ -37,7 +37,7 @@
 
     /** Whether another endpoint can continue the stream. */
     boolean resumable() {
-        return resumable;
+        return resumable && (splitter == null || splitter.hasUsableId());
     }
 
     /** Adds bytes of an endpoint and returns those that may be passed on now. */
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.residency.AdapterLoader;
 import org.quetzalvane.core.routes.RouteKind;
@@ -96,6 +97,18 @@
         assertThat(response.ended).isTrue();
     }
 
+    /** Without an id that can be sent, another endpoint would begin anew or the request could not be sent at all. */
+    @ParameterizedTest
+    @ValueSource(strings = {"data: a\n\n", "id:\ndata: a\n\n", "id: 1\u00012\ndata: a\n\n"})
+    void streamWhoseEventsHaveNoUsableIdIsNotResumed(String events) {
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        client.last().head(head(200, false));
+        client.last().body(events.getBytes());
+        client.last().failed(false, "reset");
+        assertThat(client.sent).hasSize(1);
+        assertThat(response.aborted).isTrue();
+    }
+
     @Test
     void streamThatEndsWithinAnEventIsNotReportedAsComplete() {
         start(RouteKind.STREAMING, RESIDENT_ADAPTER);
