--- /dev/null
+++ b/entry/src/test/java/org/quetzalvane/entry/EntryProcess.java
@@ -0,0 +1,99 @@
+package org.quetzalvane.entry;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+
+import org.quetzalvane.platform.BootSettings;
+import org.quetzalvane.platform.standin.CallerClient;
+import org.quetzalvane.platform.standin.SettingsFile;
+
+/** A node in a process of its own, which can be frozen and killed. Not thread-safe. */
+final class EntryProcess implements AutoCloseable {
+    private static final long EXIT_TIMEOUT_S = 20;
+
+    private final BootSettings settings;
+    private final Path directory;
+    private Process process;
+
+    /**
+     * Starts a node.
+     *
+     * @param directory for the settings and the output
+     */
+    EntryProcess(BootSettings settings, Path directory) throws IOException {
+        this.settings = settings;
+        this.directory = directory;
+        start();
+    }
+
+    BootSettings settings() {
+        return settings;
+    }
+
+    /** Starts the process, again after {@link #kill}. */
+    void start() throws IOException {
+        Path file = directory.resolve(settings.nodeName() + ".json");
+        SettingsFile.write(file, settings);
+        ProcessBuilder command = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xmx128m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                EntryMain.class.getName());
+        command.environment().put(BootSettings.PATH_VARIABLE, file.toString());
+        Path output = directory.resolve(settings.nodeName() + ".log");
+        process = command.redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
+                .start();
+    }
+
+    /** Waits until the node is ready; fails with its output if it exits. */
+    void awaitReady() throws IOException, InterruptedException {
+        while (!ready()) {
+            if (!process.isAlive()) {
+                throw new IllegalStateException(Files.readString(directory.resolve(settings.nodeName() + ".log")));
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    private boolean ready() {
+        try {
+            return CallerClient.readiness(settings.readinessAddress()).startsWith("HTTP/1.1 200");
+        } catch (IOException e) {
+            // The process does not listen yet.
+            return false;
+        }
+    }
+
+    /** Sends SIGSTOP. */
+    void freeze() throws IOException, InterruptedException {
+        signal("-STOP");
+    }
+
+    /** Sends SIGCONT. */
+    void thaw() throws IOException, InterruptedException {
+        signal("-CONT");
+    }
+
+    /** Sends SIGKILL and waits for the exit. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly();
+        if (!process.waitFor(EXIT_TIMEOUT_S, TimeUnit.SECONDS)) {
+            throw new IllegalStateException(settings.nodeName() + " did not exit");
+        }
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+
+    private void signal(String signal) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
+    }
+}
