Pass the shared parts of a prompt to the request path

The list of a request's prompt parts was forwarded to engines and not read. Nothing uses the parts yet.

--- a/core/src/main/java/org/quetzalvane/core/serve/CallerRequest.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/CallerRequest.java
@@ -19,6 +19,7 @@
  * @param tokenCounts prompt and output tokens stated by the caller
  * @param lastEventId id of the event after which the stream is to continue, or null
  * @param resumes id of the request that brought the first event of the stream to be continued, or null
+ * @param sharedParts ids of the parts of the prompt that other requests may have too, in order; empty if it has none
  */
 public record CallerRequest(
         String id,
@@ -32,9 +33,11 @@
         AdapterRef adapter,
         TokenCounts tokenCounts,
         String lastEventId,
-        String resumes) {
+        String resumes,
+        List<String> sharedParts) {
 
     public CallerRequest {
         headers = List.copyOf(headers);
+        sharedParts = List.copyOf(sharedParts);
     }
 }
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -138,7 +138,8 @@
                 adapter,
                 new TokenCounts(100, 0, 0),
                 lastEventId,
-                resumes);
+                resumes,
+                List.of());
         RequestFlow flow = new RequestFlow(context, r, response);
         flow.start();
         return flow;
