Ask the quarantine of crashing prompts before each send

A request that runs when its prompt is condemned is cancelled unless its response is past its beginning.

--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -1,7 +1,6 @@
 package org.quetzalvane.core.serve;
 
 import org.quetzalvane.core.ResultCode;
-import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.routes.Route;
 
@@ -84,6 +83,7 @@
     private boolean reading = true;
     private boolean firstByteReceived;
     private final SilenceMonitor silence;
+    private final ResponseBeginning beginning;
     private long firstByteNanos;
     private long longestGapMs;
     private ResponseHead head;
@@ -103,6 +103,7 @@
         this.endpoint = endpoint;
         this.endpointIsEngine = endpointIsEngine;
         this.sentNanos = context.scheduler().nanoTime();
+        this.beginning = new ResponseBeginning(context, request, endpoint);
         this.silence = new SilenceMonitor(context.scheduler(), this::silenceLimitMs, this::reportSilence);
         context.endpointLoads()
                 .requestStarted(endpoint.id(), request.tokenCounts().prompt());
@@ -185,21 +186,9 @@
     private void recordSilence(long silentMs) {
         boolean alternative = hasAlternative();
         boolean resumable = !callerResponseBegun() || handler.responseStream().resumable();
-        context.log().log(
-                EventCode.ATTEMPT_SILENT,
-                request.id(),
-                "endpoint",
-                endpoint.id(),
-                "silent_ms",
-                silentMs,
-                "begun",
-                callerResponseBegun(),
-                "resumable",
-                resumable,
-                "alternative",
-                alternative);
+        AttemptLog.logSilence(context, request, endpoint, silentMs, callerResponseBegun(), resumable, alternative);
         if (alternative) {
-            SuspensionLog.logIfSuspended(
+            AttemptLog.logIfSuspended(
                     context, endpoint, context.outlierDetector().recordUnreachable(endpoint.id()), "silent");
         }
     }
@@ -224,6 +213,7 @@
             close(true);
             handler.failed(this, ResultCode.ENDPOINT_FAILED, "status=" + h.status(), true);
         } else if (h.success() && h.eventStream()) {
+            beginning.begun();
             beginEventStream(h);
         } else if (callerResponseBegun()) {
             close(true);
@@ -244,8 +234,9 @@
         long gapMs = (now - silence.lastProgressNanos()) / 1_000_000;
         longestGapMs = Math.max(longestGapMs, gapMs);
         silence.recordProgress();
+        beginning.chunkReceived();
         if (endpointIsEngine && !first) {
-            SuspensionLog.logIfSuspended(
+            AttemptLog.logIfSuspended(
                     context,
                     endpoint,
                     context.outlierDetector().recordGap(endpoint.id(), gapMs),
@@ -278,6 +269,7 @@
             return;
         }
         close(false);
+        beginning.completed();
         if (head.serverError()) {
             context.outlierDetector().recordFailure(endpoint.id());
         } else {
@@ -301,9 +293,11 @@
         }
         close(true);
         if (notSent) {
+            beginning.unreachable();
             handler.unreachable(this, cause);
             return;
         }
+        beginning.broken();
         discardPartialEvent();
         handler.failed(
                 this, callerResponseBegun() ? ResultCode.STREAM_BROKEN : ResultCode.OUTCOME_UNKNOWN, cause, false);
@@ -314,6 +308,11 @@
         return open;
     }
 
+    /** Whether the response got past its beginning, so that its endpoint will not crash because of it. */
+    boolean isPastBeginning() {
+        return beginning.isPast();
+    }
+
     /** Cancels a silent attempt without an outcome, so that another one can continue the response. */
     void giveUp() {
         cancel();
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/serve/QuarantineGate.java
@@ -0,0 +1,46 @@
+package org.quetzalvane.core.serve;
+
+import org.quetzalvane.core.quarantine.PromptQuarantine;
+import org.quetzalvane.core.quarantine.Registration;
+import org.quetzalvane.core.quarantine.Verdict;
+
+/**
+ * Asks the quarantine whether a request may be sent: when an endpoint is selected, so that a condemned one waits for
+ * nothing, and again when it is sent. A request admitted as a trial is sent once. Confined to the event loop.
+ */
+final class QuarantineGate {
+    private final PromptQuarantine quarantine;
+    private final CallerRequest request;
+    private final String service;
+    private Registration watch = () -> {};
+    private boolean trialPending;
+
+    QuarantineGate(PromptQuarantine quarantine, CallerRequest request, String service) {
+        this.quarantine = quarantine;
+        this.request = request;
+        this.service = service;
+    }
+
+    /** Calls back once if the parts of the request become condemned before {@link #close}. */
+    void watch(Runnable condemned) {
+        watch = quarantine.watch(service, request.sharedParts(), condemned);
+    }
+
+    Verdict check() {
+        if (trialPending) {
+            return Verdict.TRIAL;
+        }
+        Verdict v = quarantine.check(service, request.sharedParts(), request.id());
+        trialPending = v.kind() == Verdict.Kind.TRIAL;
+        return v;
+    }
+
+    /** The request is sent now. */
+    void sent() {
+        trialPending = false;
+    }
+
+    void close() {
+        watch.close();
+    }
+}
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -3,16 +3,15 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.quarantine.Verdict;
 import org.quetzalvane.core.routes.RequiredVersions;
 import org.quetzalvane.core.routes.Route;
 import org.quetzalvane.core.routes.ServiceSpec;
-import org.quetzalvane.core.routes.ServingConfig;
 import org.quetzalvane.core.time.Scheduler;
 
 /**
@@ -59,6 +58,7 @@
     private int failedConnects;
     private EngineAcquisition acquisition;
     private AttemptReplacement replacement;
+    private QuarantineGate quarantine;
     private Attempt.Shared shared;
 
     /** Creates the flow of a request that has just arrived. */
@@ -72,27 +72,11 @@
 
     /** Starts handling the request; the response may be sent within this call. */
     public void start() {
-        Optional<ServingConfig> config = context.config().current();
-        if (config.isEmpty()) {
-            refuse(ResultCode.NOT_READY, DEFAULT_RETRY_AFTER_MS, "no configuration received yet");
-            return;
-        }
-        route = config.get().match(request.host(), request.path()).orElse(null);
-        if (route == null) {
-            refuse(
-                    ResultCode.UNKNOWN_PATH,
-                    -1,
-                    "no route for the host and path in configuration version "
-                            + config.get().version());
-            return;
-        }
-        service = config.get().service(route.serviceFor(request.id()));
-        if (service == null) {
-            refuse(
-                    ResultCode.UNKNOWN_SERVICE,
-                    -1,
-                    "the service of the route is missing in configuration version "
-                            + config.get().version());
+        RouteMatch match = RouteMatch.of(context.config().current(), request);
+        route = match.route();
+        service = match.service();
+        if (match.refusal() != null) {
+            refuse(match.refusal(), match.retryAfterMs(), match.cause());
             return;
         }
         context.retryBudget().recordRequest(service.name());
@@ -102,6 +86,8 @@
         if (request.adapter() != null) {
             context.adapterDemand().recordRequest(request.adapter());
         }
+        quarantine = new QuarantineGate(context.quarantine(), request, service.name());
+        quarantine.watch(this::condemned);
         shared = new Attempt.Shared(context, request, route, response, this);
         acquisition = new EngineAcquisition(context, request, route, this);
         streamVersion = new StreamVersion(context, request, route);
@@ -150,6 +136,9 @@
 
     @Override
     public void selectNext() {
+        if (endIfCondemned()) {
+            return;
+        }
         String version = streamVersion.required();
         List<Endpoint> usable = context.endpoints().usable(service.name(), version);
         if (usable.isEmpty()) {
@@ -176,6 +165,10 @@
             deadlineReached();
             return;
         }
+        if (endIfCondemned()) {
+            return;
+        }
+        quarantine.sent();
         String lastEventId = responseStream == null ? request.lastEventId() : responseStream.lastId();
         // Route priorities 0, 1 and 2 become engine priorities 1, 3 and 5; larger ones are limited to 9.
         int enginePriority = Math.min(9, 1 + 2 * route.priority());
@@ -210,7 +203,7 @@
     @Override
     public void unreachable(Attempt a, String cause) {
         Endpoint e = endAttempt(a);
-        SuspensionLog.logIfSuspended(context, e, context.outlierDetector().recordUnreachable(e.id()), cause);
+        AttemptLog.logIfSuspended(context, e, context.outlierDetector().recordUnreachable(e.id()), cause);
         if (++failedConnects < MAX_FAILED_CONNECTS) {
             selectNext();
         } else {
@@ -252,7 +245,7 @@
 
     private void recordFailedAttempt(Attempt a, String cause) {
         Endpoint e = endAttempt(a);
-        SuspensionLog.logIfSuspended(context, e, context.outlierDetector().recordFailure(e.id()), cause);
+        AttemptLog.logIfSuspended(context, e, context.outlierDetector().recordFailure(e.id()), cause);
         attemptsThatMayHaveRun++;
         acquisition.resetAfterAttempt(waitsSince(a));
     }
@@ -309,6 +302,26 @@
         return triedEndpoints;
     }
 
+    private boolean endIfCondemned() {
+        Verdict v = quarantine.check();
+        if (!v.maySend()) {
+            giveUp(ResultCode.PROMPT_QUARANTINED, v.retryAfterMs(), v.evidence());
+        }
+        return !v.maySend();
+    }
+
+    /** The parts of the prompt became condemned while the request waits or runs. */
+    private void condemned() {
+        if (current == null) {
+            endIfCondemned();
+        } else if (!current.isPastBeginning()) {
+            attemptsThatMayHaveRun++;
+            fail(
+                    ResultCode.OUTCOME_UNKNOWN,
+                    "parts of the prompt were condemned before the response was past its beginning");
+        }
+    }
+
     private void giveUpWithoutEndpoint(String version) {
         long backoffMs = context.endpoints().backoffMs(service.name(), version);
         if (backoffMs > 0) {
@@ -391,6 +404,9 @@
 
     private void finish() {
         done = true;
+        if (quarantine != null) {
+            quarantine.close();
+        }
         if (deadlineTimer != null) {
             deadlineTimer.cancel();
         }
--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/serve/RouteMatch.java
@@ -0,0 +1,43 @@
+package org.quetzalvane.core.serve;
+
+import java.util.Optional;
+
+import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.routes.Route;
+import org.quetzalvane.core.routes.ServiceSpec;
+import org.quetzalvane.core.routes.ServingConfig;
+
+/**
+ * The route and the service of a request, or why it has none. Immutable.
+ *
+ * @param route route, or null if there is none
+ * @param service service, or null if there is none
+ * @param refusal result code of a request without a service, or null
+ * @param retryAfterMs retry time of a refusal, ms; -1 if the request must not be repeated
+ * @param cause reason of a refusal, for the log
+ */
+record RouteMatch(Route route, ServiceSpec service, ResultCode refusal, long retryAfterMs, String cause) {
+
+    static RouteMatch of(Optional<ServingConfig> config, CallerRequest request) {
+        if (config.isEmpty()) {
+            return refused(
+                    null, ResultCode.NOT_READY, RequestFlow.DEFAULT_RETRY_AFTER_MS, "no configuration received yet");
+        }
+        ServingConfig c = config.get();
+        Route route = c.match(request.host(), request.path()).orElse(null);
+        if (route == null) {
+            String cause = "no route for the host and path in configuration version " + c.version();
+            return refused(null, ResultCode.UNKNOWN_PATH, -1, cause);
+        }
+        ServiceSpec service = c.service(route.serviceFor(request.id()));
+        if (service == null) {
+            String cause = "the service of the route is missing in configuration version " + c.version();
+            return refused(route, ResultCode.UNKNOWN_SERVICE, -1, cause);
+        }
+        return new RouteMatch(route, service, null, -1, null);
+    }
+
+    private static RouteMatch refused(Route route, ResultCode code, long retryAfterMs, String cause) {
+        return new RouteMatch(route, null, code, retryAfterMs, cause);
+    }
+}
--- a/core/src/main/java/org/quetzalvane/core/serve/ServingContext.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ServingContext.java
@@ -10,6 +10,7 @@
 import org.quetzalvane.core.choice.ServiceEndpointSelector;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.EndpointTable;
+import org.quetzalvane.core.quarantine.PromptQuarantine;
 import org.quetzalvane.core.residency.AdapterLoader;
 import org.quetzalvane.core.residency.AdapterUsage;
 import org.quetzalvane.core.residency.ResidencyTable;
@@ -36,6 +37,7 @@
  * @param admission refuses requests beyond the engines' capacity
  * @param retryBudget this node's share of the retry budget
  * @param streamOrigins software versions that streams come from
+ * @param quarantine requests that crash endpoints
  * @param endpointClient port for requests to endpoints
  * @param log structured log
  */
@@ -56,5 +58,6 @@
         Admission admission,
         RetryBudgetShare retryBudget,
         StreamOrigins streamOrigins,
+        PromptQuarantine quarantine,
         EndpointClient endpointClient,
         StructuredLog log) {}
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -19,6 +19,9 @@
 import org.quetzalvane.core.choice.ServiceEndpointSelector;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.fleet.EndpointTable;
+import org.quetzalvane.core.quarantine.PromptQuarantine;
+import org.quetzalvane.core.quarantine.Registration;
+import org.quetzalvane.core.quarantine.Verdict;
 import org.quetzalvane.core.residency.AdapterLoader;
 import org.quetzalvane.core.residency.AdapterUsage;
 import org.quetzalvane.core.residency.LoadRequest;
@@ -38,6 +41,7 @@
 /** Requests on a manual clock, with endpoints, loads and stream origins controlled by the test. */
 abstract class RequestFlowFixture {
     static final AdapterRef RESIDENT_ADAPTER = new AdapterRef("m", "a1");
+    static final List<String> SHARED_PARTS = List.of("a1", "b2");
     static final AdapterRef MISSING_ADAPTER = new AdapterRef("m", "a9");
 
     final ManualScheduler clock = new ManualScheduler();
@@ -48,6 +52,7 @@
     final FakeEndpointClient client = new FakeEndpointClient();
     final FakeAdapterLoader loader = new FakeAdapterLoader();
     final FakeStreamOrigins origins = new FakeStreamOrigins();
+    final FakeQuarantine quarantine = new FakeQuarantine();
     final FakeCallerResponse response = new FakeCallerResponse();
     private final RetryBudgetShare retryBudget = new RetryBudgetShare(clock, 0.2, 50, 10_000, () -> 1);
     private final ServingContext context = context();
@@ -76,6 +81,7 @@
                 new Admission(),
                 retryBudget,
                 origins,
+                quarantine,
                 client,
                 (code, subject, fields) -> {});
     }
@@ -140,7 +146,7 @@
                 new TokenCounts(100, 0, 0),
                 lastEventId,
                 resumes,
-                List.of());
+                SHARED_PARTS);
         RequestFlow flow = new RequestFlow(context, r, response);
         flow.start();
         return flow;
@@ -227,6 +233,50 @@
         }
     }
 
+    /** Fake that records what it is told and refuses or tries requests as the test says. */
+    static final class FakeQuarantine implements PromptQuarantine {
+        final List<String> told = new ArrayList<>();
+        Verdict verdict = Verdict.ADMIT;
+        private Runnable condemned = () -> {};
+
+        /** Condemns the parts of the request that is watched. */
+        void condemn() {
+            verdict = Verdict.refuse(4_000, "test");
+            condemned.run();
+        }
+
+        @Override
+        public Verdict check(String service, List<String> sharedParts, String requestId) {
+            told.add("check " + service + " " + sharedParts + " " + requestId);
+            Verdict v = verdict;
+            if (v.kind() == Verdict.Kind.TRIAL) {
+                verdict = Verdict.refuse(4_000, "tried");
+            }
+            return v;
+        }
+
+        @Override
+        public void recordPastBeginning(String service, List<String> sharedParts, String requestId) {
+            told.add("past " + service + " " + sharedParts);
+        }
+
+        @Override
+        public void recordBroken(Endpoint endpoint, List<String> sharedParts, String requestId, long beginningMs) {
+            told.add("broken " + endpoint.id() + " " + sharedParts + " " + beginningMs);
+        }
+
+        @Override
+        public void recordUnreachable(Endpoint endpoint) {
+            told.add("unreachable " + endpoint.id());
+        }
+
+        @Override
+        public Registration watch(String service, List<String> sharedParts, Runnable callback) {
+            condemned = callback;
+            return () -> condemned = () -> {};
+        }
+    }
+
     /** Fake that records what the caller receives. */
     static final class FakeCallerResponse implements CallerResponse {
         final StringBuilder body = new StringBuilder();
