Find prompt parts that crash engines and refuse requests that have them

The nodes now share which requests were in their beginning when an instance ended, judge the evidence alike and give a verdict before each send. The request path does not use it yet.

Ends that no part causes are tested next.

--- a/core/src/main/java/org/quetzalvane/core/ResultCode.java
+++ b/core/src/main/java/org/quetzalvane/core/ResultCode.java
@@ -53,6 +53,12 @@
             true,
             "The software version that began the stream is unknown or no endpoint has it. The request was not run."),
 
+    PROMPT_QUARANTINED(
+            214,
+            503,
+            true,
+            "The prompt has parts under which endpoints crashed one after the other. The request was not run."),
+
     OUTCOME_UNKNOWN(301, 502, false, "The request was dispatched and its outcome is unknown."),
     STREAM_BROKEN(302, 502, false, "The response broke off before its end mark and is incomplete."),
     WRONG_ECHO(303, 502, false, "The response is for another adapter, version or attempt than was requested."),
--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -55,6 +55,7 @@
     ENDPOINT_SUSPENDED(4009, "An endpoint failed or did not respond and is suspended."),
 
     ENDPOINT_BACKOFF(4012, "An endpoint asked this node to send it nothing for a time."),
+    CRASH_EVIDENCE(4013, "Connections of an endpoint instance broke while responses were in their beginning."),
 
     LOAD_REFUSED(4010, "A load request was refused: the adapter did not become resident on the engine in time."),
     UNLOAD_WAITS(4011, "An unload waits for running requests of the adapter; the slot stays occupied meanwhile."),
@@ -70,7 +71,10 @@
     REQUEST_FORWARDED(5009, "A request was forwarded to the owner of its endpoint."),
     LATE_ANSWER_DROPPED(5010, "A response to an attempt that is no longer current was dropped."),
     REQUEST_RESUMED(5011, "A broken stream was resumed at another endpoint."),
-    LINES_DROPPED(5012, "Log lines were dropped because the output did not keep up.");
+    LINES_DROPPED(5012, "Log lines were dropped because the output did not keep up."),
+    PROMPT_CONDEMNED(5014, "Endpoints crash under a set of prompt parts; requests that have all of them are refused."),
+    PROMPT_ACQUITTED(5015, "A set of prompt parts is no longer condemned."),
+    PROMPT_TRIAL(5016, "A request with condemned prompt parts is sent as a trial, or its trial ended.");
 
     private final int number;
     private final String description;
--- a/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
@@ -4,6 +4,10 @@
 import java.util.Map;
 
 import org.quetzalvane.core.choice.EndpointLoads;
+import org.quetzalvane.core.quarantine.Clearance;
+import org.quetzalvane.core.quarantine.Condemnation;
+import org.quetzalvane.core.quarantine.InstanceReport;
+import org.quetzalvane.core.quarantine.QuarantineTrials;
 import org.quetzalvane.core.residency.EngineResidency;
 import org.quetzalvane.core.residency.LoadRequest;
 import org.quetzalvane.core.routes.AdapterRef;
@@ -150,4 +154,46 @@
      * @param softwareVersion software version that began the stream, or null if it is unknown
      */
     record StreamOriginReply(String from, long number, String softwareVersion) implements PeerMessage {}
+
+    /**
+     * Endpoint instances whose connections broke, as the sender has seen them; sent to all hubs, and by a hub to which
+     * it is news to its members.
+     *
+     * @param from address of the node that has seen them, IP:PORT
+     * @param instances the instances
+     */
+    record CrashReports(String from, List<InstanceReport> instances) implements PeerMessage {}
+
+    /**
+     * Prompt parts whose responses got past their beginning; sent like {@link CrashReports}.
+     *
+     * @param from address of the node that has seen them, IP:PORT
+     * @param clearances the parts
+     */
+    record PartClearances(String from, List<Clearance> clearances) implements PeerMessage {}
+
+    /**
+     * How a trial of a condemned set of prompt parts went on; sent like {@link CrashReports}.
+     *
+     * @param from address of the node that has made the trial, IP:PORT
+     * @param set id of the set
+     * @param outcome how it went on
+     */
+    record QuarantineTrial(String from, long set, QuarantineTrials.Outcome outcome) implements PeerMessage {}
+
+    /**
+     * The prompt parts that are condemned; sent by hubs at intervals, and in reply to a {@link CondemnedRequest}.
+     *
+     * @param from address of the sender for peers, IP:PORT
+     * @param reply whether this is a reply
+     * @param sets the condemned sets
+     */
+    record CondemnedParts(String from, boolean reply, List<Condemnation> sets) implements PeerMessage {}
+
+    /**
+     * Asks a hub which prompt parts are condemned.
+     *
+     * @param from address of the sender for peers, IP:PORT
+     */
+    record CondemnedRequest(String from) implements PeerMessage {}
 }
--- /dev/null
+++ b/core/src/test/java/org/quetzalvane/core/team/CrashingPromptTest.java
@@ -0,0 +1,41 @@
+package org.quetzalvane.core.team;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** A prompt part that crashes engines, at nodes that share their evidence, on a manual clock. */
+class CrashingPromptTest {
+    private static final int RARE_PARTS = 200;
+    /** Time after the fifth end from which at most three requests with the part may be sent, ms. */
+    private static final long STABILITY_MS = 3_000;
+
+    @ParameterizedTest
+    @CsvSource({
+        "9, 8, 2, 1",
+        "9, 8, 3, 2",
+        "9, 40, 2, 3",
+        "9, 40, 3, 4",
+        "95, 8, 2, 1",
+        "95, 8, 3, 2",
+        "95, 40, 2, 3",
+        "95, 40, 3, 4",
+        "300, 8, 2, 1",
+        "300, 40, 3, 2"
+    })
+    void partIsRefusedAtAllNodesAfterFewEnds(int nodes, int engines, double rate, long seed) {
+        QuarantineNetwork network = new QuarantineNetwork(nodes, RandomSource.XO_RO_SHI_RO_128_PP.create(seed));
+        EngineSimulation s = new EngineSimulation(network, engines);
+        s.arrivals(100, 40_000, () -> s.soundParts(RARE_PARTS));
+        network.advance(5_000);
+        s.crashing.add("x");
+        s.arrivals(rate, 35_000, () -> s.guiltyParts("x", RARE_PARTS));
+        network.advance(35_000);
+        assertThat(s.ends).hasSizeLessThanOrEqualTo(12);
+        assertThat(s.sendsLaterThan(STABILITY_MS)).isLessThanOrEqualTo(3);
+        assertThat(s.soundAdmitted).isGreaterThanOrEqualTo(s.soundAsked * 99 / 100);
+        assertThat(network.condemning()).isEqualTo(nodes);
+    }
+}
--- a/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
@@ -8,6 +8,9 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.quetzalvane.core.choice.EndpointLoads;
+import org.quetzalvane.core.quarantine.Clearance;
+import org.quetzalvane.core.quarantine.Condemnation;
+import org.quetzalvane.core.quarantine.InstanceReport;
 import org.quetzalvane.core.residency.EngineResidency;
 import org.quetzalvane.core.residency.LoadRequest;
 import org.quetzalvane.core.routes.AdapterRef;
@@ -31,7 +34,12 @@
             PeerMessage.StreamOrigins.class,
             PeerMessage.StreamOriginRequest.class,
             PeerMessage.StreamOriginReply.class,
-            PeerMessage.EndpointLeaving.class);
+            PeerMessage.EndpointLeaving.class,
+            PeerMessage.CrashReports.class,
+            PeerMessage.PartClearances.class,
+            PeerMessage.QuarantineTrial.class,
+            PeerMessage.CondemnedParts.class,
+            PeerMessage.CondemnedRequest.class);
 
     private final ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
 
@@ -47,7 +55,11 @@
                         LoadRequest.class,
                         StoreRecord.class,
                         NodeInfo.class,
-                        PeerMessage.TopicPosition.class)
+                        PeerMessage.TopicPosition.class,
+                        InstanceReport.class,
+                        InstanceReport.BegunRequest.class,
+                        Clearance.class,
+                        Condemnation.class)
                 .forEach(t -> mapper.configOverride(t).setFormat(array));
     }
 
--- a/entry/src/main/java/org/quetzalvane/entry/PeerService.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerService.java
@@ -13,6 +13,7 @@
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.quarantine.PromptQuarantine;
 import org.quetzalvane.core.residency.AdapterLoader;
 import org.quetzalvane.core.residency.EngineController;
 import org.quetzalvane.core.residency.EngineResidency;
@@ -20,6 +21,7 @@
 import org.quetzalvane.core.store.StoreRecord;
 import org.quetzalvane.core.team.NodeInfo;
 import org.quetzalvane.core.team.PeerMessage;
+import org.quetzalvane.core.team.QuarantineExchange;
 import org.quetzalvane.core.team.RecordRelay;
 import org.quetzalvane.core.team.StatusExchange;
 import org.quetzalvane.core.team.StreamOriginTable;
@@ -42,6 +44,7 @@
     private final RecordAccess records;
     private final RecordRelay relay;
     private final StreamOriginTable streamOrigins;
+    private final QuarantineExchange quarantine;
     private final Predicate<PeerMessage.EndpointLeaving> endpointLeaving;
     private final PeerCodec codec = new PeerCodec();
     private final Map<Long, Consumer<Outcome>> pendingLoads = new HashMap<>();
@@ -77,11 +80,17 @@
         this.relay = relay;
         this.exchange = new StatusExchange(scheduler, components, local, this);
         this.streamOrigins = new StreamOriginTable(scheduler, address, components.peers()::knownHubs, this::send);
+        this.quarantine = new QuarantineExchange(
+                scheduler,
+                log,
+                new QuarantineExchange.Peers(
+                        address, this::isHub, components.peers()::knownHubs, this::memberAddresses, this::send));
     }
 
     void start(PeerTransport peerTransport) {
         transport = peerTransport;
         exchange.start();
+        quarantine.start();
     }
 
     /** This node as its peers know it. */
@@ -94,6 +103,11 @@
         return streamOrigins;
     }
 
+    /** Quarantine of requests that crash endpoints, shared with the peers. */
+    PromptQuarantine quarantine() {
+        return quarantine.local();
+    }
+
     /** Whether this node is a hub. */
     boolean isHub() {
         return exchange.isHub();
@@ -117,7 +131,11 @@
     }
 
     private void sendToMembers(PeerMessage m) {
-        components.peers().members().forEach(member -> send(member.address(), m));
+        memberAddresses().forEach(member -> send(member, m));
+    }
+
+    private List<String> memberAddresses() {
+        return components.peers().members().stream().map(NodeInfo::address).toList();
     }
 
     /** Passes records that were just applied on to the nodes that report to this one. */
@@ -208,6 +226,8 @@
             if (r.complete()) {
                 relay.onRecords(r.from(), r.topic());
             }
+        } else if (m != null) {
+            quarantine.receive(m);
         }
     }
 
