--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -14,6 +14,7 @@
     NODE_STOPPED(1004, "The node stopped with nothing left running."),
     TASK_FAILED(1005, "A background task failed; it will be run again."),
     BAD_INPUT(1006, "Input from outside was rejected."),
+    INPUT_TOO_LARGE(1007, "Input from outside exceeded its bound; its connection was closed."),
 
     CONFIG_APPLIED(2001, "A configuration record is in force on this node."),
     CONFIG_REFUSED(2002, "A configuration record was rejected."),
@@ -75,7 +76,8 @@
     ATTEMPT_SILENT(5013, "An attempt made no progress within its timeout; states what could replace it."),
     PROMPT_CONDEMNED(5014, "Endpoints crash under a set of prompt parts; requests that have all of them are refused."),
     PROMPT_ACQUITTED(5015, "A set of prompt parts is no longer condemned."),
-    PROMPT_TRIAL(5016, "A request with condemned prompt parts is sent as a trial, or its trial ended.");
+    PROMPT_TRIAL(5016, "A request with condemned prompt parts is sent as a trial, or its trial ended."),
+    ATTEMPT_KEPT(5017, "The attempt that was to replace a silent one failed or was withdrawn; the silent one goes on.");
 
     private final int number;
     private final String description;
--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.core.serve;
 
 import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.routes.Route;
 
@@ -47,6 +48,15 @@
          */
         void silent(Attempt a);
 
+        /** A head or a chunk of the response arrived. */
+        void progressed(Attempt a);
+
+        /**
+         * Whether a response that the endpoint ran may be passed on; otherwise the attempt ends without another
+         * outcome.
+         */
+        boolean accept(Attempt a, ResponseHead head);
+
         /** The complete response was passed on to the caller. */
         void completed(Attempt a);
 
@@ -81,6 +91,7 @@
     private EndpointClient.Call call;
     private boolean open = true;
     private boolean reading = true;
+    private boolean silenceCounted;
     private boolean firstByteReceived;
     private final SilenceMonitor silence;
     private final ResponseBeginning beginning;
@@ -187,7 +198,8 @@
         boolean alternative = hasAlternative();
         boolean resumable = !callerResponseBegun() || handler.responseStream().resumable();
         AttemptLog.logSilence(context, request, endpoint, silentMs, callerResponseBegun(), resumable, alternative);
-        if (alternative) {
+        if (alternative && !silenceCounted) {
+            silenceCounted = true;
             AttemptLog.logIfSuspended(
                     context, endpoint, context.outlierDetector().recordUnreachable(endpoint.id()), "silent");
         }
@@ -199,6 +211,8 @@
             return;
         }
         head = h;
+        silence.recordProgress();
+        handler.progressed(this);
         if (h.notRun()) {
             close(true);
             handler.refused(this, h);
@@ -209,6 +223,8 @@
                     ResultCode.WRONG_ECHO,
                     "response lacks the attempt id or signature, or has a content encoding",
                     false);
+        } else if (!handler.accept(this, h)) {
+            close(true);
         } else if (h.serverError() && !callerResponseBegun() && hasAlternative() && handler.tryAcquireRetry()) {
             close(true);
             handler.failed(this, ResultCode.ENDPOINT_FAILED, "status=" + h.status(), true);
@@ -228,6 +244,7 @@
         if (!open) {
             return;
         }
+        handler.progressed(this);
         boolean first = !firstByteReceived;
         recordFirstByte();
         long now = context.scheduler().nanoTime();
@@ -345,6 +362,11 @@
 
     private void relayChunk(byte[] chunk) {
         byte[] toSend = handler.responseStream().feed(chunk);
+        if (handler.responseStream().isEventTooLarge()) {
+            context.log().log(EventCode.INPUT_TOO_LARGE, endpoint.id(), "input", "event", "request", request.id());
+            failed(false, "event too large");
+            return;
+        }
         if (toSend.length == 0) {
             return;
         }
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -57,7 +57,7 @@
     private int refusedAttempts;
     private int failedConnects;
     private EngineAcquisition acquisition;
-    private AttemptReplacement replacement;
+    private final SilentAttempts silentAttempts = new SilentAttempts(this::candidateKept);
     private QuarantineGate quarantine;
     private Attempt.Shared shared;
 
@@ -159,25 +159,39 @@
 
     @Override
     public void send(Endpoint e, int version) {
-        long leftMs = (deadlineNanos - context.scheduler().nanoTime()) / 1_000_000;
-        long remainingMs = leftMs - NETWORK_MARGIN_MS;
-        if (remainingMs <= 0) {
-            deadlineReached();
-            return;
-        }
         if (endIfCondemned()) {
             return;
         }
+        current = createAttempt(e);
+        if (current == null) {
+            deadlineReached();
+        } else {
+            sendCandidate(current, version);
+        }
+    }
+
+    @Override
+    public Attempt createCandidate(Endpoint e) {
+        return quarantine.check().maySend() ? createAttempt(e) : null;
+    }
+
+    private Attempt createAttempt(Endpoint e) {
+        return remainingMs() <= 0 ? null : new Attempt(shared, e, service.servesModels());
+    }
+
+    @Override
+    public void sendCandidate(Attempt a, int version) {
         quarantine.sent();
         String lastEventId = responseStream == null ? request.lastEventId() : responseStream.lastId();
         // Route priorities 0, 1 and 2 become engine priorities 1, 3 and 5; larger ones are limited to 9.
         int enginePriority = Math.min(9, 1 + 2 * route.priority());
         boolean requireFresh = !route.retryable();
-        EndpointRequest r =
-                new EndpointRequest(request, remainingMs, enginePriority, version, lastEventId, requireFresh);
-        Attempt a = new Attempt(shared, e, service.servesModels());
-        current = a;
-        a.send(r);
+        a.send(new EndpointRequest(request, remainingMs(), enginePriority, version, lastEventId, requireFresh));
+    }
+
+    /** Time left to an endpoint, ms. */
+    private long remainingMs() {
+        return (deadlineNanos - context.scheduler().nanoTime()) / 1_000_000 - NETWORK_MARGIN_MS;
     }
 
     @Override
@@ -188,6 +202,10 @@
             context.residency().recordAbsent(e, request.adapter());
         }
         refusedAttempts++;
+        if (silentAttempts.isCandidate(a)) {
+            silentAttempts.candidateFailed(a, "status=" + head.status());
+            return;
+        }
         boolean again = refusedAttempts < MAX_REFUSED_ATTEMPTS && tryAcquireRetry();
         log(EventCode.REQUEST_RETRIED, "endpoint", e.id(), "status", head.status(), "not_run", true, "again", again);
         if (again && lacksAdapter && acquisition.repeatLoad(e, triedEndpoints)) {
@@ -204,7 +222,9 @@
     public void unreachable(Attempt a, String cause) {
         Endpoint e = endAttempt(a);
         AttemptLog.logIfSuspended(context, e, context.outlierDetector().recordUnreachable(e.id()), cause);
-        if (++failedConnects < MAX_FAILED_CONNECTS) {
+        if (silentAttempts.isCandidate(a)) {
+            silentAttempts.candidateFailed(a, cause);
+        } else if (++failedConnects < MAX_FAILED_CONNECTS) {
             selectNext();
         } else {
             giveUp(ResultCode.ENDPOINT_UNREACHABLE, cause);
@@ -213,6 +233,15 @@
 
     @Override
     public void failed(Attempt a, ResultCode code, String cause, boolean retryAcquired) {
+        if (silentAttempts.isCandidate(a)) {
+            countFailedAttempt(a, cause);
+            silentAttempts.candidateFailed(a, cause);
+            return;
+        }
+        if (silentAttempts.accept()) {
+            return;
+        }
+        silentAttempts.withdraw("broken off");
         boolean retry = retryAcquired || mayRetryAfterThis() && streamResumable() && tryAcquireRetry();
         recordFailedAttempt(a, cause);
         if (retry) {
@@ -223,31 +252,61 @@
         }
     }
 
+    @Override
+    public boolean accept(Attempt a, ResponseHead head) {
+        if (!silentAttempts.isCandidate(a)) {
+            return true;
+        }
+        if (head.success()) {
+            return silentAttempts.accept();
+        }
+        countFailedAttempt(a, "status=" + head.status());
+        silentAttempts.candidateFailed(a, "status=" + head.status());
+        return false;
+    }
+
     @Override
     public void silent(Attempt a) {
-        boolean searching = replacement != null && !replacement.isDone();
-        boolean replaceable = mayRetryAfterThis()
-                && streamResumable()
-                && context.retryBudget().hasRetry(service.name());
-        if (!searching && replaceable) {
-            replacement = new AttemptReplacement(shared, service, this, a, waitsSince(a));
-            replacement.selectNext();
+        boolean replaceable = !silentAttempts.isReplacing()
+                && remainingMs() >= route.objectiveMs()
+                && mayRetryAfterThis()
+                && streamResumable();
+        if (replaceable && context.retryBudget().tryReserve(service.name())) {
+            silentAttempts.replace(() -> new AttemptReplacement(shared, service, this, a, waitsSince(a)));
+        }
+    }
+
+    @Override
+    public void progressed(Attempt a) {
+        if (a == current) {
+            silentAttempts.withdraw("the endpoint goes on");
         }
     }
 
     @Override
-    public void replace(Attempt a, Endpoint by, int version) {
-        a.giveUp();
-        recordFailedAttempt(a, "silent");
-        logRetry(a.endpoint(), "silent");
-        send(by, version);
+    public void replace(Attempt silent, Attempt candidate) {
+        silent.giveUp();
+        recordFailedAttempt(silent, "silent");
+        logRetry(silent.endpoint(), "silent");
+        current = candidate;
+    }
+
+    private void candidateKept(Attempt candidate, boolean withdrawn, String why) {
+        if (withdrawn) {
+            attemptsThatMayHaveRun++;
+        }
+        log(EventCode.ATTEMPT_KEPT, "candidate", candidate.endpoint().id(), "why", why);
     }
 
     private void recordFailedAttempt(Attempt a, String cause) {
+        countFailedAttempt(a, cause);
+        acquisition.resetAfterAttempt(waitsSince(a));
+    }
+
+    private void countFailedAttempt(Attempt a, String cause) {
         Endpoint e = endAttempt(a);
         AttemptLog.logIfSuspended(context, e, context.outlierDetector().recordFailure(e.id()), cause);
         attemptsThatMayHaveRun++;
-        acquisition.resetAfterAttempt(waitsSince(a));
     }
 
     /** Time since which the caller has received nothing: the last chunk, or the request's arrival. */
@@ -312,6 +371,7 @@
 
     /** The parts of the prompt became condemned while the request waits or runs. */
     private void condemned() {
+        silentAttempts.withdraw("condemned");
         if (current == null) {
             endIfCondemned();
         } else if (!current.isPastBeginning()) {
@@ -335,7 +395,9 @@
     }
 
     private Endpoint endAttempt(Attempt a) {
-        current = null;
+        if (current == a) {
+            current = null;
+        }
         lastEndpoint = a.endpoint().id();
         triedEndpoints.add(lastEndpoint);
         return a.endpoint();
@@ -410,6 +472,7 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel();
         }
+        silentAttempts.close();
         if (current != null) {
             current.cancel();
         }
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -17,6 +17,7 @@
 import org.quetzalvane.core.choice.PrefillEstimator;
 import org.quetzalvane.core.choice.RetryBudgetShare;
 import org.quetzalvane.core.choice.ServiceEndpointSelector;
+import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.fleet.EndpointTable;
 import org.quetzalvane.core.quarantine.PromptQuarantine;
@@ -55,6 +56,7 @@
     final FakeQuarantine quarantine = new FakeQuarantine();
     final FakeCallerResponse response = new FakeCallerResponse();
     private final RetryBudgetShare retryBudget = new RetryBudgetShare(clock, 0.2, 50, 10_000, () -> 1);
+    final List<EventCode> logged = new ArrayList<>();
     private final ServingContext context = context();
 
     private ServingContext context() {
@@ -83,7 +85,7 @@
                 origins,
                 quarantine,
                 client,
-                (code, subject, fields) -> {});
+                (code, subject, fields) -> logged.add(code));
     }
 
     @BeforeEach
@@ -162,10 +164,22 @@
     }
 
     void spendRetryBudget(String service) {
-        boolean granted;
-        do {
-            granted = retryBudget.tryAcquire(service);
-        } while (granted);
+        spendRetryBudget(service, 0);
+    }
+
+    /** Spends all retries of a service but some. */
+    void spendRetryBudget(String service, int left) {
+        int available = 0;
+        while (retryBudget.tryReserve(service)) {
+            available++;
+        }
+        for (int i = 0; i < available; i++) {
+            if (i < left) {
+                retryBudget.returnReserved(service);
+            } else {
+                retryBudget.useReserved(service);
+            }
+        }
     }
 
     void advance(long ms) {
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -253,6 +253,7 @@
                 new Admission(),
                 retries,
                 peerService.streamOrigins(),
+                peerService.quarantine(),
                 gateway,
                 log);
     }
