--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -1,7 +1,6 @@
 package org.quetzalvane.core.serve;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 
@@ -22,10 +21,6 @@
  * Confined to the event loop.
  */
 public final class RequestFlow implements Attempt.Handler, EngineAcquisition.Handler, AttemptReplacement.Handler {
-    /** Attempts refused by endpoints without running the request, after which the request is refused. */
-    private static final int MAX_REFUSED_ATTEMPTS = 3;
-    /** Failed connections after which the request is refused. */
-    private static final int MAX_FAILED_CONNECTS = 4;
     /**
      * Retry time sent to the caller when no better estimate exists, ms: one load from the weight store (265 ms) and a
      * margin.
@@ -49,13 +44,9 @@
     private Scheduler.Timer deadlineTimer;
     private boolean done;
     private Attempt current;
-    private String lastEndpoint;
     private ResponseStream responseStream;
     private StreamVersion streamVersion;
-    private final Set<String> triedEndpoints = new HashSet<>();
-    private int attemptsThatMayHaveRun;
-    private int refusedAttempts;
-    private int failedConnects;
+    private final AttemptHistory history;
     private EngineAcquisition acquisition;
     private final SilentAttempts silentAttempts = new SilentAttempts(this::candidateKept);
     private QuarantineGate quarantine;
@@ -67,6 +58,7 @@
         this.request = request;
         this.response = response;
         this.requestLog = new RequestLog(context, request);
+        this.history = new AttemptHistory(context);
         this.arrivedNanos = context.scheduler().nanoTime();
     }
 
@@ -113,7 +105,7 @@
         if (done) {
             return;
         }
-        log(EventCode.REQUEST_CANCELLED, "after_ms", elapsedMs(), "sends", attemptsThatMayHaveRun + refusedAttempts);
+        log(EventCode.REQUEST_CANCELLED, "after_ms", elapsedMs(), "sends", history.sends());
         finish();
     }
 
@@ -131,7 +123,7 @@
 
     @Override
     public boolean mayHaveRun() {
-        return attemptsThatMayHaveRun > 0;
+        return history.mayHaveRun() > 0;
     }
 
     @Override
@@ -146,12 +138,15 @@
             return;
         }
         if (service.servesModels() && request.adapter() != null) {
-            acquisition.tryNext(usable, triedEndpoints);
+            acquisition.tryNext(usable, history.triedEndpoints());
             return;
         }
-        Endpoint e = context.serviceEndpointSelector().select(usable, triedEndpoints, request.id());
+        Endpoint e = context.serviceEndpointSelector().select(usable, history.triedEndpoints(), request.id());
         if (e == null) {
-            giveUp(ResultCode.NO_ENGINE, "endpoints=" + usable.size() + " tried=" + triedEndpoints.size());
+            giveUp(
+                    ResultCode.NO_ENGINE,
+                    "endpoints=" + usable.size() + " tried="
+                            + history.triedEndpoints().size());
         } else {
             send(e, RequiredVersions.ANY_VERSION);
         }
@@ -196,19 +191,20 @@
 
     @Override
     public void refused(Attempt a, ResponseHead head) {
-        Endpoint e = endAttempt(a);
+        clearCurrent(a);
+        Endpoint e = a.endpoint();
         boolean lacksAdapter = head.misdirected() && request.adapter() != null;
         if (lacksAdapter) {
             context.residency().recordAbsent(e, request.adapter());
         }
-        refusedAttempts++;
+        boolean mayAskAnother = history.recordRefusal(a);
         if (silentAttempts.isCandidate(a)) {
             silentAttempts.candidateFailed(a, "status=" + head.status());
             return;
         }
-        boolean again = refusedAttempts < MAX_REFUSED_ATTEMPTS && tryAcquireRetry();
+        boolean again = mayAskAnother && tryAcquireRetry();
         log(EventCode.REQUEST_RETRIED, "endpoint", e.id(), "status", head.status(), "not_run", true, "again", again);
-        if (again && lacksAdapter && acquisition.repeatLoad(e, triedEndpoints)) {
+        if (again && lacksAdapter && acquisition.repeatLoad(e, history.triedEndpoints())) {
             return;
         }
         if (again) {
@@ -220,11 +216,11 @@
 
     @Override
     public void unreachable(Attempt a, String cause) {
-        Endpoint e = endAttempt(a);
-        AttemptLog.logIfSuspended(context, e, context.outlierDetector().recordUnreachable(e.id()), cause);
+        clearCurrent(a);
+        boolean mayAskAnother = history.recordUnreachable(a, cause);
         if (silentAttempts.isCandidate(a)) {
             silentAttempts.candidateFailed(a, cause);
-        } else if (++failedConnects < MAX_FAILED_CONNECTS) {
+        } else if (mayAskAnother) {
             selectNext();
         } else {
             giveUp(ResultCode.ENDPOINT_UNREACHABLE, cause);
@@ -234,7 +230,7 @@
     @Override
     public void failed(Attempt a, ResultCode code, String cause, boolean retryAcquired) {
         if (silentAttempts.isCandidate(a)) {
-            countFailedAttempt(a, cause);
+            history.recordFailure(a, cause);
             silentAttempts.candidateFailed(a, cause);
             return;
         }
@@ -260,7 +256,7 @@
         if (head.success()) {
             return silentAttempts.accept();
         }
-        countFailedAttempt(a, "status=" + head.status());
+        history.recordFailure(a, "status=" + head.status());
         silentAttempts.candidateFailed(a, "status=" + head.status());
         return false;
     }
@@ -293,22 +289,17 @@
 
     private void candidateKept(Attempt candidate, boolean withdrawn, String why) {
         if (withdrawn) {
-            attemptsThatMayHaveRun++;
+            history.recordCancelled();
         }
         log(EventCode.ATTEMPT_KEPT, "candidate", candidate.endpoint().id(), "why", why);
     }
 
     private void recordFailedAttempt(Attempt a, String cause) {
-        countFailedAttempt(a, cause);
+        clearCurrent(a);
+        history.recordFailure(a, cause);
         acquisition.resetAfterAttempt(waitsSince(a));
     }
 
-    private void countFailedAttempt(Attempt a, String cause) {
-        Endpoint e = endAttempt(a);
-        AttemptLog.logIfSuspended(context, e, context.outlierDetector().recordFailure(e.id()), cause);
-        attemptsThatMayHaveRun++;
-    }
-
     /** Time since which the caller has received nothing: the last chunk, or the request's arrival. */
     private long waitsSince(Attempt a) {
         return responseStream == null ? arrivedNanos : a.lastProgressNanos();
@@ -321,14 +312,14 @@
 
     @Override
     public void completed(Attempt a) {
-        endAttempt(a);
-        log(EventCode.REQUEST_DONE, RequestLog.doneFields(a, attemptsThatMayHaveRun + 1, arrivedNanos));
+        clearCurrent(a);
+        log(EventCode.REQUEST_DONE, RequestLog.doneFields(a, history.mayHaveRun() + 1, arrivedNanos));
         finish();
     }
 
     @Override
     public boolean mayRetryAfterThis() {
-        return route.retryable() && attemptsThatMayHaveRun + 1 < route.maxAttempts();
+        return history.permitsAnother(route);
     }
 
     @Override
@@ -358,7 +349,7 @@
 
     @Override
     public Set<String> triedEndpoints() {
-        return triedEndpoints;
+        return history.triedEndpoints();
     }
 
     private boolean endIfCondemned() {
@@ -375,7 +366,7 @@
         if (current == null) {
             endIfCondemned();
         } else if (!current.isPastBeginning()) {
-            attemptsThatMayHaveRun++;
+            history.recordCancelled();
             fail(
                     ResultCode.OUTCOME_UNKNOWN,
                     "parts of the prompt were condemned before the response was past its beginning");
@@ -390,17 +381,16 @@
         } else if (version != null) {
             giveUp(ResultCode.STREAM_NOT_RESUMABLE, "no endpoint of software version " + version);
         } else {
-            giveUp(ResultCode.NO_ENGINE, "endpoints=0 tried=" + triedEndpoints.size());
+            giveUp(
+                    ResultCode.NO_ENGINE,
+                    "endpoints=0 tried=" + history.triedEndpoints().size());
         }
     }
 
-    private Endpoint endAttempt(Attempt a) {
-        if (current == a) {
+    private void clearCurrent(Attempt ended) {
+        if (current == ended) {
             current = null;
         }
-        lastEndpoint = a.endpoint().id();
-        triedEndpoints.add(lastEndpoint);
-        return a.endpoint();
     }
 
     private boolean streamResumable() {
@@ -417,7 +407,7 @@
 
     @Override
     public void giveUp(ResultCode code, long retryAfterMs, String cause) {
-        if (attemptsThatMayHaveRun > 0) {
+        if (history.mayHaveRun() > 0) {
             fail(ResultCode.OUTCOME_UNKNOWN, cause);
         } else {
             refuse(code, retryAfterMs, cause);
@@ -431,7 +421,8 @@
     }
 
     private void fail(ResultCode code, String cause) {
-        String endpoint = current == null ? lastEndpoint : current.endpoint().id();
+        String endpoint =
+                current == null ? history.lastEndpoint() : current.endpoint().id();
         log(
                 EventCode.REQUEST_FAILED,
                 "code",
@@ -439,7 +430,7 @@
                 "endpoint",
                 endpoint,
                 "sends",
-                attemptsThatMayHaveRun,
+                history.mayHaveRun(),
                 "begun",
                 responseStream != null,
                 "why",
@@ -456,7 +447,7 @@
         if (done) {
             return;
         }
-        boolean mayHaveRun = attemptsThatMayHaveRun > 0 || current != null;
+        boolean mayHaveRun = history.mayHaveRun() > 0 || current != null;
         if (mayHaveRun) {
             fail(ResultCode.PROGRESS_TIMEOUT, "deadline");
         } else {
