Condemn no sound prompt part in waves, flaps, releases and connection resets

Causes: a request sent again counted twice, a window of 250 ms and three crashes are met by chance, and an instance that lived on after a reset kept its end. Now each counted crash needs another request, four within 200 ms of the head (six or ten in weaker cases), no older request with the part at an end; ends are judged 200 ms after them; a response that began later shows that an instance lives; ends of one endpoint within 4 s count for nothing.

Six crashes within 1 s condemned a part while all engines flapped, hence ten.

QuarantineExchangeTest (16) and QuarantineBoundsTest (4) pass.

--- a/core/src/main/java/org/quetzalvane/core/quarantine/CrashEvidence.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/CrashEvidence.java
@@ -25,7 +25,7 @@
      * Age from which an end is judged, ms: reports of all nodes and passes at the same time have arrived. Nodes that
      * judge what they alone have seen condemn parts that many requests have.
      */
-    static final long SETTLE_MS = 100;
+    static final long SETTLE_MS = 200;
     /** Largest number of ends of a service that are judged: the newest, and those that condemn. */
     static final int MAX_JUDGED = 64;
     /** Largest number of instances kept; the oldest are evicted. */
@@ -53,14 +53,17 @@
 
     /**
      * The record to which a break at a time belongs; a new one if there is none or if the instance lived on after the
-     * breaks of the former one.
+     * breaks of the former one: if it broke again later, or a response began after.
+     *
+     * @param beganNanos time at which the latest response began that broke
      */
-    InstanceRecord recordFor(String service, Instance i, long breakNanos) {
+    InstanceRecord recordFor(String service, Instance i, long breakNanos, long beganNanos) {
         InstanceRecord r = records.get(i);
         boolean livedOn = r != null
                 && r.broken() > 0
                 && !pinned.contains(i)
-                && breakNanos - r.newestNanos() > InstanceRecord.END_WINDOW_MS * 1_000_000;
+                && (breakNanos - r.newestNanos() > InstanceRecord.END_WINDOW_MS * 1_000_000
+                        || beganNanos - r.newestNanos() > InstanceRecord.NOTICE_MS * 1_000_000);
         if (r == null || livedOn) {
             records.remove(i);
             r = new InstanceRecord(service, i.endpoint(), i.bornMs());
@@ -94,13 +97,13 @@
         return services;
     }
 
-    /** Ended instances of a service in order of time, but those that ended less than {@link #SETTLE_MS} ago. */
-    List<CrashEnd> ends(String service) {
+    /** Ended instances of a service in order of time, of at least an age in ms. */
+    List<CrashEnd> ends(String service, long minAgeMs) {
         long now = scheduler.nanoTime();
         List<CrashEnd> ends = new ArrayList<>();
         for (InstanceRecord r : records.values()) {
             CrashEnd e = r.service().equals(service) ? r.end() : null;
-            if (e != null && now - e.endedNanos() >= SETTLE_MS * 1_000_000) {
+            if (e != null && now - e.endedNanos() >= minAgeMs * 1_000_000) {
                 ends.add(e);
             }
         }
--- a/core/src/main/java/org/quetzalvane/core/quarantine/CrashJudge.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/CrashJudge.java
@@ -16,27 +16,27 @@
  * <p>A function of its arguments, so that nodes with the same evidence decide alike. Stateless and thread-safe.
  */
 final class CrashJudge {
-    /** Age up to which a request is a prompt suspect, ms; twice the longest age observed, 122 ms. */
-    static final long PROMPT_MS = 250;
-    /** Instances that end within this time of the first one count as one in shares, ms. */
-    private static final long CLUSTER_MS = 100;
+    /** Age up to which a request is a prompt suspect, ms; the longest age observed was 122 ms. */
+    static final long PROMPT_MS = 200;
     /** What condemns a part; one row suffices. */
     private static final List<Rule> RULES = List.of(
-            new Rule(3, PROMPT_MS, 2 / 3.0),
-            new Rule(5, PROMPT_MS, 1 / 3.0),
-            new Rule(5, PromptQuarantine.BEGINNING_MS, 2 / 3.0));
+            new Rule(4, PROMPT_MS, 2 / 3.0),
+            new Rule(6, PROMPT_MS, 1 / 3.0),
+            new Rule(10, PromptQuarantine.BEGINNING_MS, 2 / 3.0));
     /** Fewest endpoint ids among the counted crashes: one endpoint may fail by itself again and again. */
     private static final int MIN_ENDPOINTS = 2;
-    /** Fewest requests among the counted crashes: one request alone may be sent again and again. */
-    private static final int MIN_REQUESTS = 2;
+    /** Time after an end within which the next one of the endpoint is its own fault, ms; engines need 5 s. */
+    private static final long FLAP_MS = 4_000;
+    /** Instances that end within this time of the first one count as one, ms. */
+    private static final long CLUSTER_MS = 100;
 
     private CrashJudge() {}
 
     /**
      * Condition under which a part is condemned.
      *
-     * @param crashes counted crashes
-     * @param maxAgeMs age up to which a request counts, ms
+     * @param crashes counted crashes, each under another request
+     * @param maxAgeMs age up to which a request counts, ms; an older one with the part disproves it
      * @param share share of the ends since the first counted crash at which such a request was found
      */
     private record Rule(int crashes, long maxAgeMs, double share) {}
@@ -75,6 +75,7 @@
      */
     static List<Finding> judge(List<CrashEnd> ends, List<PartSet> explained, Passes passes) {
         List<CrashEnd> open = new ArrayList<>(ends);
+        open.removeIf(e -> isFlap(e, ends));
         open.removeIf(e -> explained.stream().anyMatch(p -> explains(p, e)));
         List<Finding> findings = new ArrayList<>();
         Finding next = best(open, passes);
@@ -138,55 +139,48 @@
             List<Hit> young =
                     hits.stream().filter(h -> h.begun.ageMs() <= rule.maxAgeMs).toList();
             List<Hit> counted = count(young);
-            if (counted.size() < rule.crashes || !distinct(counted)) {
+            if (counted.size() < rule.crashes || endpoints(counted) < MIN_ENDPOINTS) {
                 continue;
             }
             long since = counted.get(0).end.endedNanos();
+            boolean survived =
+                    hits.stream().anyMatch(h -> h.begun.ageMs() > rule.maxAgeMs && h.end.endedNanos() - since >= 0);
             List<CrashEnd> window =
                     ends.stream().filter(e -> e.endedNanos() - since >= 0).toList();
             Set<CrashEnd> hit = Collections.newSetFromMap(new IdentityHashMap<>());
             young.forEach(h -> hit.add(h.end));
-            if (share(window, hit) >= rule.share && passes.servedSince(since)) {
-                PartSet common = common(part, young, passes);
+            if (!survived && share(window, hit) >= rule.share && passes.servedSince(since)) {
                 List<CrashEnd> crashes = counted.stream().map(Hit::end).toList();
-                return new Finding(common, crashes, hit.size());
+                return new Finding(common(part, young, passes), crashes, hit.size());
             }
         }
         return null;
     }
 
-    /**
-     * The crashes that count: at each, a request with the part had begun after the one counted before. Requests not
-     * seen at the counted crashes are preferred.
-     */
+    /** The crashes that count: at each, another request with the part had begun after the one counted before. */
     private static List<Hit> count(List<Hit> hits) {
         List<Hit> counted = new ArrayList<>();
         Set<Long> requests = new HashSet<>();
-        for (int i = 0; i < hits.size(); ) {
-            CrashEnd end = hits.get(i).end;
-            Hit chosen = null;
-            for (; i < hits.size() && hits.get(i).end == end; i++) {
-                Hit h = hits.get(i);
-                boolean later = counted.isEmpty()
-                        || h.begun.beganNanos()
-                                        - counted.get(counted.size() - 1).end.endedNanos()
-                                > 0;
-                if (later && (chosen == null || requests.contains(chosen.begun.request()))) {
-                    chosen = h;
-                }
-            }
-            if (chosen != null) {
-                counted.add(chosen);
-                requests.add(chosen.begun.request());
+        for (Hit h : hits) {
+            Hit last = counted.isEmpty() ? null : counted.get(counted.size() - 1);
+            boolean later = last == null || h.begun.beganNanos() - last.end.endedNanos() > 0;
+            if (later && requests.add(h.begun.request())) {
+                counted.add(h);
             }
         }
         return counted;
     }
 
-    private static boolean distinct(List<Hit> counted) {
-        long endpoints = counted.stream().map(h -> h.end.endpoint()).distinct().count();
-        long requests = counted.stream().map(h -> h.begun.request()).distinct().count();
-        return endpoints >= MIN_ENDPOINTS && requests >= MIN_REQUESTS;
+    /** Whether another instance of the endpoint had ended shortly before. */
+    private static boolean isFlap(CrashEnd end, List<CrashEnd> ends) {
+        return ends.stream()
+                .anyMatch(e -> e.endpoint().equals(end.endpoint())
+                        && e.endedNanos() - end.endedNanos() < 0
+                        && end.endedNanos() - e.endedNanos() < FLAP_MS * 1_000_000);
+    }
+
+    private static long endpoints(List<Hit> counted) {
+        return counted.stream().map(h -> h.end.endpoint()).distinct().count();
     }
 
     /** Share of the ends, those close together taken as one, among which is one of the given ends. */
--- a/core/src/main/java/org/quetzalvane/core/quarantine/InstanceRecord.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/InstanceRecord.java
@@ -18,6 +18,8 @@
     static final long BREAK_WINDOW_MS = 200;
     /** Time after its end within which nodes notice it, ms; a later break shows that the instance lived on. */
     static final long END_WINDOW_MS = 3_000;
+    /** Time after a break from which a response that begins shows that the instance lives, ms. */
+    static final long NOTICE_MS = 50;
     /** Largest number of begun requests kept: the youngest, of which one crashed the instance. */
     static final int MAX_BEGUN = 32;
     /** Largest number of nodes whose breaks are kept; two suffice. */
--- a/core/src/main/java/org/quetzalvane/core/quarantine/QuarantineState.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/QuarantineState.java
@@ -81,7 +81,7 @@
     void recordBroken(Endpoint e, PartSet parts, long request, long beginningMs) {
         long now = scheduler.nanoTime();
         CrashEvidence.Instance i = new CrashEvidence.Instance(e.id(), e.bornMs());
-        InstanceRecord r = recordFor(e.service(), i, now);
+        InstanceRecord r = recordFor(e.service(), i, now, now - beginningMs * 1_000_000);
         r.addOwnBreak(self, now);
         List<CrashEnd.Begun> begun = unsent.computeIfAbsent(i, k -> new ArrayList<>());
         boolean beginning = beginningMs >= 0 && beginningMs < PromptQuarantine.BEGINNING_MS;
@@ -141,7 +141,11 @@
         long now = scheduler.nanoTime();
         long broke = now - report.ageMs() * 1_000_000;
         CrashEvidence.Instance i = new CrashEvidence.Instance(report.endpoint(), report.bornMs());
-        InstanceRecord r = recordFor(report.service(), i, broke);
+        long youngestMs = report.begun().stream()
+                .mapToLong(b -> b.brokeMs() + b.ageMs())
+                .min()
+                .orElse(Long.MAX_VALUE / 1_000_000);
+        InstanceRecord r = recordFor(report.service(), i, broke, now - youngestMs * 1_000_000);
         boolean news = r.addReportedBreak(from, report.broken(), broke);
         news |= report.refused() && r.addRefusal(now);
         List<CrashEnd.Begun> added = new ArrayList<>();
@@ -224,8 +228,8 @@
         Set<String> services = evidence.services();
         repeatedParts.keySet().retainAll(services);
         for (String service : services) {
-            List<CrashEnd> ends = evidence.ends(service);
-            repeatedParts.put(service, CrashEvidence.repeatedParts(ends));
+            List<CrashEnd> ends = evidence.ends(service, CrashEvidence.SETTLE_MS);
+            repeatedParts.put(service, CrashEvidence.repeatedParts(evidence.ends(service, 0)));
             added.addAll(judge(service, ends));
         }
         evidence.pin(condemned.evidence());
@@ -306,8 +310,8 @@
         return newest != null && p != null && p.isNewsAfter(newest);
     }
 
-    private InstanceRecord recordFor(String service, CrashEvidence.Instance i, long breakNanos) {
-        InstanceRecord r = evidence.recordFor(service, i, breakNanos);
+    private InstanceRecord recordFor(String service, CrashEvidence.Instance i, long breakNanos, long beganNanos) {
+        InstanceRecord r = evidence.recordFor(service, i, breakNanos, beganNanos);
         Long refused = refusals.get(i);
         if (refused != null) {
             r.addRefusal(refused);
--- a/core/src/main/java/org/quetzalvane/core/team/QuarantineExchange.java
+++ b/core/src/main/java/org/quetzalvane/core/team/QuarantineExchange.java
@@ -29,7 +29,7 @@
     /** Time for which breaks are collected before they are reported, ms; an end breaks all connections within 6 ms. */
     static final long REPORT_DELAY_MS = 20;
     /** Longest time that a node waits whether another one shares a clearance first, ms. */
-    static final long CLEARANCE_SPREAD_MS = 150;
+    static final long CLEARANCE_SPREAD_MS = 100;
     /** Interval of the checks for new hubs and for a node that stood still, ms. */
     static final long CHECK_INTERVAL_MS = 500;
     /** Interval at which hubs repeat what is condemned, ms; also the age from which a repeated judgement is settled. */
