Let earlier passes show that engines are sound when a new part crashes them

With few requests every sound one was on the engines that ended, so that none got past its beginning after the first crash and the crashing part was not condemned before all engines had ended.

--- a/core/src/main/java/org/quetzalvane/core/quarantine/CrashJudge.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/CrashJudge.java
@@ -51,6 +51,12 @@
 
         /** Whether any response of the service got past its beginning after the time. */
         boolean servedSince(long nanos);
+
+        /** Whether any response of the service got past its beginning within the time for which passes are kept. */
+        boolean servedLately();
+
+        /** Whether a response with the part got past its beginning within that time. */
+        boolean hasPassed(long part);
     }
 
     /**
@@ -149,7 +155,7 @@
                     ends.stream().filter(e -> e.endedNanos() - since >= 0).toList();
             Set<CrashEnd> hit = Collections.newSetFromMap(new IdentityHashMap<>());
             young.forEach(h -> hit.add(h.end));
-            if (!survived && share(window, hit) >= rule.share && passes.servedSince(since)) {
+            if (!survived && share(window, hit) >= rule.share && othersPass(part, since, passes)) {
                 List<CrashEnd> crashes = counted.stream().map(Hit::end).toList();
                 return new Finding(common(part, young, passes), crashes, hit.size());
             }
@@ -157,6 +163,15 @@
         return null;
     }
 
+    /**
+     * Whether requests without the part get past their beginning, so that the engines are not at fault. A part that
+     * passed before the crashes needs a pass after the first of them. For one that never passed, earlier passes of
+     * others do, because all engines may end before a sound request gets through.
+     */
+    private static boolean othersPass(long part, long since, Passes passes) {
+        return passes.servedSince(since) || !passes.hasPassed(part) && passes.servedLately();
+    }
+
     /** The crashes that count: at each, another request with the part had begun after the one counted before. */
     private static List<Hit> count(List<Hit> hits) {
         List<Hit> counted = new ArrayList<>();
--- a/core/src/main/java/org/quetzalvane/core/quarantine/PassTable.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/PassTable.java
@@ -95,6 +95,11 @@
         return at != null && at - nanos > 0;
     }
 
+    /** Whether a response of a service got past its beginning within the time for which passes are kept. */
+    boolean servedLately(String service) {
+        return servedSince(service, scheduler.nanoTime() - RETENTION_MS * 1_000_000);
+    }
+
     /**
      * Records a pass of a part.
      *
--- a/core/src/main/java/org/quetzalvane/core/quarantine/QuarantineState.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/QuarantineState.java
@@ -371,5 +371,15 @@
         public boolean servedSince(long nanos) {
             return passes.servedSince(service, nanos);
         }
+
+        @Override
+        public boolean servedLately() {
+            return passes.servedLately(service);
+        }
+
+        @Override
+        public boolean hasPassed(long part) {
+            return passes.find(part) != null;
+        }
     }
 }
