Ask a peer what is condemned as soon as it is connected

A node that had just started sent requests with a condemned part to engines for up to half a second, until its next check for new hubs. It asks each peer when the connection is made.

--- a/core/src/main/java/org/quetzalvane/core/team/QuarantineExchange.java
+++ b/core/src/main/java/org/quetzalvane/core/team/QuarantineExchange.java
@@ -196,6 +196,11 @@
         }
     }
 
+    /** Asks a peer to which a connection was made, so that a node that starts knows at once what is condemned. */
+    public void peerConnected(String peer) {
+        peers.network().test(peer, new PeerMessage.CondemnedRequest(peers.self()));
+    }
+
     private void check() {
         long now = scheduler.nanoTime();
         boolean stalled = now - checkedNanos > STALL_MS * 1_000_000;
--- a/entry/src/main/java/org/quetzalvane/entry/PeerService.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerService.java
@@ -233,7 +233,9 @@
 
     /** Called when the connection to a peer is made or lost. Status, loads and usage of a lost peer are dropped. */
     void connectionChanged(String peer, boolean connected) {
-        if (!connected) {
+        if (connected) {
+            quarantine.peerConnected(peer);
+        } else {
             log.log(EventCode.PEER_LOST, peer);
             exchange.onDisconnect(peer);
         }
