--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -1,18 +1,16 @@
 package org.quetzalvane.core.serve;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.quarantine.Verdict;
 import org.quetzalvane.core.routes.RequiredVersions;
 import org.quetzalvane.core.routes.Route;
 import org.quetzalvane.core.routes.ServiceSpec;
-import org.quetzalvane.core.routes.ServingConfig;
 import org.quetzalvane.core.time.Scheduler;
 
 /**
@@ -23,10 +21,6 @@
  * Confined to the event loop.
  */
 public final class RequestFlow implements Attempt.Handler, EngineAcquisition.Handler, AttemptReplacement.Handler {
-    /** Attempts refused by endpoints without running the request, after which the request is refused. */
-    private static final int MAX_REFUSED_ATTEMPTS = 3;
-    /** Failed connections after which the request is refused. */
-    private static final int MAX_FAILED_CONNECTS = 4;
     /**
      * Retry time sent to the caller when no better estimate exists, ms: one load from the weight store (265 ms) and a
      * margin.
@@ -50,15 +44,12 @@
     private Scheduler.Timer deadlineTimer;
     private boolean done;
     private Attempt current;
-    private String lastEndpoint;
     private ResponseStream responseStream;
     private StreamVersion streamVersion;
-    private final Set<String> triedEndpoints = new HashSet<>();
-    private int attemptsThatMayHaveRun;
-    private int refusedAttempts;
-    private int failedConnects;
+    private final AttemptHistory history;
     private EngineAcquisition acquisition;
-    private AttemptReplacement replacement;
+    private final SilentAttempts silentAttempts = new SilentAttempts(this::candidateKept);
+    private QuarantineGate quarantine;
     private Attempt.Shared shared;
 
     /** Creates the flow of a request that has just arrived. */
@@ -67,32 +58,17 @@
         this.request = request;
         this.response = response;
         this.requestLog = new RequestLog(context, request);
+        this.history = new AttemptHistory(context);
         this.arrivedNanos = context.scheduler().nanoTime();
     }
 
     /** Starts handling the request; the response may be sent within this call. */
     public void start() {
-        Optional<ServingConfig> config = context.config().current();
-        if (config.isEmpty()) {
-            refuse(ResultCode.NOT_READY, DEFAULT_RETRY_AFTER_MS, "no configuration received yet");
-            return;
-        }
-        route = config.get().match(request.host(), request.path()).orElse(null);
-        if (route == null) {
-            refuse(
-                    ResultCode.UNKNOWN_PATH,
-                    -1,
-                    "no route for the host and path in configuration version "
-                            + config.get().version());
-            return;
-        }
-        service = config.get().service(route.serviceFor(request.id()));
-        if (service == null) {
-            refuse(
-                    ResultCode.UNKNOWN_SERVICE,
-                    -1,
-                    "the service of the route is missing in configuration version "
-                            + config.get().version());
+        RouteMatch match = RouteMatch.of(context.config().current(), request);
+        route = match.route();
+        service = match.service();
+        if (match.refusal() != null) {
+            refuse(match.refusal(), match.retryAfterMs(), match.cause());
             return;
         }
         context.retryBudget().recordRequest(service.name());
@@ -102,6 +78,8 @@
         if (request.adapter() != null) {
             context.adapterDemand().recordRequest(request.adapter());
         }
+        quarantine = new QuarantineGate(context.quarantine(), request, service.name());
+        quarantine.watch(this::condemned);
         shared = new Attempt.Shared(context, request, route, response, this);
         acquisition = new EngineAcquisition(context, request, route, this);
         streamVersion = new StreamVersion(context, request, route);
@@ -127,7 +105,7 @@
         if (done) {
             return;
         }
-        log(EventCode.REQUEST_CANCELLED, "after_ms", elapsedMs(), "sends", attemptsThatMayHaveRun + refusedAttempts);
+        log(EventCode.REQUEST_CANCELLED, "after_ms", elapsedMs(), "sends", history.sends());
         finish();
     }
 
@@ -145,11 +123,14 @@
 
     @Override
     public boolean mayHaveRun() {
-        return attemptsThatMayHaveRun > 0;
+        return history.mayHaveRun() > 0;
     }
 
     @Override
     public void selectNext() {
+        if (endIfCondemned()) {
+            return;
+        }
         String version = streamVersion.required();
         List<Endpoint> usable = context.endpoints().usable(service.name(), version);
         if (usable.isEmpty()) {
@@ -157,12 +138,15 @@
             return;
         }
         if (service.servesModels() && request.adapter() != null) {
-            acquisition.tryNext(usable, triedEndpoints);
+            acquisition.tryNext(usable, history.triedEndpoints());
             return;
         }
-        Endpoint e = context.serviceEndpointSelector().select(usable, triedEndpoints, request.id());
+        Endpoint e = context.serviceEndpointSelector().select(usable, history.triedEndpoints(), request.id());
         if (e == null) {
-            giveUp(ResultCode.NO_ENGINE, "endpoints=" + usable.size() + " tried=" + triedEndpoints.size());
+            giveUp(
+                    ResultCode.NO_ENGINE,
+                    "endpoints=" + usable.size() + " tried="
+                            + history.triedEndpoints().size());
         } else {
             send(e, RequiredVersions.ANY_VERSION);
         }
@@ -170,7 +154,10 @@
 
     @Override
     public void send(Endpoint e, int version) {
-        current = createCandidate(e);
+        if (endIfCondemned()) {
+            return;
+        }
+        current = createAttempt(e);
         if (current == null) {
             deadlineReached();
         } else {
@@ -180,11 +167,16 @@
 
     @Override
     public Attempt createCandidate(Endpoint e) {
+        return quarantine.check().maySend() ? createAttempt(e) : null;
+    }
+
+    private Attempt createAttempt(Endpoint e) {
         return remainingMs() <= 0 ? null : new Attempt(shared, e, service.servesModels());
     }
 
     @Override
     public void sendCandidate(Attempt a, int version) {
+        quarantine.sent();
         String lastEventId = responseStream == null ? request.lastEventId() : responseStream.lastId();
         // Route priorities 0, 1 and 2 become engine priorities 1, 3 and 5; larger ones are limited to 9.
         int enginePriority = Math.min(9, 1 + 2 * route.priority());
@@ -199,19 +191,20 @@
 
     @Override
     public void refused(Attempt a, ResponseHead head) {
-        Endpoint e = endAttempt(a);
+        clearCurrent(a);
+        Endpoint e = a.endpoint();
         boolean lacksAdapter = head.misdirected() && request.adapter() != null;
         if (lacksAdapter) {
             context.residency().recordAbsent(e, request.adapter());
         }
-        refusedAttempts++;
-        if (isCandidate(a)) {
-            keepSilentAttempt(a, "status=" + head.status());
+        boolean mayAskAnother = history.recordRefusal(a);
+        if (silentAttempts.isCandidate(a)) {
+            silentAttempts.candidateFailed(a, "status=" + head.status());
             return;
         }
-        boolean again = refusedAttempts < MAX_REFUSED_ATTEMPTS && tryAcquireRetry();
+        boolean again = mayAskAnother && tryAcquireRetry();
         log(EventCode.REQUEST_RETRIED, "endpoint", e.id(), "status", head.status(), "not_run", true, "again", again);
-        if (again && lacksAdapter && acquisition.repeatLoad(e, triedEndpoints)) {
+        if (again && lacksAdapter && acquisition.repeatLoad(e, history.triedEndpoints())) {
             return;
         }
         if (again) {
@@ -223,11 +216,11 @@
 
     @Override
     public void unreachable(Attempt a, String cause) {
-        Endpoint e = endAttempt(a);
-        SuspensionLog.logIfSuspended(context, e, context.outlierDetector().recordUnreachable(e.id()), cause);
-        if (isCandidate(a)) {
-            keepSilentAttempt(a, cause);
-        } else if (++failedConnects < MAX_FAILED_CONNECTS) {
+        clearCurrent(a);
+        boolean mayAskAnother = history.recordUnreachable(a, cause);
+        if (silentAttempts.isCandidate(a)) {
+            silentAttempts.candidateFailed(a, cause);
+        } else if (mayAskAnother) {
             selectNext();
         } else {
             giveUp(ResultCode.ENDPOINT_UNREACHABLE, cause);
@@ -236,15 +229,15 @@
 
     @Override
     public void failed(Attempt a, ResultCode code, String cause, boolean retryAcquired) {
-        if (isCandidate(a)) {
-            countFailedAttempt(a, cause);
-            keepSilentAttempt(a, cause);
+        if (silentAttempts.isCandidate(a)) {
+            history.recordFailure(a, cause);
+            silentAttempts.candidateFailed(a, cause);
             return;
         }
-        if (replacement != null && replacement.accept()) {
+        if (silentAttempts.accept()) {
             return;
         }
-        withdrawReplacement("broken off");
+        silentAttempts.withdraw("broken off");
         boolean retry = retryAcquired || mayRetryAfterThis() && streamResumable() && tryAcquireRetry();
         recordFailedAttempt(a, cause);
         if (retry) {
@@ -257,33 +250,32 @@
 
     @Override
     public boolean accept(Attempt a, ResponseHead head) {
-        if (!isCandidate(a)) {
+        if (!silentAttempts.isCandidate(a)) {
             return true;
         }
         if (head.success()) {
-            return replacement.accept();
+            return silentAttempts.accept();
         }
-        countFailedAttempt(a, "status=" + head.status());
-        keepSilentAttempt(a, "status=" + head.status());
+        history.recordFailure(a, "status=" + head.status());
+        silentAttempts.candidateFailed(a, "status=" + head.status());
         return false;
     }
 
     @Override
     public void silent(Attempt a) {
-        boolean replaceable = !isReplacementActive()
+        boolean replaceable = !silentAttempts.isReplacing()
                 && remainingMs() >= route.objectiveMs()
                 && mayRetryAfterThis()
                 && streamResumable();
         if (replaceable && context.retryBudget().tryReserve(service.name())) {
-            replacement = new AttemptReplacement(shared, service, this, a, waitsSince(a));
-            replacement.selectNext();
+            silentAttempts.replace(() -> new AttemptReplacement(shared, service, this, a, waitsSince(a)));
         }
     }
 
     @Override
     public void progressed(Attempt a) {
         if (a == current) {
-            withdrawReplacement("the endpoint goes on");
+            silentAttempts.withdraw("the endpoint goes on");
         }
     }
 
@@ -295,42 +287,19 @@
         current = candidate;
     }
 
-    private boolean isReplacementActive() {
-        return replacement != null && !replacement.hasEnded();
-    }
-
-    private boolean isCandidate(Attempt a) {
-        return replacement != null && replacement.isCandidate(a);
-    }
-
-    private void withdrawReplacement(String why) {
-        Attempt cancelled = replacement == null ? null : replacement.withdraw();
-        if (cancelled != null) {
-            attemptsThatMayHaveRun++;
-            logKept(cancelled, why);
+    private void candidateKept(Attempt candidate, boolean withdrawn, String why) {
+        if (withdrawn) {
+            history.recordCancelled();
         }
-    }
-
-    private void keepSilentAttempt(Attempt failedCandidate, String why) {
-        replacement.candidateFailed();
-        logKept(failedCandidate, why);
-    }
-
-    private void logKept(Attempt candidate, String why) {
         log(EventCode.ATTEMPT_KEPT, "candidate", candidate.endpoint().id(), "why", why);
     }
 
     private void recordFailedAttempt(Attempt a, String cause) {
-        countFailedAttempt(a, cause);
+        clearCurrent(a);
+        history.recordFailure(a, cause);
         acquisition.resetAfterAttempt(waitsSince(a));
     }
 
-    private void countFailedAttempt(Attempt a, String cause) {
-        Endpoint e = endAttempt(a);
-        SuspensionLog.logIfSuspended(context, e, context.outlierDetector().recordFailure(e.id()), cause);
-        attemptsThatMayHaveRun++;
-    }
-
     /** Time since which the caller has received nothing: the last chunk, or the request's arrival. */
     private long waitsSince(Attempt a) {
         return responseStream == null ? arrivedNanos : a.lastProgressNanos();
@@ -343,14 +312,14 @@
 
     @Override
     public void completed(Attempt a) {
-        endAttempt(a);
-        log(EventCode.REQUEST_DONE, RequestLog.doneFields(a, attemptsThatMayHaveRun + 1, arrivedNanos));
+        clearCurrent(a);
+        log(EventCode.REQUEST_DONE, RequestLog.doneFields(a, history.mayHaveRun() + 1, arrivedNanos));
         finish();
     }
 
     @Override
     public boolean mayRetryAfterThis() {
-        return route.retryable() && attemptsThatMayHaveRun + 1 < route.maxAttempts();
+        return history.permitsAnother(route);
     }
 
     @Override
@@ -380,7 +349,28 @@
 
     @Override
     public Set<String> triedEndpoints() {
-        return triedEndpoints;
+        return history.triedEndpoints();
+    }
+
+    private boolean endIfCondemned() {
+        Verdict v = quarantine.check();
+        if (!v.maySend()) {
+            giveUp(ResultCode.PROMPT_QUARANTINED, v.retryAfterMs(), v.evidence());
+        }
+        return !v.maySend();
+    }
+
+    /** The parts of the prompt became condemned while the request waits or runs. */
+    private void condemned() {
+        silentAttempts.withdraw("condemned");
+        if (current == null) {
+            endIfCondemned();
+        } else if (!current.isPastBeginning()) {
+            history.recordCancelled();
+            fail(
+                    ResultCode.OUTCOME_UNKNOWN,
+                    "parts of the prompt were condemned before the response was past its beginning");
+        }
     }
 
     private void giveUpWithoutEndpoint(String version) {
@@ -391,17 +381,16 @@
         } else if (version != null) {
             giveUp(ResultCode.STREAM_NOT_RESUMABLE, "no endpoint of software version " + version);
         } else {
-            giveUp(ResultCode.NO_ENGINE, "endpoints=0 tried=" + triedEndpoints.size());
+            giveUp(
+                    ResultCode.NO_ENGINE,
+                    "endpoints=0 tried=" + history.triedEndpoints().size());
         }
     }
 
-    private Endpoint endAttempt(Attempt a) {
-        if (current == a) {
+    private void clearCurrent(Attempt ended) {
+        if (current == ended) {
             current = null;
         }
-        lastEndpoint = a.endpoint().id();
-        triedEndpoints.add(lastEndpoint);
-        return a.endpoint();
     }
 
     private boolean streamResumable() {
@@ -418,7 +407,7 @@
 
     @Override
     public void giveUp(ResultCode code, long retryAfterMs, String cause) {
-        if (attemptsThatMayHaveRun > 0) {
+        if (history.mayHaveRun() > 0) {
             fail(ResultCode.OUTCOME_UNKNOWN, cause);
         } else {
             refuse(code, retryAfterMs, cause);
@@ -432,7 +421,8 @@
     }
 
     private void fail(ResultCode code, String cause) {
-        String endpoint = current == null ? lastEndpoint : current.endpoint().id();
+        String endpoint =
+                current == null ? history.lastEndpoint() : current.endpoint().id();
         log(
                 EventCode.REQUEST_FAILED,
                 "code",
@@ -440,7 +430,7 @@
                 "endpoint",
                 endpoint,
                 "sends",
-                attemptsThatMayHaveRun,
+                history.mayHaveRun(),
                 "begun",
                 responseStream != null,
                 "why",
@@ -457,7 +447,7 @@
         if (done) {
             return;
         }
-        boolean mayHaveRun = attemptsThatMayHaveRun > 0 || current != null;
+        boolean mayHaveRun = history.mayHaveRun() > 0 || current != null;
         if (mayHaveRun) {
             fail(ResultCode.PROGRESS_TIMEOUT, "deadline");
         } else {
@@ -467,12 +457,13 @@
 
     private void finish() {
         done = true;
+        if (quarantine != null) {
+            quarantine.close();
+        }
         if (deadlineTimer != null) {
             deadlineTimer.cancel();
         }
-        if (replacement != null) {
-            replacement.withdraw();
-        }
+        silentAttempts.close();
         if (current != null) {
             current.cancel();
         }
