--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -56,6 +56,7 @@
     ENDPOINT_SUSPENDED(4009, "An endpoint failed or did not respond and is suspended."),
 
     ENDPOINT_BACKOFF(4012, "An endpoint asked this node to send it nothing for a time."),
+    CRASH_EVIDENCE(4013, "Connections of an endpoint instance broke while responses were in their beginning."),
 
     LOAD_REFUSED(4010, "A load request was refused: the adapter did not become resident on the engine in time."),
     UNLOAD_WAITS(4011, "An unload waits for running requests of the adapter; the slot stays occupied meanwhile."),
@@ -73,6 +74,9 @@
     REQUEST_RESUMED(5011, "A broken stream was resumed at another endpoint."),
     LINES_DROPPED(5012, "Log lines were dropped because the output did not keep up."),
     ATTEMPT_SILENT(5013, "An attempt made no progress within its timeout; states what could replace it."),
+    PROMPT_CONDEMNED(5014, "Endpoints crash under a set of prompt parts; requests that have all of them are refused."),
+    PROMPT_ACQUITTED(5015, "A set of prompt parts is no longer condemned."),
+    PROMPT_TRIAL(5016, "A request with condemned prompt parts is sent as a trial, or its trial ended."),
     ATTEMPT_KEPT(5017, "The attempt that was to replace a silent one failed or was withdrawn; the silent one goes on.");
 
     private final int number;
