--- a/core/src/main/java/org/quetzalvane/core/choice/SlowEngineDetector.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/SlowEngineDetector.java
@@ -8,7 +8,7 @@
  * engines.
  *
  * <p>Such an engine still streams, so neither timeouts nor failures show it. A slowdown of all engines is not detected.
- * Gaps in which this node paused reading for a slow caller count as well. Confined to the event loop.
+ * Confined to the event loop.
  */
 final class SlowEngineDetector {
     /**
