Continue at the endpoint that was asked when a silent connection attempt fails

If the connection of a silent attempt failed while another endpoint had been asked to take over, the request was sent a third time, and the attempt that was accepted later took the place of that one, which went on beside it. It takes a latency objective below 250 ms, since connections fail after 400 ms and an attempt is silent after 1.6 objectives; no published route has one.

SilentEndpointTest#requestWhoseConnectionFailsLateGoesOnAtTheEndpointThatWasAsked failed before (a third send) and passes.

--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -220,7 +220,13 @@
         boolean mayAskAnother = history.recordUnreachable(a, cause);
         if (silentAttempts.isCandidate(a)) {
             silentAttempts.candidateFailed(a, cause);
-        } else if (mayAskAnother) {
+            return;
+        }
+        if (silentAttempts.accept()) {
+            return;
+        }
+        silentAttempts.withdraw("unreachable");
+        if (mayAskAnother) {
             selectNext();
         } else {
             giveUp(ResultCode.ENDPOINT_UNREACHABLE, cause);
--- a/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
@@ -230,6 +230,21 @@
         assertThat(response.ended).isTrue();
     }
 
+    @Test
+    void requestWhoseConnectionFailsLateGoesOnAtTheEndpointThatWasAsked() {
+        start(RouteKind.IDEMPOTENT, null);
+        EndpointClient.Listener silent = client.last();
+        advance(500);
+        assertThat(client.sent).hasSize(2);
+        silent.failed(true, "timeout");
+        assertThat(client.sent).hasSize(2);
+        client.last().head(plainHead(200));
+        client.last().body(FIRST_EVENT);
+        client.last().end();
+        assertThat(response.body).hasToString(new String(FIRST_EVENT));
+        assertThat(client.cancelled).as("only the call that failed").isEqualTo(1);
+    }
+
     /** Loads for streams that cannot be resumed would take the adapter slots of other requests. */
     @Test
     void silentStreamsWithoutARetryOrderNoLoads() {
