Keep to the requests per second that an endpoint names

Cause: no source read the header, so endpoints in need got what they had got before. A bound on the sum over all nodes needs one place that counts.

Change: each attempt to an endpoint that named a limit needs a permit from one holder, a hub in rendezvous order of the instance; that holds for retries, resumed streams, replacements and trials too. The limit reaches all nodes through the hubs. The expected wait for a permit is part of the wait by which engines are selected, adapters brought elsewhere and callers refused.

--- a/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
@@ -7,6 +7,7 @@
 
 import org.quetzalvane.core.cluster.RendezvousHash;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.limit.EndpointPermits;
 import org.quetzalvane.core.residency.AdapterUsage;
 import org.quetzalvane.core.residency.ResidencyTable;
 import org.quetzalvane.core.routes.AdapterRef;
@@ -16,7 +17,8 @@
  *
  * <p>An engine on which the adapter is resident is preferred, so that its prefix cache is used, until its expected wait
  * exceeds another engine's by {@link #COPY_BACKLOG_MS}; then a copy is loaded on the other engine, which spreads the
- * requests of popular adapters. An adapter that is not resident goes to an engine on which it was resident before,
+ * requests of popular adapters. Where that wait is for a permit, because the engine named a limit, the request goes to
+ * the copy instead. An adapter that is not resident goes to an engine on which it was resident before,
  * because that engine most likely still has it in memory, else to the first in its rendezvous order, unless backlog,
  * missing idle adapters or a missing owner make another engine cheaper. Confined to the event loop.
  */
@@ -58,6 +60,7 @@
     private final ResidencyTable residency;
     private final OutlierDetector outliers;
     private final PrefillEstimator prefill;
+    private final EndpointPermits permits;
     private final String dataCentre;
     private final Predicate<Endpoint> hasOwner;
 
@@ -74,6 +77,7 @@
         this.residency = inputs.residency();
         this.outliers = inputs.outlierDetector();
         this.prefill = inputs.prefillEstimator();
+        this.permits = inputs.permits();
         this.dataCentre = dataCentre;
         this.hasOwner = hasOwner;
     }
@@ -87,6 +91,7 @@
      * @param residency adapters resident on each engine
      * @param outlierDetector suspends failing and slow endpoints
      * @param prefillEstimator estimates the wait for the first token
+     * @param permits permits for engines that named a limit
      */
     public record Inputs(
             EndpointLoads endpointLoads,
@@ -94,7 +99,8 @@
             AdapterDemand adapterDemand,
             ResidencyTable residency,
             OutlierDetector outlierDetector,
-            PrefillEstimator prefillEstimator) {}
+            PrefillEstimator prefillEstimator,
+            EndpointPermits permits) {}
 
     /**
      * A selected engine. Immutable.
@@ -131,7 +137,8 @@
         if (ref.adapter().isEmpty()) {
             return resident == null ? null : new Selection(resident, waitMs(resident), true, null);
         }
-        if (resident != null && (waitMs(resident) <= COPY_BACKLOG_MS || !inDemand(ref))) {
+        boolean limited = resident != null && permits.waitMs(resident) > COPY_BACKLOG_MS;
+        if (resident != null && !limited && (waitMs(resident) <= COPY_BACKLOG_MS || !inDemand(ref))) {
             return new Selection(resident, waitMs(resident), true, null);
         }
         Endpoint target = loadTarget(
@@ -144,14 +151,22 @@
             return target == null ? null : new Selection(target, waitMs(target), false, null);
         }
         boolean copyWorthwhile = target != null && waitMs(resident) > waitMs(target) + COPY_BACKLOG_MS;
+        if (limited && copyWorthwhile) {
+            return new Selection(target, waitMs(target), false, null);
+        }
         return new Selection(resident, waitMs(resident), true, copyWorthwhile ? target : null);
     }
 
-    /** Expected wait for the first token at an engine, ms: pending prompts, and requests beyond its request slots. */
+    /**
+     * Expected wait for the first token at an engine, ms: for a permit if it named a limit, pending prompts, and
+     * requests beyond its request slots.
+     */
     public double waitMs(Endpoint e) {
         EndpointLoads.Load l = loads.total(e.id());
         int queued = Math.max(0, l.requests() - e.requestSlots());
-        return prefill.waitMs(l.pendingTokens()) + queued * prefill.slotIntervalMs(e.requestSlots());
+        return permits.waitMs(e)
+                + prefill.waitMs(l.pendingTokens())
+                + queued * prefill.slotIntervalMs(e.requestSlots());
     }
 
     /**
@@ -173,6 +188,7 @@
             Endpoint e = ranked.get(i);
             double position = residency.wasResident(e, ref) ? 0 : 1 + i;
             double cost = waitMs(e)
+                    + permits.intervalMs(e)
                     + position * RENDEZVOUS_POSITION_COST_MS
                     + missingIdleCostMs(e)
                     + (hasOwner.test(e) ? 0 : NO_OWNER_COST_MS);
--- a/core/src/main/java/org/quetzalvane/core/choice/ServiceEndpointSelector.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/ServiceEndpointSelector.java
@@ -6,6 +6,7 @@
 
 import org.quetzalvane.core.cluster.RendezvousHash;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.limit.EndpointPermits;
 
 /**
  * Selects the endpoint of a plain service, at random in proportion to the free request slots.
@@ -23,16 +24,25 @@
 
     private final EndpointLoads loads;
     private final OutlierDetector outliers;
+    private final EndpointPermits permits;
     private final String dataCentre;
 
-    public ServiceEndpointSelector(EndpointLoads loads, OutlierDetector outliers, String dataCentre) {
+    /**
+     * Creates a selector.
+     *
+     * @param permits permits for endpoints that named a limit
+     * @param dataCentre data centre of this node
+     */
+    public ServiceEndpointSelector(
+            EndpointLoads loads, OutlierDetector outliers, EndpointPermits permits, String dataCentre) {
         this.loads = loads;
         this.outliers = outliers;
+        this.permits = permits;
         this.dataCentre = dataCentre;
     }
 
     /**
-     * Selects one of the candidates, or null if there is none.
+     * Selects one of the candidates with the shortest wait for a permit, or null if there is none.
      *
      * @param excluded ids of endpoints that are not selected
      * @param request id of the request
@@ -40,7 +50,10 @@
     public Endpoint select(List<Endpoint> candidates, Set<String> excluded, String request) {
         List<Endpoint> remaining =
                 candidates.stream().filter(e -> !excluded.contains(e.id())).toList();
-        return outliers.healthy(remaining, Endpoint::id).stream()
+        List<Endpoint> healthy = outliers.healthy(remaining, Endpoint::id);
+        long shortestMs = healthy.stream().mapToLong(permits::waitMs).min().orElse(0);
+        return healthy.stream()
+                .filter(e -> permits.waitMs(e) <= shortestMs)
                 .max(Comparator.<Endpoint>comparingDouble(e -> RendezvousHash.weightedScore(request, e.id(), weight(e)))
                         .thenComparing(Endpoint::id))
                 .orElse(null);
--- a/core/src/main/java/org/quetzalvane/core/serve/AttemptReplacement.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/AttemptReplacement.java
@@ -9,6 +9,7 @@
 import org.quetzalvane.core.choice.RetryBudgetShare;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.routes.RequiredVersions;
+import org.quetzalvane.core.routes.Route;
 import org.quetzalvane.core.routes.ServiceSpec;
 import org.quetzalvane.core.time.Scheduler;
 
@@ -30,6 +31,7 @@
 
     private final ServingContext context;
     private final CallerRequest request;
+    private final Route route;
     private final ServiceSpec service;
     private final Handler handler;
     private final Attempt silent;
@@ -37,6 +39,7 @@
     private final EngineAcquisition acquisition;
     private Attempt candidate;
     private Scheduler.Timer acceptance;
+    private boolean awaitingPermit;
     private boolean ended;
 
     /** The request whose attempt is silent. */
@@ -64,12 +67,13 @@
     AttemptReplacement(Attempt.Shared shared, ServiceSpec service, Handler handler, Attempt silent, long waitsSince) {
         this.context = shared.context();
         this.request = shared.request();
+        this.route = shared.route();
         this.service = service;
         this.handler = handler;
         this.silent = silent;
         this.excluded = new HashSet<>(handler.triedEndpoints());
         excluded.add(silent.endpoint().id());
-        acquisition = new EngineAcquisition(context, request, shared.route(), this);
+        acquisition = new EngineAcquisition(context, request, route, this);
         acquisition.resetAfterAttempt(waitsSince);
     }
 
@@ -120,7 +124,7 @@
 
     @Override
     public boolean isDone() {
-        return ended || candidate != null;
+        return ended || candidate != null || awaitingPermit;
     }
 
     @Override
@@ -147,15 +151,29 @@
         if (isDone()) {
             return;
         }
-        Attempt created = handler.createCandidate(e);
+        awaitingPermit = true;
+        context.permits().acquire(e, PermitGate.rank(route, true), 0, permit -> {
+            awaitingPermit = false;
+            if (permit.granted() && !sendPermitted(e, version)) {
+                context.permits().giveBack(e);
+            }
+            if (candidate == null) {
+                withdraw();
+            }
+        });
+    }
+
+    /** Sends the candidate; returns false if none may be sent any more. */
+    private boolean sendPermitted(Endpoint e, int version) {
+        Attempt created = ended ? null : handler.createCandidate(e);
         if (created == null) {
-            withdraw();
-            return;
+            return false;
         }
         candidate = created;
         budget().useReserved(service.name());
         acceptance = context.scheduler().schedule(Duration.ofMillis(ACCEPTANCE_MS), this::accept);
         handler.sendCandidate(candidate, version);
+        return true;
     }
 
     @Override
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -48,6 +48,7 @@
     private StreamVersion streamVersion;
     private final AttemptHistory history;
     private EngineAcquisition acquisition;
+    private PermitGate permits;
     private final SilentAttempts silentAttempts = new SilentAttempts(this::candidateKept);
     private QuarantineGate quarantine;
     private Attempt.Shared shared;
@@ -82,6 +83,7 @@
         quarantine.watch(this::condemned);
         shared = new Attempt.Shared(context, request, route, response, this);
         acquisition = new EngineAcquisition(context, request, route, this);
+        permits = new PermitGate(context, request, route, this);
         streamVersion = new StreamVersion(context, request, route);
         streamVersion.resolve(service.name(), this::streamVersionResolved);
     }
@@ -154,11 +156,20 @@
 
     @Override
     public void send(Endpoint e, int version) {
+        if (!endIfCondemned()) {
+            permits.acquire(e, () -> sendPermitted(e, version));
+        }
+    }
+
+    private void sendPermitted(Endpoint e, int version) {
+        permits.sent();
         if (endIfCondemned()) {
+            context.permits().giveBack(e);
             return;
         }
         current = createAttempt(e);
         if (current == null) {
+            context.permits().giveBack(e);
             deadlineReached();
         } else {
             sendCandidate(current, version);
--- a/core/src/main/java/org/quetzalvane/core/serve/ServingContext.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ServingContext.java
@@ -10,6 +10,7 @@
 import org.quetzalvane.core.choice.ServiceEndpointSelector;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.EndpointTable;
+import org.quetzalvane.core.limit.EndpointPermits;
 import org.quetzalvane.core.quarantine.PromptQuarantine;
 import org.quetzalvane.core.residency.AdapterLoader;
 import org.quetzalvane.core.residency.AdapterUsage;
@@ -34,6 +35,7 @@
  * @param adapterDemand recent requests by adapter
  * @param engineSelector selects engines
  * @param serviceEndpointSelector selects endpoints of plain services
+ * @param permits permits for endpoints that named a limit
  * @param admission refuses requests beyond the engines' capacity
  * @param retryBudget this node's share of the retry budget
  * @param streamOrigins software versions that streams come from
@@ -55,6 +57,7 @@
         AdapterDemand adapterDemand,
         EngineSelector engineSelector,
         ServiceEndpointSelector serviceEndpointSelector,
+        EndpointPermits permits,
         Admission admission,
         RetryBudgetShare retryBudget,
         StreamOrigins streamOrigins,
--- a/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import org.quetzalvane.core.choice.EndpointLoads;
+import org.quetzalvane.core.limit.EndpointLimit;
 import org.quetzalvane.core.quarantine.Clearance;
 import org.quetzalvane.core.quarantine.Condemnation;
 import org.quetzalvane.core.quarantine.InstanceReport;
@@ -196,4 +197,50 @@
      * @param from address of the sender for peers, IP:PORT
      */
     record CondemnedRequest(String from) implements PeerMessage {}
+
+    /**
+     * Limits of requests per second that endpoints have named or that have ended; sent to all hubs, and by a hub to
+     * which it is news to its members.
+     *
+     * @param from address of the sender for peers, IP:PORT
+     * @param limits the limits
+     */
+    record EndpointLimits(String from, List<EndpointLimit> limits) implements PeerMessage {}
+
+    /**
+     * Asks the holder of a limited endpoint instance for a permit to send it one request.
+     *
+     * @param from address of the sender for peers, IP:PORT
+     * @param number number of the request, repeated in the reply
+     * @param endpoint id of the endpoint
+     * @param bornMs start of the instance, milliseconds since the epoch
+     * @param perSecond limit that the sender knows, requests per second
+     * @param rank urgency, lowest number first
+     * @param maxWaitMs longest wait, milliseconds
+     */
+    record PermitRequest(
+            String from, long number, String endpoint, long bornMs, double perSecond, int rank, long maxWaitMs)
+            implements PeerMessage {}
+
+    /**
+     * Reply to the {@link PermitRequest} of the same number.
+     *
+     * @param from address of the sender for peers, IP:PORT
+     * @param number number of the request
+     * @param endpoint id of the endpoint
+     * @param bornMs start of the instance, milliseconds since the epoch
+     * @param granted whether the request may be sent
+     * @param waitMs time after which the next request can expect a permit, milliseconds
+     */
+    record PermitReply(String from, long number, String endpoint, long bornMs, boolean granted, long waitMs)
+            implements PeerMessage {}
+
+    /**
+     * Returns a permit under which nothing was sent.
+     *
+     * @param from address of the sender for peers, IP:PORT
+     * @param endpoint id of the endpoint
+     * @param bornMs start of the instance, milliseconds since the epoch
+     */
+    record PermitReturn(String from, String endpoint, long bornMs) implements PeerMessage {}
 }
--- a/core/src/test/java/org/quetzalvane/core/choice/EngineSelectorTest.java
+++ b/core/src/test/java/org/quetzalvane/core/choice/EngineSelectorTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.limit.EndpointPermits;
 import org.quetzalvane.core.residency.AdapterUsage;
 import org.quetzalvane.core.residency.EngineResidency;
 import org.quetzalvane.core.residency.ResidencyTable;
@@ -27,7 +28,8 @@
     private final ResidencyTable residency = new ResidencyTable(clock);
     private final OutlierDetector outliers = new OutlierDetector(clock);
     private final EngineSelector selector = new EngineSelector(
-            new EngineSelector.Inputs(loads, usage, demand, residency, outliers, new PrefillEstimator()),
+            new EngineSelector.Inputs(
+                    loads, usage, demand, residency, outliers, new PrefillEstimator(), EndpointPermits.UNLIMITED),
             "a",
             e -> true);
 
--- a/core/src/test/java/org/quetzalvane/core/choice/ServiceEndpointSelectorTest.java
+++ b/core/src/test/java/org/quetzalvane/core/choice/ServiceEndpointSelectorTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.limit.EndpointPermits;
 import org.quetzalvane.core.time.ManualScheduler;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -73,7 +74,7 @@
         private final ServiceEndpointSelector selector;
 
         Host(String zone) {
-            selector = new ServiceEndpointSelector(loads, new OutlierDetector(clock), zone);
+            selector = new ServiceEndpointSelector(loads, new OutlierDetector(clock), EndpointPermits.UNLIMITED, zone);
         }
 
         void send(String request, int runMs) {
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -20,6 +20,8 @@
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.fleet.EndpointTable;
+import org.quetzalvane.core.limit.EndpointPermits;
+import org.quetzalvane.core.limit.Permit;
 import org.quetzalvane.core.quarantine.PromptQuarantine;
 import org.quetzalvane.core.quarantine.Registration;
 import org.quetzalvane.core.quarantine.Verdict;
@@ -54,6 +56,7 @@
     final FakeAdapterLoader loader = new FakeAdapterLoader();
     final FakeStreamOrigins origins = new FakeStreamOrigins();
     final FakeQuarantine quarantine = new FakeQuarantine();
+    final FakePermits permits = new FakePermits();
     final FakeCallerResponse response = new FakeCallerResponse();
     private final RetryBudgetShare retryBudget = new RetryBudgetShare(clock, 0.2, 50, 10_000, () -> 1);
     final List<EventCode> logged = new ArrayList<>();
@@ -65,7 +68,7 @@
         PrefillEstimator prefill = new PrefillEstimator();
         AdapterDemand demand = new AdapterDemand(clock);
         EngineSelector.Inputs inputs =
-                new EngineSelector.Inputs(loads, adapterUsage, demand, residency, outliers, prefill);
+                new EngineSelector.Inputs(loads, adapterUsage, demand, residency, outliers, prefill, permits);
         return new ServingContext(
                 clock,
                 config,
@@ -79,7 +82,8 @@
                 prefill,
                 demand,
                 new EngineSelector(inputs, "a", e -> true),
-                new ServiceEndpointSelector(loads, outliers, "a"),
+                new ServiceEndpointSelector(loads, outliers, permits, "a"),
+                permits,
                 new Admission(),
                 retryBudget,
                 origins,
@@ -186,6 +190,41 @@
         clock.advance(Duration.ofMillis(ms));
     }
 
+    /** Fake that grants each permit, unless the endpoint is limited: then it keeps the request until the test replies. */
+    static final class FakePermits implements EndpointPermits {
+        final Map<String, Long> waits = new HashMap<>();
+        final List<String> asked = new ArrayList<>();
+        final List<Integer> ranks = new ArrayList<>();
+        final List<String> returned = new ArrayList<>();
+        Consumer<Permit> last;
+
+        @Override
+        public long waitMs(Endpoint e) {
+            return waits.getOrDefault(e.id(), 0L);
+        }
+
+        @Override
+        public long intervalMs(Endpoint e) {
+            return waits.containsKey(e.id()) ? 500 : 0;
+        }
+
+        @Override
+        public void acquire(Endpoint e, int rank, long maxWaitMs, Consumer<Permit> done) {
+            if (!waits.containsKey(e.id())) {
+                done.accept(Permit.UNLIMITED);
+                return;
+            }
+            asked.add(e.id());
+            ranks.add(rank);
+            last = done;
+        }
+
+        @Override
+        public void giveBack(Endpoint e) {
+            returned.add(e.id());
+        }
+    }
+
     /** Fake that keeps each request open until the test responds to it. */
     static final class FakeEndpointClient implements EndpointClient {
         final List<String> sent = new ArrayList<>();
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -19,6 +19,7 @@
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.limit.EndpointPermits;
 import org.quetzalvane.core.residency.AdapterUsage;
 import org.quetzalvane.core.residency.EngineController;
 import org.quetzalvane.core.residency.LoadTimeEstimator;
@@ -121,7 +122,12 @@
                 new StoreClient(http, loop, settings.storeAddress(), STORE_TIMEOUT_MS, new StoreEraLog(log));
         platform = new PlatformState(loop, store, log, this::reconcile);
         EndpointNoticeHandler notices = new EndpointNoticeHandler(
-                platform.endpoints(), log, loop::wallMillis, this::announceLeaving, this::reconcile);
+                platform.endpoints(),
+                log,
+                loop::wallMillis,
+                this::announceLeaving,
+                this::reconcile,
+                this::observeLimit);
         gateway = new EndpointGateway(
                 http, loop, settings.peerAddress(), ENGINE_CALL_TIMEOUT_MS, NON_RETRYABLE_MAX_IDLE_MS, notices);
         peerTable = new PeerTable(loop, settings.peerAddress(), settings.seeds());
@@ -234,8 +240,9 @@
                 settings.retryWindowMs(),
                 peerTable::retryBudgetNodes);
         AdapterDemand demand = new AdapterDemand(loop);
-        EngineSelector.Inputs inputs =
-                new EngineSelector.Inputs(endpointLoads, adapterUsage, demand, residency, outliers, prefillEstimator);
+        EndpointPermits permits = peerService.permits();
+        EngineSelector.Inputs inputs = new EngineSelector.Inputs(
+                endpointLoads, adapterUsage, demand, residency, outliers, prefillEstimator, permits);
         return new ServingContext(
                 loop,
                 platform.config(),
@@ -249,7 +256,8 @@
                 prefillEstimator,
                 demand,
                 new EngineSelector(inputs, settings.zone(), peerService::hasOwner),
-                new ServiceEndpointSelector(endpointLoads, outliers, settings.zone()),
+                new ServiceEndpointSelector(endpointLoads, outliers, permits, settings.zone()),
+                permits,
                 new Admission(),
                 retries,
                 peerService.streamOrigins(),
@@ -309,6 +317,10 @@
         log.log(EventCode.TASK_FAILED, "loop", "cause", t, "at", at.length == 0 ? "" : at[0]);
     }
 
+    private void observeLimit(Endpoint e, double perSecond, long sentNanos) {
+        peerService.permits().observe(e, perSecond, sentNanos);
+    }
+
     private void announceLeaving(Endpoint e) {
         peerService.announceLeaving(e);
     }
@@ -368,6 +380,9 @@
         metrics.gauge("peers_up", () -> peerTable.nodes().size());
         metrics.gauge("hub", () -> peerService.isHub() ? 1 : 0);
         metrics.gauge("stream_origins", () -> peerService.streamOrigins().size());
+        metrics.gauge("endpoints_limited", () -> peerService.permits().limitedEndpoints());
+        metrics.gauge("permits_granted", () -> peerService.permits().granted());
+        metrics.gauge("permits_denied", () -> peerService.permits().denied());
         metrics.gauge("members", () -> peerTable.members().size());
         metrics.gauge("duties_held", () -> lease.owned().size());
         metrics.gauge("duty_generation", lease::generation);
--- a/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.quetzalvane.core.choice.EndpointLoads;
+import org.quetzalvane.core.limit.EndpointLimit;
 import org.quetzalvane.core.quarantine.Clearance;
 import org.quetzalvane.core.quarantine.Condemnation;
 import org.quetzalvane.core.quarantine.InstanceReport;
@@ -39,7 +40,11 @@
             PeerMessage.PartClearances.class,
             PeerMessage.QuarantineTrial.class,
             PeerMessage.CondemnedParts.class,
-            PeerMessage.CondemnedRequest.class);
+            PeerMessage.CondemnedRequest.class,
+            PeerMessage.EndpointLimits.class,
+            PeerMessage.PermitRequest.class,
+            PeerMessage.PermitReply.class,
+            PeerMessage.PermitReturn.class);
 
     private final ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
 
@@ -59,7 +64,8 @@
                         InstanceReport.class,
                         InstanceReport.BegunRequest.class,
                         Clearance.class,
-                        Condemnation.class)
+                        Condemnation.class,
+                        EndpointLimit.class)
                 .forEach(t -> mapper.configOverride(t).setFormat(array));
     }
 
--- a/entry/src/main/java/org/quetzalvane/entry/PeerService.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerService.java
@@ -21,6 +21,7 @@
 import org.quetzalvane.core.store.StoreRecord;
 import org.quetzalvane.core.team.NodeInfo;
 import org.quetzalvane.core.team.PeerMessage;
+import org.quetzalvane.core.team.PermitExchange;
 import org.quetzalvane.core.team.QuarantineExchange;
 import org.quetzalvane.core.team.RecordRelay;
 import org.quetzalvane.core.team.StatusExchange;
@@ -45,6 +46,7 @@
     private final RecordRelay relay;
     private final StreamOriginTable streamOrigins;
     private final QuarantineExchange quarantine;
+    private final PermitExchange permits;
     private final Predicate<PeerMessage.EndpointLeaving> endpointLeaving;
     private final PeerCodec codec = new PeerCodec();
     private final Map<Long, Consumer<Outcome>> pendingLoads = new HashMap<>();
@@ -85,12 +87,23 @@
                 log,
                 new QuarantineExchange.Peers(
                         address, this::isHub, components.peers()::knownHubs, this::memberAddresses, this::send));
+        this.permits = new PermitExchange(
+                scheduler,
+                log,
+                new PermitExchange.Peers(
+                        address,
+                        this::isHub,
+                        components.peers()::knownHubs,
+                        this::memberAddresses,
+                        () -> components.peers().nodes().size() + 1,
+                        this::send));
     }
 
     void start(PeerTransport peerTransport) {
         transport = peerTransport;
         exchange.start();
         quarantine.start();
+        permits.start();
     }
 
     /** This node as its peers know it. */
@@ -108,6 +121,11 @@
         return quarantine.local();
     }
 
+    /** Permits for endpoints that named a limit, shared with the peers. */
+    PermitExchange permits() {
+        return permits;
+    }
+
     /** Whether this node is a hub. */
     boolean isHub() {
         return exchange.isHub();
@@ -226,8 +244,8 @@
             if (r.complete()) {
                 relay.onRecords(r.from(), r.topic());
             }
-        } else if (m != null) {
-            quarantine.receive(m);
+        } else if (m != null && !quarantine.receive(m)) {
+            permits.receive(m);
         }
     }
 
@@ -235,6 +253,7 @@
     void connectionChanged(String peer, boolean connected) {
         if (connected) {
             quarantine.peerConnected(peer);
+            permits.peerConnected(peer);
         } else {
             log.log(EventCode.PEER_LOST, peer);
             exchange.onDisconnect(peer);
--- a/entry/src/test/java/org/quetzalvane/entry/EndpointNoticesTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EndpointNoticesTest.java
@@ -71,6 +71,21 @@
         }
     }
 
+    /** Values that cannot be read change nothing; the limit that was named before stays in force. */
+    @ParameterizedTest
+    @CsvSource({"nought, 20, 20", "-1, 20, 20", "0.1, 0, 2"})
+    void endpointReceivesWhatItsLastReadableLimitAllows(String value, int atLeast, int atMost) throws Exception {
+        EndpointStandIn limited = endpoint("plain-1", "plain", (self, x) -> {
+            self.nameLimit(self.ranRequests().isEmpty() || !value.equals("0.1") ? value : "many");
+            self.respondComplete(x, "ok");
+        });
+        startNodes();
+        for (int i = 0; i < REQUESTS; i++) {
+            send(first, "id-" + i);
+        }
+        assertThat(limited.ranRequests()).hasSizeBetween(atLeast, atMost);
+    }
+
     @Test
     void callersAreRefusedAtOnceWithTheEarliestWaitOfAllEndpoints() throws Exception {
         EndpointStandIn one = endpoint("plain-1", "plain", (self, x) -> self.refuse(x, "Retry-After", "30"));
