Judge a request that is sent again as one of its parts

Cause: what a request consists of was known only by the parts of its prompt. Requests without a prompt passed every check, and on engines the parts of the repeated request, which sound requests share, were judged in its place.

Change: the identity of a request (service, method, host, target, adapter, credentials, body) is one more part, with an odd hash. Reports, clearances, trials, bounds and the checks before each send hold for it. Attempts without a head count with their identity alone. Repeated requests are judged before parts.

--- a/core/src/main/java/org/quetzalvane/core/ResultCode.java
+++ b/core/src/main/java/org/quetzalvane/core/ResultCode.java
@@ -57,7 +57,8 @@
             214,
             503,
             true,
-            "The prompt has parts under which endpoints crashed one after the other. The request was not run."),
+            "Endpoints crashed one after the other under this request, sent before, or under parts of its prompt."
+                    + " The request was not run."),
 
     OUTCOME_UNKNOWN(301, 502, false, "The request was dispatched and its outcome is unknown."),
     STREAM_BROKEN(302, 502, false, "The response broke off before its end mark and is incomplete."),
--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -75,8 +75,11 @@
     REQUEST_RESUMED(5011, "A broken stream was resumed at another endpoint."),
     LINES_DROPPED(5012, "Log lines were dropped because the output did not keep up."),
     ATTEMPT_SILENT(5013, "An attempt made no progress within its timeout; states what could replace it."),
-    PROMPT_CONDEMNED(5014, "Endpoints crash under a set of prompt parts; requests that have all of them are refused."),
-    PROMPT_ACQUITTED(5015, "A set of prompt parts is no longer condemned."),
+    PROMPT_CONDEMNED(
+            5014,
+            "Endpoints crash under a request or a set of prompt parts; repeats of it, or requests with all of them,"
+                    + " are refused."),
+    PROMPT_ACQUITTED(5015, "A request or a set of prompt parts is no longer condemned."),
     PROMPT_TRIAL(5016, "A request with condemned prompt parts is sent as a trial, or its trial ended."),
     ATTEMPT_KEPT(5017, "The attempt that was to replace a silent one failed or was withdrawn; the silent one goes on.");
 
--- a/core/src/main/java/org/quetzalvane/core/quarantine/CrashEvidence.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/CrashEvidence.java
@@ -125,7 +125,7 @@
         Set<Long> repeated = new HashSet<>();
         for (CrashEnd e : ends) {
             Set<Long> here = new HashSet<>();
-            e.begun().forEach(b -> here.addAll(b.parts().hashes()));
+            e.begun().forEach(b -> b.parts().forEach(here::add));
             for (long part : here) {
                 if (newest.put(part, e.endedNanos()) != null) {
                     repeated.add(part);
--- a/core/src/main/java/org/quetzalvane/core/quarantine/CrashJudge.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/CrashJudge.java
@@ -9,17 +9,33 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongPredicate;
+
+import it.unimi.dsi.fastutil.longs.Long2IntOpenHashMap;
 
 /**
- * Finds the prompt parts that explain why instances of one service ended; see docs/design/crashing-prompts.md.
+ * Finds the requests and the prompt parts that explain why instances of one service ended; see
+ * docs/design/crashing-prompts.md. A request that was sent again and again is looked for first, since it explains the
+ * fewest other requests away.
  *
  * <p>A function of its arguments, so that nodes with the same evidence decide alike. Stateless and thread-safe.
  */
 final class CrashJudge {
     /** Age up to which a request is a prompt suspect, ms; the longest age observed was 122 ms. */
     static final long PROMPT_MS = 200;
-    /** What condemns a part; one row suffices. */
-    private static final List<Rule> RULES = List.of(
+    /**
+     * What condemns a request without a prompt, besides {@link #REQUEST_RULES}: few such requests are in progress at a
+     * time, so that chance explains less.
+     */
+    private static final Rule PLAIN_REQUEST_RULE = new Rule(3, PROMPT_MS, 2 / 3.0);
+    /** What condemns a request that was sent again; one row suffices. */
+    private static final List<Rule> REQUEST_RULES = List.of(
+            PLAIN_REQUEST_RULE,
+            new Rule(4, PROMPT_MS, 2 / 3.0),
+            new Rule(6, PROMPT_MS, 1 / 3.0),
+            new Rule(8, PromptQuarantine.BEGINNING_MS, 2 / 3.0));
+    /** What condemns a prompt part; one row suffices. */
+    private static final List<Rule> PART_RULES = List.of(
             new Rule(4, PROMPT_MS, 2 / 3.0),
             new Rule(6, PROMPT_MS, 1 / 3.0),
             new Rule(10, PromptQuarantine.BEGINNING_MS, 2 / 3.0));
@@ -35,7 +51,7 @@
     /**
      * Condition under which a part is condemned.
      *
-     * @param crashes counted crashes, each under another request
+     * @param crashes counted crashes, each under another attempt of a request or under another request with a part
      * @param maxAgeMs age up to which a request counts, ms; an older one with the part disproves it
      * @param share share of the ends since the first counted crash at which such a request was found
      */
@@ -74,35 +90,43 @@
     }
 
     /**
-     * Finds the parts to condemn, those that explain the most ends first.
+     * Finds what to condemn: requests, then parts, those that explain the most ends first.
      *
      * @param ends ends of instances of one service in order of time
      * @param explained sets that explain ends already
      */
     static List<Finding> judge(List<CrashEnd> ends, List<PartSet> explained, Passes passes) {
         List<CrashEnd> open = new ArrayList<>(ends);
-        open.removeIf(e -> isFlap(e, ends));
         open.removeIf(e -> explained.stream().anyMatch(p -> explains(p, e)));
         List<Finding> findings = new ArrayList<>();
-        Finding next = best(open, passes);
+        // The ends of endpoints that fail by themselves stay here, as ends that the request does not explain.
+        addFindings(open, PartSet::isIdentity, passes, findings);
+        open.removeIf(e -> isFlap(e, ends));
+        addFindings(open, p -> !PartSet.isIdentity(p), passes, findings);
+        return findings;
+    }
+
+    /** Adds findings for the parts of a kind, and removes the ends that they explain. */
+    private static void addFindings(List<CrashEnd> open, LongPredicate kind, Passes passes, List<Finding> findings) {
+        Finding next = best(open, kind, passes);
         while (next != null) {
             Finding f = next;
             findings.add(f);
             open.removeIf(f::explains);
-            next = best(open, passes);
+            next = best(open, kind, passes);
         }
-        return findings;
     }
 
     static boolean explains(PartSet parts, CrashEnd e) {
         return e.begun().stream().anyMatch(b -> parts.isWithin(b.parts()));
     }
 
-    private static Finding best(List<CrashEnd> ends, Passes passes) {
-        if (ends.size() < RULES.get(0).crashes) {
-            return null;
-        }
-        Map<Long, List<Hit>> hitsByPart = hitsByPart(ends, passes);
+    private static List<Rule> rules(long part) {
+        return PartSet.isIdentity(part) ? REQUEST_RULES : PART_RULES;
+    }
+
+    private static Finding best(List<CrashEnd> ends, LongPredicate kind, Passes passes) {
+        Map<Long, List<Hit>> hitsByPart = hitsByPart(ends, kind, passes);
         Finding best = null;
         int bestHits = 0;
         List<Long> parts = new ArrayList<>(hitsByPart.keySet());
@@ -125,39 +149,48 @@
         return best;
     }
 
-    private static Map<Long, List<Hit>> hitsByPart(List<CrashEnd> ends, Passes passes) {
+    private static Map<Long, List<Hit>> hitsByPart(List<CrashEnd> ends, LongPredicate kind, Passes passes) {
+        Long2IntOpenHashMap frequencies = new Long2IntOpenHashMap();
+        ends.forEach(e -> e.begun().forEach(b -> b.parts().forEach(part -> frequencies.addTo(part, 1))));
         Map<Long, List<Hit>> hits = new LinkedHashMap<>();
         for (CrashEnd e : ends) {
             for (CrashEnd.Begun b : e.begun()) {
-                for (long part : b.parts().hashes()) {
-                    if (!passes.cleared(part, e.endedNanos())) {
+                b.parts().forEach(part -> {
+                    boolean frequent = frequencies.get(part) >= rules(part).get(0).crashes;
+                    if (frequent && kind.test(part) && !passes.cleared(part, e.endedNanos())) {
                         hits.computeIfAbsent(part, p -> new ArrayList<>()).add(new Hit(e, b));
                     }
-                }
+                });
             }
         }
-        hits.values().removeIf(h -> h.size() < RULES.get(0).crashes);
+        hits.entrySet().removeIf(h -> h.getValue().size() < rules(h.getKey()).get(0).crashes);
         return hits;
     }
 
     private static Finding find(long part, List<Hit> hits, List<CrashEnd> ends, Passes passes) {
-        for (Rule rule : RULES) {
+        boolean identity = PartSet.isIdentity(part);
+        for (Rule rule : rules(part)) {
             List<Hit> young =
                     hits.stream().filter(h -> h.begun.ageMs() <= rule.maxAgeMs).toList();
-            List<Hit> counted = count(young);
-            if (counted.size() < rule.crashes || endpoints(counted) < MIN_ENDPOINTS) {
+            List<Hit> counted =
+                    count(young.stream().filter(h -> !isFlap(h.end, ends)).toList(), identity);
+            boolean applies = rule != PLAIN_REQUEST_RULE
+                    || counted.stream().allMatch(h -> h.begun.parts().size() == 1);
+            if (!applies || counted.size() < rule.crashes || endpoints(counted) < MIN_ENDPOINTS) {
                 continue;
             }
             long since = counted.get(0).end.endedNanos();
-            boolean survived =
-                    hits.stream().anyMatch(h -> h.begun.ageMs() > rule.maxAgeMs && h.end.endedNanos() - since >= 0);
+            // The age of a request without a head includes its wait at the endpoint, which proves nothing.
+            boolean survived = !identity
+                    && hits.stream().anyMatch(h -> h.begun.ageMs() > rule.maxAgeMs && h.end.endedNanos() - since >= 0);
             List<CrashEnd> window =
                     ends.stream().filter(e -> e.endedNanos() - since >= 0).toList();
             Set<CrashEnd> hit = Collections.newSetFromMap(new IdentityHashMap<>());
             young.forEach(h -> hit.add(h.end));
             if (!survived && share(window, hit) >= rule.share && othersPass(part, since, passes)) {
                 List<CrashEnd> crashes = counted.stream().map(Hit::end).toList();
-                return new Finding(common(part, young, passes), crashes, hit.size());
+                PartSet explains = identity ? PartSet.ofHashes(Set.of(part)) : common(part, young, passes);
+                return new Finding(explains, crashes, hit.size());
             }
         }
         return null;
@@ -172,14 +205,17 @@
         return passes.servedSince(since) || !passes.hasPassed(part) && passes.servedLately();
     }
 
-    /** The crashes that count: at each, another request with the part had begun after the one counted before. */
-    private static List<Hit> count(List<Hit> hits) {
+    /**
+     * The crashes that count: at each, another request with the part had begun after the one counted before. Of a
+     * request, an attempt that was sent again counts as well.
+     */
+    private static List<Hit> count(List<Hit> hits, boolean identity) {
         List<Hit> counted = new ArrayList<>();
         Set<Long> requests = new HashSet<>();
         for (Hit h : hits) {
             Hit last = counted.isEmpty() ? null : counted.get(counted.size() - 1);
             boolean later = last == null || h.begun.beganNanos() - last.end.endedNanos() > 0;
-            if (later && requests.add(h.begun.request())) {
+            if (later && (identity || requests.add(h.begun.request()))) {
                 counted.add(h);
             }
         }
--- a/core/src/main/java/org/quetzalvane/core/quarantine/LocalQuarantine.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/LocalQuarantine.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.function.Supplier;
 
-import net.openhft.hashing.LongHashFunction;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.time.Scheduler;
@@ -30,7 +29,6 @@
     private static final long MIN_RETRY_AFTER_MS = 1_000;
 
     private static final long MAX_RETRY_AFTER_MS = 60_000;
-    private static final LongHashFunction HASH = LongHashFunction.xx3();
 
     private final Scheduler scheduler;
     private final Sharing sharing;
@@ -82,12 +80,9 @@
     }
 
     @Override
-    public Verdict check(String service, List<String> sharedParts, String requestId) {
-        if (sharedParts.isEmpty()) {
-            return Verdict.ADMIT;
-        }
-        long request = HASH.hashChars(requestId);
-        List<CondemnedSet> matching = state.matching(PartSet.of(service, sharedParts));
+    public Verdict check(RequestContent content) {
+        long request = content.request();
+        List<CondemnedSet> matching = state.matching(content.parts());
         if (matching.isEmpty()) {
             state.recordSent(request);
             return Verdict.ADMIT;
@@ -102,15 +97,11 @@
     }
 
     @Override
-    public void recordPastBeginning(String service, List<String> sharedParts, String requestId) {
-        if (sharedParts.isEmpty()) {
-            return;
-        }
-        long request = HASH.hashChars(requestId);
+    public void recordPastBeginning(RequestContent content) {
+        long request = content.request();
         endTrial(request, QuarantineTrials.Outcome.PASSED);
-        PartSet parts = PartSet.of(service, sharedParts);
-        boolean urgent = state.recordPass(service, parts, request);
-        if (urgent || state.needsSharing(service, parts)) {
+        boolean urgent = state.recordPass(content.service(), content.parts(), request);
+        if (urgent || state.needsSharing(content.service(), content.parts())) {
             sharing.clearancesReady(urgent);
         }
         if (urgent) {
@@ -120,9 +111,9 @@
     }
 
     @Override
-    public void recordBroken(Endpoint endpoint, List<String> sharedParts, String requestId, long beginningMs) {
-        long request = HASH.hashChars(requestId);
-        state.recordBroken(endpoint, PartSet.of(endpoint.service(), sharedParts), request, beginningMs);
+    public void recordBroken(Endpoint endpoint, RequestContent content, long beginningMs) {
+        long request = content.request();
+        state.recordBroken(endpoint, content.parts(), request, beginningMs);
         sharing.reportsReady();
         scheduleJudgement();
         if (trials.onTrial(request) != null && brokenTrials.putIfAbsent(request, endpoint) == null) {
@@ -140,11 +131,8 @@
     }
 
     @Override
-    public Registration watch(String service, List<String> sharedParts, Runnable condemned) {
-        if (sharedParts.isEmpty()) {
-            return () -> {};
-        }
-        Watcher w = new Watcher(PartSet.of(service, sharedParts), condemned);
+    public Registration watch(RequestContent content, Runnable condemned) {
+        Watcher w = new Watcher(content.parts(), condemned);
         watchers.add(w);
         return () -> watchers.remove(w);
     }
--- a/core/src/main/java/org/quetzalvane/core/quarantine/PartSet.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/PartSet.java
@@ -3,12 +3,17 @@
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
+import java.util.function.LongConsumer;
 import java.util.function.LongPredicate;
 import java.util.stream.Collectors;
+import java.util.stream.LongStream;
 
 import net.openhft.hashing.LongHashFunction;
 
-/** Prompt parts of one service as a sorted set of 64-bit hashes. Immutable and thread-safe. */
+/**
+ * Prompt parts and identities of requests to one service as a sorted set of 64-bit hashes. The hash of an identity is
+ * odd, that of a prompt part is even. Immutable and thread-safe.
+ */
 public final class PartSet {
     /** Largest number of parts; further ones are left out. */
     public static final int MAX_PARTS = 64;
@@ -21,17 +26,31 @@
         this.sorted = sorted;
     }
 
-    /** The parts of a request to a service; equal ids of different services are different parts. */
-    public static PartSet of(String service, List<String> parts) {
-        long seed = HASH.hashChars(service);
-        return new PartSet(parts.stream()
+    /** Prompt parts of a service; equal ids of different services are different parts. */
+    static PartSet of(String service, List<String> parts) {
+        return new PartSet(promptParts(service, parts).sorted().distinct().toArray());
+    }
+
+    /** The identity and the prompt parts of a request to a service. */
+    static PartSet of(String service, long identity, List<String> parts) {
+        LongStream identities = LongStream.of(HASH.hashLong(HASH.hashChars(service) + 31 * identity) | 1);
+        return new PartSet(LongStream.concat(identities, promptParts(service, parts))
                 .limit(MAX_PARTS)
-                .mapToLong(p -> HASH.hashLong(seed + 31 * HASH.hashChars(p)))
                 .sorted()
                 .distinct()
                 .toArray());
     }
 
+    private static LongStream promptParts(String service, List<String> parts) {
+        long seed = HASH.hashChars(service);
+        return parts.stream().limit(MAX_PARTS).mapToLong(p -> HASH.hashLong(seed + 31 * HASH.hashChars(p)) & ~1);
+    }
+
+    /** Whether a hash is that of the identity of a request. */
+    static boolean isIdentity(long hash) {
+        return (hash & 1) != 0;
+    }
+
     /** The set of the given hashes. */
     public static PartSet ofHashes(Collection<Long> hashes) {
         return new PartSet(hashes.stream()
@@ -55,6 +74,12 @@
         return Arrays.stream(sorted).boxed().toList();
     }
 
+    void forEach(LongConsumer action) {
+        for (long part : sorted) {
+            action.accept(part);
+        }
+    }
+
     public boolean contains(long part) {
         return Arrays.binarySearch(sorted, part) >= 0;
     }
--- a/core/src/main/java/org/quetzalvane/core/quarantine/PassTable.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/PassTable.java
@@ -8,9 +8,11 @@
 import org.quetzalvane.core.time.Scheduler;
 
 /**
- * When responses with a part last got past their beginning, at this node or another one, and when requests were sent.
+ * When responses with a prompt part, or to a request with an identity, last got past their beginning, at this node or
+ * another one, and when requests were sent.
  *
- * <p>Holds {@link #MAX_ENTRIES} parts and requests for {@link #RETENTION_MS}. Confined to the event loop.
+ * <p>Holds {@link #MAX_ENTRIES} parts, as many identities and as many requests for {@link #RETENTION_MS}. Confined to
+ * the event loop.
  */
 final class PassTable {
     /** Largest number of parts and of requests kept: 60 s at 300 requests per second and node. */
@@ -23,7 +25,10 @@
     private static final Pass NEVER = new Pass(0, 0, 0, 0);
 
     private final Scheduler scheduler;
-    private final Long2ObjectLinkedOpenHashMap<Pass> passes = new Long2ObjectLinkedOpenHashMap<>();
+    private final Long2ObjectLinkedOpenHashMap<Pass> partPasses = new Long2ObjectLinkedOpenHashMap<>();
+    /** Apart from those of parts, which are fewer and would be evicted. */
+    private final Long2ObjectLinkedOpenHashMap<Pass> identityPasses = new Long2ObjectLinkedOpenHashMap<>();
+
     private final Long2LongLinkedOpenHashMap sent = new Long2LongLinkedOpenHashMap();
     private final Map<String, Long> servedNanos = new HashMap<>();
 
@@ -106,6 +111,7 @@
      * @param shared whether other nodes know of it
      */
     void recordPass(long part, long nanos, long sentNanos, boolean shared) {
+        Long2ObjectLinkedOpenHashMap<Pass> passes = passes(part);
         Pass old = passes.get(part);
         passes.putAndMoveToLast(part, (old == null ? NEVER : old).with(nanos, sentNanos, shared));
         long now = scheduler.nanoTime();
@@ -118,15 +124,19 @@
 
     /** The last pass of a part, or null. */
     Pass find(long part) {
-        return passes.get(part);
+        return passes(part).get(part);
     }
 
     boolean cleared(long part, long nanos) {
-        Pass p = passes.get(part);
+        Pass p = find(part);
         return p != null && Pass.after(p.nanos, nanos);
     }
 
     int size() {
-        return Math.max(passes.size(), sent.size());
+        return Math.max(Math.max(partPasses.size(), identityPasses.size()), sent.size());
+    }
+
+    private Long2ObjectLinkedOpenHashMap<Pass> passes(long part) {
+        return PartSet.isIdentity(part) ? identityPasses : partPasses;
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/PromptQuarantine.java
@@ -1,17 +1,10 @@
 package org.quetzalvane.core.quarantine;
 
-import java.util.List;
-
 import org.quetzalvane.core.fleet.Endpoint;
 
-/**
- * Port of the request path to the quarantine of requests that crash endpoints.
- *
- * <p>Parts are the ids of the prompt's parts that other requests may have too; a request without any is never refused.
- * Confined to the event loop.
- */
+/** Port of the request path to the quarantine of requests that crash endpoints. Confined to the event loop. */
 public interface PromptQuarantine {
-    /** Time after the head of a response for which the response is in its beginning, ms. */
+    /** Time after the head of a stream, or after a request was sent, for which the response is in its beginning, ms. */
     long BEGINNING_MS = 1_000;
 
     /** Admits every request and records nothing. */
@@ -21,52 +14,53 @@
      * Whether a request may be sent now; called right before each send, also of a resumed or retried request and after
      * a wait for a load. A request that is admitted as a trial is admitted once.
      */
-    Verdict check(String service, List<String> sharedParts, String requestId);
+    Verdict check(RequestContent request);
 
     /**
-     * Records that the response of an attempt got past its beginning: a chunk arrived {@link #BEGINNING_MS} or more
-     * after the head, or a successful response completed. Called at most once for each attempt.
+     * Records that the response of an attempt got past its beginning: a chunk of a stream arrived {@link #BEGINNING_MS}
+     * or more after the head, or a successful response completed. Called at most once for each attempt.
      */
-    void recordPastBeginning(String service, List<String> sharedParts, String requestId);
+    void recordPastBeginning(RequestContent request);
 
     /**
      * Records that the connection of an attempt broke before the response was complete.
      *
-     * @param beginningMs time since the head of this attempt's response arrived, ms; -1 if none arrived
+     * @param request the request; without the parts of its prompt if nothing shows that the response had begun
+     * @param beginningMs time since the head of this attempt's stream arrived, ms; if none did, since it was sent
      */
-    void recordBroken(Endpoint endpoint, List<String> sharedParts, String requestId, long beginningMs);
+    void recordBroken(Endpoint endpoint, RequestContent request, long beginningMs);
 
     /** Records that a connection to the endpoint was refused: the instance has ended. */
     void recordUnreachable(Endpoint endpoint);
 
     /**
-     * Registers a request that waits or runs; the callback runs once if its parts become condemned, not if they are
-     * condemned already.
+     * Registers a request that waits or runs; the callback runs once if it becomes condemned, not if it is condemned
+     * already.
      *
      * @return to be closed when the request ends
      */
-    Registration watch(String service, List<String> sharedParts, Runnable condemned);
+    Registration watch(RequestContent request, Runnable condemned);
 
     /** The quarantine that admits every request. */
     final class AdmitAll implements PromptQuarantine {
         private AdmitAll() {}
 
         @Override
-        public Verdict check(String service, List<String> sharedParts, String requestId) {
+        public Verdict check(RequestContent request) {
             return Verdict.ADMIT;
         }
 
         @Override
-        public void recordPastBeginning(String service, List<String> sharedParts, String requestId) {}
+        public void recordPastBeginning(RequestContent request) {}
 
         @Override
-        public void recordBroken(Endpoint endpoint, List<String> sharedParts, String requestId, long beginningMs) {}
+        public void recordBroken(Endpoint endpoint, RequestContent request, long beginningMs) {}
 
         @Override
         public void recordUnreachable(Endpoint endpoint) {}
 
         @Override
-        public Registration watch(String service, List<String> sharedParts, Runnable condemned) {
+        public Registration watch(RequestContent request, Runnable condemned) {
             return () -> {};
         }
     }
--- a/core/src/main/java/org/quetzalvane/core/quarantine/QuarantineState.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/QuarantineState.java
@@ -84,8 +84,7 @@
         InstanceRecord r = recordFor(e.service(), i, now, now - beginningMs * 1_000_000);
         r.addOwnBreak(self, now);
         List<CrashEnd.Begun> begun = unsent.computeIfAbsent(i, k -> new ArrayList<>());
-        boolean beginning = beginningMs >= 0 && beginningMs < PromptQuarantine.BEGINNING_MS;
-        if (beginning && !parts.isEmpty()) {
+        if (beginningMs < PromptQuarantine.BEGINNING_MS) {
             CrashEnd.Begun b = new CrashEnd.Begun(request, parts, now - beginningMs * 1_000_000, beginningMs);
             if (r.addBegun(b) && begun.size() < InstanceRecord.MAX_BEGUN) {
                 begun.add(b);
--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -3,6 +3,7 @@
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.quarantine.RequestContent;
 import org.quetzalvane.core.routes.Route;
 
 /**
@@ -102,7 +103,12 @@
 
     /** Objects shared by all attempts of one request. */
     record Shared(
-            ServingContext context, CallerRequest request, Route route, CallerResponse response, Handler handler) {}
+            ServingContext context,
+            CallerRequest request,
+            RequestContent content,
+            Route route,
+            CallerResponse response,
+            Handler handler) {}
 
     /** Counts the attempt in the endpoint load; {@link #send} sends the request. */
     Attempt(Shared shared, Endpoint endpoint, boolean endpointIsEngine) {
@@ -114,7 +120,7 @@
         this.endpoint = endpoint;
         this.endpointIsEngine = endpointIsEngine;
         this.sentNanos = context.scheduler().nanoTime();
-        this.beginning = new ResponseBeginning(context, request, endpoint);
+        this.beginning = new ResponseBeginning(context, shared.content(), endpoint);
         this.silence = new SilenceMonitor(context.scheduler(), this::silenceLimitMs, this::reportSilence);
         context.endpointLoads()
                 .requestStarted(endpoint.id(), request.tokenCounts().prompt());
@@ -286,7 +292,9 @@
             return;
         }
         close(false);
-        beginning.completed();
+        if (head.success()) {
+            beginning.completed();
+        }
         if (head.serverError()) {
             context.outlierDetector().recordFailure(endpoint.id());
         } else {
--- a/core/src/main/java/org/quetzalvane/core/serve/QuarantineGate.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/QuarantineGate.java
@@ -2,6 +2,7 @@
 
 import org.quetzalvane.core.quarantine.PromptQuarantine;
 import org.quetzalvane.core.quarantine.Registration;
+import org.quetzalvane.core.quarantine.RequestContent;
 import org.quetzalvane.core.quarantine.Verdict;
 
 /**
@@ -10,27 +11,25 @@
  */
 final class QuarantineGate {
     private final PromptQuarantine quarantine;
-    private final CallerRequest request;
-    private final String service;
+    private final RequestContent content;
     private Registration watch = () -> {};
     private boolean trialPending;
 
-    QuarantineGate(PromptQuarantine quarantine, CallerRequest request, String service) {
+    QuarantineGate(PromptQuarantine quarantine, RequestContent content) {
         this.quarantine = quarantine;
-        this.request = request;
-        this.service = service;
+        this.content = content;
     }
 
-    /** Calls back once if the parts of the request become condemned before {@link #close}. */
+    /** Calls back once if the request becomes condemned before {@link #close}. */
     void watch(Runnable condemned) {
-        watch = quarantine.watch(service, request.sharedParts(), condemned);
+        watch = quarantine.watch(content, condemned);
     }
 
     Verdict check() {
         if (trialPending) {
             return Verdict.TRIAL;
         }
-        Verdict v = quarantine.check(service, request.sharedParts(), request.id());
+        Verdict v = quarantine.check(content);
         trialPending = v.kind() == Verdict.Kind.TRIAL;
         return v;
     }
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -7,6 +7,7 @@
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.quarantine.RequestContent;
 import org.quetzalvane.core.quarantine.Verdict;
 import org.quetzalvane.core.routes.RequiredVersions;
 import org.quetzalvane.core.routes.Route;
@@ -79,9 +80,11 @@
         if (request.adapter() != null) {
             context.adapterDemand().recordRequest(request.adapter());
         }
-        quarantine = new QuarantineGate(context.quarantine(), request, service.name());
+        RequestContent content =
+                RequestContent.of(service.name(), RequestIdentity.of(request), request.sharedParts(), request.id());
+        quarantine = new QuarantineGate(context.quarantine(), content);
         quarantine.watch(this::condemned);
-        shared = new Attempt.Shared(context, request, route, response, this);
+        shared = new Attempt.Shared(context, request, content, route, response, this);
         acquisition = new EngineAcquisition(context, request, route, this);
         permits = new PermitGate(context, request, route, this);
         streamVersion = new StreamVersion(context, request, route);
@@ -377,16 +380,14 @@
         return !v.maySend();
     }
 
-    /** The parts of the prompt became condemned while the request waits or runs. */
+    /** The request, or parts of its prompt, became condemned while it waits or runs. */
     private void condemned() {
         silentAttempts.withdraw("condemned");
         if (current == null) {
             endIfCondemned();
         } else if (!current.isPastBeginning()) {
             history.recordCancelled();
-            fail(
-                    ResultCode.OUTCOME_UNKNOWN,
-                    "parts of the prompt were condemned before the response was past its beginning");
+            fail(ResultCode.OUTCOME_UNKNOWN, "the request was condemned before the response was past its beginning");
         }
     }
 
--- a/core/src/test/java/org/quetzalvane/core/serve/QuarantinedRequestTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/QuarantinedRequestTest.java
@@ -3,9 +3,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.quarantine.PromptQuarantine;
+import org.quetzalvane.core.quarantine.RequestContent;
 import org.quetzalvane.core.quarantine.Verdict;
 import org.quetzalvane.core.residency.AdapterLoader;
 import org.quetzalvane.core.routes.RouteKind;
@@ -73,15 +75,47 @@
     }
 
     @ParameterizedTest
-    @ValueSource(longs = {-1, 0, 80, 1_100})
+    @ValueSource(longs = {0, 80, 1_100})
     void brokenResponseIsReportedWithItsAge(long begunMs) {
         start(RouteKind.STREAMING, RESIDENT_ADAPTER);
-        if (begunMs >= 0) {
-            begin();
-            advance(begunMs);
-        }
+        begin();
+        advance(begunMs);
+        client.last().failed(false, "reset");
+        RequestContent content = content(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        assertThat(quarantine.told).contains("broken " + client.sent.get(0) + " " + begunMs + " " + content);
+    }
+
+    /** Nothing shows that the engine had read the prompt. */
+    @Test
+    void attemptThatBreaksBeforeItsHeadIsReportedWithoutThePartsOfItsPrompt() {
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        advance(80);
         client.last().failed(false, "reset");
-        assertThat(quarantine.told).contains("broken " + client.sent.get(0) + " " + SHARED_PARTS + " " + begunMs);
+        RequestContent identity = content(RouteKind.STREAMING, RESIDENT_ADAPTER).withoutPromptParts();
+        assertThat(quarantine.told).contains("broken " + client.sent.get(0) + " 80 " + identity);
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = RouteKind.class,
+            names = {"IDEMPOTENT", "NON_IDEMPOTENT"})
+    void requestOfAPlainServiceIsCheckedReportedAndCleared(RouteKind kind) {
+        RequestContent identity = content(kind, null).withoutPromptParts();
+        start(kind, null);
+        assertThat(quarantine.told.get(0)).startsWith("check ");
+        client.last().head(plainHead(200));
+        client.last().body(EVENT);
+        assertThat(reportsPastBeginning()).isZero();
+        client.last().end();
+        assertThat(quarantine.told).last().isEqualTo("past " + identity);
+    }
+
+    @Test
+    void errorOfAPlainServiceClearsNothing() {
+        start(RouteKind.NON_IDEMPOTENT, null);
+        client.last().head(plainHead(500));
+        client.last().end();
+        assertThat(reportsPastBeginning()).isZero();
     }
 
     @ParameterizedTest
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -24,6 +24,7 @@
 import org.quetzalvane.core.limit.Permit;
 import org.quetzalvane.core.quarantine.PromptQuarantine;
 import org.quetzalvane.core.quarantine.Registration;
+import org.quetzalvane.core.quarantine.RequestContent;
 import org.quetzalvane.core.quarantine.Verdict;
 import org.quetzalvane.core.residency.AdapterLoader;
 import org.quetzalvane.core.residency.AdapterUsage;
@@ -139,7 +140,13 @@
     }
 
     RequestFlow start(RouteKind kind, AdapterRef adapter, String lastEventId, String resumes) {
-        CallerRequest r = new CallerRequest(
+        RequestFlow flow = new RequestFlow(context, request(kind, adapter, lastEventId, resumes), response);
+        flow.start();
+        return flow;
+    }
+
+    static CallerRequest request(RouteKind kind, AdapterRef adapter, String lastEventId, String resumes) {
+        return new CallerRequest(
                 "id",
                 "POST",
                 "h",
@@ -153,9 +160,13 @@
                 lastEventId,
                 resumes,
                 SHARED_PARTS);
-        RequestFlow flow = new RequestFlow(context, r, response);
-        flow.start();
-        return flow;
+    }
+
+    /** What the quarantine is told of a request that {@link #start} starts. */
+    static RequestContent content(RouteKind kind, AdapterRef adapter) {
+        CallerRequest r = request(kind, adapter, null, null);
+        String service = kind == RouteKind.STREAMING ? "engines" : "plain";
+        return RequestContent.of(service, RequestIdentity.of(r), r.sharedParts(), r.id());
     }
 
     static ResponseHead head(int status, boolean notRun) {
@@ -299,8 +310,8 @@
         }
 
         @Override
-        public Verdict check(String service, List<String> sharedParts, String requestId) {
-            told.add("check " + service + " " + sharedParts + " " + requestId);
+        public Verdict check(RequestContent request) {
+            told.add("check " + request);
             Verdict v = verdict;
             if (v.kind() == Verdict.Kind.TRIAL) {
                 verdict = Verdict.refuse(4_000, "tried");
@@ -309,13 +320,13 @@
         }
 
         @Override
-        public void recordPastBeginning(String service, List<String> sharedParts, String requestId) {
-            told.add("past " + service + " " + sharedParts);
+        public void recordPastBeginning(RequestContent request) {
+            told.add("past " + request);
         }
 
         @Override
-        public void recordBroken(Endpoint endpoint, List<String> sharedParts, String requestId, long beginningMs) {
-            told.add("broken " + endpoint.id() + " " + sharedParts + " " + beginningMs);
+        public void recordBroken(Endpoint endpoint, RequestContent request, long beginningMs) {
+            told.add("broken " + endpoint.id() + " " + beginningMs + " " + request);
         }
 
         @Override
@@ -324,7 +335,7 @@
         }
 
         @Override
-        public Registration watch(String service, List<String> sharedParts, Runnable callback) {
+        public Registration watch(RequestContent request, Runnable callback) {
             condemned = callback;
             return () -> condemned = () -> {};
         }
--- a/core/src/test/java/org/quetzalvane/core/team/EngineSimulation.java
+++ b/core/src/test/java/org/quetzalvane/core/team/EngineSimulation.java
@@ -11,6 +11,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.quarantine.PromptQuarantine;
+import org.quetzalvane.core.quarantine.RequestContent;
 import org.quetzalvane.core.quarantine.Verdict;
 
 /**
@@ -30,12 +31,18 @@
     /** Times at which requests with a crashing part were sent, ms. */
     final List<Long> guiltySends = new ArrayList<>();
 
+    /** Whether responses have no head before they are complete, as those of a plain service. */
+    boolean plain;
+    /** Times that callers send a sound request again after it has failed. */
+    int callerRepeats;
+
     int trials;
     int soundAsked;
     int soundAdmitted;
     int soundPassed;
     private final UniformRandomProvider random;
     private long lastRequest;
+    private long lastIdentity;
     private long born;
 
     /** One engine; its state is that of the current instance. */
@@ -85,27 +92,34 @@
     /** One request at one node; an attempt of it runs at most at one engine. */
     final class Run {
         final QuarantineNetwork.Node node;
+        final String identity;
         final List<String> parts;
-        final String id = "r" + ++lastRequest;
+        final RequestContent content;
+        final int repeats;
         final boolean guilty;
         Engine engine;
         Endpoint instance;
+        long sentMs;
         long headMs = -1;
         int attempts;
 
-        Run(QuarantineNetwork.Node node, List<String> parts) {
+        Run(QuarantineNetwork.Node node, String identity, List<String> parts, int repeats) {
             this.node = node;
+            this.identity = identity;
             this.parts = parts;
-            this.guilty = parts.stream().anyMatch(crashing::contains);
+            this.repeats = repeats;
+            this.content = RequestContent.of(SERVICE, identity.hashCode(), parts, "r" + ++lastRequest);
+            this.guilty = crashing.contains(identity) || parts.stream().anyMatch(crashing::contains);
         }
 
         void start() {
-            Verdict v = quarantine().check(SERVICE, parts, id);
+            Verdict v = quarantine().check(content);
             if (!guilty && attempts == 0) {
                 soundAsked++;
                 soundAdmitted += v.maySend() ? 1 : 0;
             }
             if (!v.maySend() || ++attempts > 2) {
+                repeat();
                 return;
             }
             engine = engines.get(random.nextInt(engines.size()));
@@ -113,6 +127,7 @@
                 quarantine().recordUnreachable(engine.instance);
                 List<Engine> up = engines.stream().filter(e -> e.up).toList();
                 if (up.isEmpty()) {
+                    repeat();
                     return;
                 }
                 engine = up.get(random.nextInt(up.size()));
@@ -122,8 +137,22 @@
                 trials += v.kind() == Verdict.Kind.TRIAL ? 1 : 0;
             }
             instance = engine.instance;
+            sentMs = network.nowMs();
             engine.runs.add(this);
-            at(10 + random.nextLong(150), this::head);
+            if (!plain) {
+                at(10 + random.nextLong(150), this::head);
+            } else if (guilty) {
+                at(50 + random.nextLong(72), this::crash);
+            } else {
+                at(30 + random.nextLong(120), this::done);
+            }
+        }
+
+        /** The caller sends a sound request again. */
+        private void repeat() {
+            if (!guilty && repeats > 0) {
+                at(50 + random.nextLong(400), () -> request(identity, parts, repeats - 1));
+            }
         }
 
         private PromptQuarantine quarantine() {
@@ -155,25 +184,26 @@
         private void pass() {
             if (engine.runs.contains(this) && headMs >= 0) {
                 soundPassed++;
-                node.scheduler.run(() -> quarantine().recordPastBeginning(SERVICE, parts, id));
+                node.scheduler.run(() -> quarantine().recordPastBeginning(content));
             }
         }
 
         private void done() {
-            if (engine.runs.remove(this) && headMs >= 0) {
-                if (network.nowMs() - headMs < PromptQuarantine.BEGINNING_MS) {
+            if (engine.runs.remove(this) && (plain || headMs >= 0)) {
+                if (plain || network.nowMs() - headMs < PromptQuarantine.BEGINNING_MS) {
                     soundPassed++;
-                    node.scheduler.run(() -> quarantine().recordPastBeginning(SERVICE, parts, id));
+                    node.scheduler.run(() -> quarantine().recordPastBeginning(content));
                 }
             }
         }
 
         /** The connection broke. */
         void broken() {
-            long age = headMs < 0 ? -1 : network.nowMs() - headMs;
+            boolean begun = headMs >= 0;
+            long age = network.nowMs() - (begun ? headMs : sentMs);
             headMs = -1;
             node.scheduler.run(() -> {
-                quarantine().recordBroken(instance, parts, id, age);
+                quarantine().recordBroken(instance, begun ? content : content.withoutPromptParts(), age);
                 at(3, () -> node.scheduler.run(this::start));
             });
         }
@@ -191,10 +221,19 @@
         network.clock.schedule(Duration.ofMillis(delayMs), task);
     }
 
-    /** Starts a request at a random node. */
+    /** Starts a request that no other one repeats at a random node. */
     void request(List<String> parts) {
+        request("unique-" + ++lastIdentity, parts);
+    }
+
+    /** Starts a request at a random node; requests with the same identity are repeats. */
+    void request(String identity, List<String> parts) {
+        request(identity, parts, callerRepeats);
+    }
+
+    private void request(String identity, List<String> parts, int repeats) {
         QuarantineNetwork.Node node = network.nodes.get(random.nextInt(network.nodes.size()));
-        node.scheduler.run(new Run(node, parts)::start);
+        node.scheduler.run(new Run(node, identity, parts, repeats)::start);
     }
 
     /** Requests that arrive at random, at a mean rate per second, for a time from now. */
@@ -203,6 +242,12 @@
         next(perSecond, until, () -> request(parts.get()));
     }
 
+    /** Starts one of five sound requests that many callers send with the same content. */
+    void popularRequest() {
+        int i = random.nextInt(5);
+        request("popular-" + i, List.of("all", "m" + i, "r" + i));
+    }
+
     /** Something that happens at random, at a mean rate per second, for a time from now. */
     void happens(double perSecond, long forMs, Runnable what) {
         next(perSecond, network.nowMs() + forMs, what);
@@ -232,10 +277,15 @@
 
     /** Sends of requests with a crashing part later than a time after the fifth end. */
     long sendsLaterThan(long afterFifthEndMs) {
-        if (ends.size() < 5) {
+        return sendsLaterThan(5, afterFifthEndMs);
+    }
+
+    /** Sends of crashing requests later than a time after the given end, counted from 1. */
+    long sendsLaterThan(int end, long afterMs) {
+        if (ends.size() < end) {
             return 0;
         }
-        long from = ends.get(4) + afterFifthEndMs;
+        long from = ends.get(end - 1) + afterMs;
         return guiltySends.stream().filter(t -> t > from).count();
     }
 }
--- a/core/src/test/java/org/quetzalvane/core/team/OrdinaryCrashTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/OrdinaryCrashTest.java
@@ -119,6 +119,22 @@
                 .isEmpty();
     }
 
+    /** Requests that fail come again and again, and some have the same content as others. */
+    @ParameterizedTest
+    @EnumSource(Trouble.class)
+    void nothingIsCondemnedThoughCallersRepeatSoundRequests(Trouble trouble) {
+        for (boolean plain : new boolean[] {true, false}) {
+            assertThat(condemned(s -> {
+                        s.plain = plain;
+                        s.callerRepeats = 3;
+                        s.happens(10, RUN_MS, s::popularRequest);
+                        trouble.begin(s);
+                    }))
+                    .as("plain service: %s", plain)
+                    .isEmpty();
+        }
+    }
+
     /** First condemnation of each seed with one. */
     private static List<String> condemned(Consumer<EngineSimulation> trouble) {
         List<String> lines = new ArrayList<>();
--- a/core/src/test/java/org/quetzalvane/core/team/QuarantineExchangeTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/QuarantineExchangeTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalvane.core.quarantine.CondemnedSet;
+import org.quetzalvane.core.quarantine.RequestContent;
 import org.quetzalvane.core.quarantine.Verdict;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -38,7 +39,9 @@
     }
 
     private static Verdict.Kind check(QuarantineNetwork.Node n, List<String> parts) {
-        return n.quarantine().check(EngineSimulation.SERVICE, parts, "probe").kind();
+        return n.quarantine()
+                .check(RequestContent.of(EngineSimulation.SERVICE, 1, parts, "probe"))
+                .kind();
     }
 
     /** What happens to a node while the part is found. */
