--- a/core/src/main/java/org/quetzalvane/core/team/PermitExchange.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PermitExchange.java
@@ -2,18 +2,12 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.function.BiPredicate;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
-import java.util.function.Supplier;
 
 import org.quetzalvane.core.cluster.RendezvousHash;
 import org.quetzalvane.core.event.EventCode;
@@ -51,7 +45,8 @@
 
     private final Scheduler scheduler;
     private final StructuredLog log;
-    private final Peers peers;
+    private final HubLinks peers;
+    private final IntSupplier nodes;
     private final LimitTable limits;
     private final Map<Instance, PermitBucket> buckets = new LinkedHashMap<>();
     private final Map<Instance, Long> waitUntilNanos = new HashMap<>();
@@ -63,24 +58,6 @@
     private long granted;
     private long denied;
 
-    /**
-     * The other nodes.
-     *
-     * @param self address of this node for peers, IP:PORT
-     * @param isHub whether this node is a hub
-     * @param hubs addresses of the other hubs that are up
-     * @param members addresses of the nodes that report to this one
-     * @param nodes number of nodes that are up, with this one
-     * @param network sends a message to a peer; returns false if there is no connection
-     */
-    public record Peers(
-            String self,
-            BooleanSupplier isHub,
-            Supplier<Collection<String>> hubs,
-            Supplier<Collection<String>> members,
-            IntSupplier nodes,
-            BiPredicate<String, PeerMessage> network) {}
-
     private record Instance(String endpoint, long bornMs) {
         static Instance of(Endpoint e) {
             return new Instance(e.id(), e.bornMs());
@@ -93,11 +70,16 @@
 
     private record Pending(Instance instance, Consumer<Permit> done) {}
 
-    /** Creates the exchange of a node that knows no limits yet. */
-    public PermitExchange(Scheduler scheduler, StructuredLog log, Peers peers) {
+    /**
+     * Creates the exchange of a node that knows no limits yet.
+     *
+     * @param nodes number of nodes that are up, with this one
+     */
+    public PermitExchange(Scheduler scheduler, StructuredLog log, HubLinks peers, IntSupplier nodes) {
         this.scheduler = scheduler;
         this.log = log;
         this.peers = peers;
+        this.nodes = nodes;
         this.limits = new LimitTable(scheduler);
     }
 
@@ -165,7 +147,7 @@
         long n = ++lastNumber;
         PeerMessage.PermitRequest m =
                 new PeerMessage.PermitRequest(peers.self(), n, e.id(), e.bornMs(), perSecond, rank, maxWaitMs);
-        boolean sent = holder != null && peers.network().test(holder, m);
+        boolean sent = holder != null && peers.send(holder, m);
         pending.put(n, new Pending(i, done));
         long timeoutMs = sent ? maxWaitMs + REPLY_TIMEOUT_MS : 0;
         scheduler.schedule(Duration.ofMillis(timeoutMs), () -> complete(n, Permit.denied(HOLDER_RETRY_MS)));
@@ -185,7 +167,7 @@
         } else if (m instanceof PeerMessage.PermitReply r) {
             boolean late = !complete(r.number(), new Permit(r.granted(), r.waitMs()));
             if (late && r.granted()) {
-                peers.network().test(r.from(), new PeerMessage.PermitReturn(peers.self(), r.endpoint(), r.bornMs()));
+                peers.send(r.from(), new PeerMessage.PermitReturn(peers.self(), r.endpoint(), r.bornMs()));
             }
         } else if (m instanceof PeerMessage.PermitReturn r) {
             PermitBucket b = buckets.get(new Instance(r.endpoint(), r.bornMs()));
@@ -201,7 +183,7 @@
     /** Tells a peer to which a connection was made the limits in force, as it may have just started. */
     public void peerConnected(String peer) {
         if (limits.size() > 0) {
-            peers.network().test(peer, new PeerMessage.EndpointLimits(peers.self(), limits.all()));
+            peers.send(peer, new PeerMessage.EndpointLimits(peers.self(), limits.all()));
         }
     }
 
@@ -215,7 +197,7 @@
             }
         }
         if (!news.isEmpty()) {
-            peers.members().get().forEach(p -> peers.network().test(p, new PeerMessage.EndpointLimits(m.from(), news)));
+            peers.relay(new PeerMessage.EndpointLimits(m.from(), news));
         }
     }
 
@@ -235,18 +217,17 @@
         List<EndpointLimit> limitsNow = new ArrayList<>();
         changed.forEach((i, sentNanos) -> limitsNow.add(limits.describe(i.endpoint(), i.bornMs(), sentNanos)));
         changed.clear();
-        PeerMessage.EndpointLimits m = new PeerMessage.EndpointLimits(peers.self(), limitsNow);
-        Set<String> receivers = new HashSet<>(peers.hubs().get());
-        receivers.addAll(peers.members().get());
-        receivers.forEach(p -> peers.network().test(p, m));
+        peers.publish(new PeerMessage.EndpointLimits(peers.self(), limitsNow));
     }
 
     /** Grants a permit as its holder, or because the sender takes this node for it. */
     private void grant(PeerMessage.PermitRequest r) {
         double known = limits.perSecond(r.endpoint(), r.bornMs());
         PermitBucket b = bucket(new Instance(r.endpoint(), r.bornMs()), known < 0 ? r.perSecond() : known);
-        b.ask(r.rank(), r.maxWaitMs(), p -> peers.network()
-                .test(
+        b.ask(
+                r.rank(),
+                r.maxWaitMs(),
+                p -> peers.send(
                         r.from(),
                         new PeerMessage.PermitReply(
                                 peers.self(), r.number(), r.endpoint(), r.bornMs(), p.granted(), p.waitMs())));
@@ -277,7 +258,7 @@
     /** Remembers the most nodes seen; returns the number that is seen now. */
     private int countNodes() {
         long now = scheduler.nanoTime();
-        int seen = peers.nodes().getAsInt();
+        int seen = nodes.getAsInt();
         if (seen >= mostNodes || now - mostNodesNanos > MOST_NODES_MS * 1_000_000) {
             mostNodes = seen;
             mostNodesNanos = now;
@@ -286,12 +267,9 @@
     }
 
     private String holder(Instance i) {
-        List<String> hubs = new ArrayList<>(peers.hubs().get());
-        hubs.remove(peers.self());
-        if (peers.isHub().getAsBoolean()) {
-            hubs.add(peers.self());
-        }
-        return RendezvousHash.rank(i.key(), hubs, h -> h).stream().findFirst().orElse(null);
+        return RendezvousHash.rank(i.key(), peers.hubsWithSelf(), h -> h).stream()
+                .findFirst()
+                .orElse(null);
     }
 
     /** Completes the request with this number; returns false if it is complete already. */
@@ -326,7 +304,7 @@
         if (peers.self().equals(holder) && own != null) {
             own.giveBack();
         } else if (holder != null) {
-            peers.network().test(holder, new PeerMessage.PermitReturn(peers.self(), i.endpoint(), i.bornMs()));
+            peers.send(holder, new PeerMessage.PermitReturn(peers.self(), i.endpoint(), i.bornMs()));
         }
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/team/QuarantineExchange.java
+++ b/core/src/main/java/org/quetzalvane/core/team/QuarantineExchange.java
@@ -1,14 +1,9 @@
 package org.quetzalvane.core.team;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.BiPredicate;
-import java.util.function.BooleanSupplier;
-import java.util.function.Supplier;
 
 import org.quetzalvane.core.cluster.RendezvousHash;
 import org.quetzalvane.core.event.StructuredLog;
@@ -42,7 +37,7 @@
     private static final int MAX_ELEMENTS = 1_000;
 
     private final Scheduler scheduler;
-    private final Peers peers;
+    private final HubLinks peers;
     private final LocalQuarantine local;
     private Set<String> hubsBefore = Set.of();
     private long checkedNanos;
@@ -50,27 +45,11 @@
     private boolean reportScheduled;
     private boolean clearanceScheduled;
 
-    /**
-     * The other nodes.
-     *
-     * @param self address of this node for peers, IP:PORT
-     * @param isHub whether this node is a hub
-     * @param hubs addresses of the other hubs that are up
-     * @param members addresses of the nodes that report to this one
-     * @param network sends a message to a peer; returns false if there is no connection
-     */
-    public record Peers(
-            String self,
-            BooleanSupplier isHub,
-            Supplier<Collection<String>> hubs,
-            Supplier<Collection<String>> members,
-            BiPredicate<String, PeerMessage> network) {}
-
     /** Creates the exchange of a node that knows nothing yet. */
-    public QuarantineExchange(Scheduler scheduler, StructuredLog log, Peers peers) {
+    public QuarantineExchange(Scheduler scheduler, StructuredLog log, HubLinks peers) {
         this.scheduler = scheduler;
         this.peers = peers;
-        this.local = new LocalQuarantine(scheduler, log, peers.self(), this::hubsWithSelf, this);
+        this.local = new LocalQuarantine(scheduler, log, peers.self(), peers::hubsWithSelf, this);
         this.checkedNanos = scheduler.nanoTime();
         this.repeatedNanos = checkedNanos;
     }
@@ -114,7 +93,7 @@
         boolean shared =
                 outcome != QuarantineTrials.Outcome.ACQUITTED || peers.isHub().getAsBoolean();
         if (shared) {
-            publish(new PeerMessage.QuarantineTrial(peers.self(), set, outcome));
+            peers.publish(new PeerMessage.QuarantineTrial(peers.self(), set, outcome));
         }
     }
 
@@ -158,10 +137,8 @@
             boolean settled = m.reply() || c.ageMs() >= REPEAT_INTERVAL_MS;
             if (local.wasLifted(c)) {
                 long set = LocalQuarantine.setId(c);
-                peers.network()
-                        .test(
-                                m.from(),
-                                new PeerMessage.QuarantineTrial(peers.self(), set, QuarantineTrials.Outcome.PASSED));
+                peers.send(
+                        m.from(), new PeerMessage.QuarantineTrial(peers.self(), set, QuarantineTrials.Outcome.PASSED));
             } else if (settled) {
                 local.adopt(c);
             }
@@ -170,35 +147,28 @@
 
     private void relay(PeerMessage m, boolean news) {
         if (news) {
-            peers.members().get().forEach(p -> peers.network().test(p, m));
+            peers.relay(m);
         }
     }
 
-    private void publish(PeerMessage m) {
-        Set<String> receivers = new HashSet<>(peers.hubs().get());
-        receivers.addAll(peers.members().get());
-        receivers.remove(peers.self());
-        receivers.forEach(p -> peers.network().test(p, m));
-    }
-
     private void sendReports() {
         reportScheduled = false;
         List<InstanceReport> reports = local.takeReports();
         if (!reports.isEmpty()) {
-            publish(new PeerMessage.CrashReports(peers.self(), reports));
+            peers.publish(new PeerMessage.CrashReports(peers.self(), reports));
         }
     }
 
     private void sendClearances() {
         List<Clearance> clearances = local.takeClearances();
         if (!clearances.isEmpty()) {
-            publish(new PeerMessage.PartClearances(peers.self(), clearances));
+            peers.publish(new PeerMessage.PartClearances(peers.self(), clearances));
         }
     }
 
     /** Asks a peer to which a connection was made, so that a node that starts knows at once what is condemned. */
     public void peerConnected(String peer) {
-        peers.network().test(peer, new PeerMessage.CondemnedRequest(peers.self()));
+        peers.send(peer, new PeerMessage.CondemnedRequest(peers.self()));
     }
 
     private void check() {
@@ -213,13 +183,13 @@
         hubsBefore = hubs;
         RendezvousHash.rank(peers.self(), asked, h -> h).stream()
                 .limit(HUBS_ASKED)
-                .forEach(h -> peers.network().test(h, new PeerMessage.CondemnedRequest(peers.self())));
+                .forEach(h -> peers.send(h, new PeerMessage.CondemnedRequest(peers.self())));
         local.tick();
         if (peers.isHub().getAsBoolean() && now - repeatedNanos >= REPEAT_INTERVAL_MS * 1_000_000) {
             repeatedNanos = now;
             List<Condemnation> sets = local.condemnations();
             if (!sets.isEmpty()) {
-                publish(new PeerMessage.CondemnedParts(peers.self(), false, sets));
+                peers.publish(new PeerMessage.CondemnedParts(peers.self(), false, sets));
             }
         }
     }
@@ -227,17 +197,8 @@
     private void reply(String to) {
         List<Condemnation> sets = local.condemnations();
         if (!sets.isEmpty()) {
-            peers.network().test(to, new PeerMessage.CondemnedParts(peers.self(), true, sets));
-        }
-    }
-
-    private List<String> hubsWithSelf() {
-        List<String> all = new ArrayList<>(peers.hubs().get());
-        all.remove(peers.self());
-        if (peers.isHub().getAsBoolean()) {
-            all.add(peers.self());
+            peers.send(to, new PeerMessage.CondemnedParts(peers.self(), true, sets));
         }
-        return all;
     }
 
     private static <T> List<T> limited(List<T> elements) {
--- a/core/src/test/java/org/quetzalvane/core/team/PermitNetwork.java
+++ b/core/src/test/java/org/quetzalvane/core/team/PermitNetwork.java
@@ -71,8 +71,8 @@
             return new PermitExchange(
                     scheduler,
                     (code, subject, fields) -> {},
-                    new PermitExchange.Peers(
-                            name, this::isHub, this::hubs, this::members, () -> seen().size() + 1, this::send));
+                    new HubLinks(name, this::isHub, this::hubs, this::members, this::send),
+                    () -> seen().size() + 1);
         }
 
         private boolean isHub() {
--- a/core/src/test/java/org/quetzalvane/core/team/QuarantineNetwork.java
+++ b/core/src/test/java/org/quetzalvane/core/team/QuarantineNetwork.java
@@ -61,9 +61,7 @@
                 }
             };
             return new QuarantineExchange(
-                    scheduler,
-                    log,
-                    new QuarantineExchange.Peers(name, this::isHub, this::hubs, this::members, this::send));
+                    scheduler, log, new HubLinks(name, this::isHub, this::hubs, this::members, this::send));
         }
 
         /** Loses all state, as a new process. The timers of the former one go on and find nothing to send. */
--- a/entry/src/main/java/org/quetzalvane/entry/PeerService.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerService.java
@@ -19,6 +19,7 @@
 import org.quetzalvane.core.residency.EngineResidency;
 import org.quetzalvane.core.residency.LoadRequest;
 import org.quetzalvane.core.store.StoreRecord;
+import org.quetzalvane.core.team.HubLinks;
 import org.quetzalvane.core.team.NodeInfo;
 import org.quetzalvane.core.team.PeerMessage;
 import org.quetzalvane.core.team.PermitExchange;
@@ -82,21 +83,11 @@
         this.relay = relay;
         this.exchange = new StatusExchange(scheduler, components, local, this);
         this.streamOrigins = new StreamOriginTable(scheduler, address, components.peers()::knownHubs, this::send);
-        this.quarantine = new QuarantineExchange(
-                scheduler,
-                log,
-                new QuarantineExchange.Peers(
-                        address, this::isHub, components.peers()::knownHubs, this::memberAddresses, this::send));
+        HubLinks links =
+                new HubLinks(address, this::isHub, components.peers()::knownHubs, this::memberAddresses, this::send);
+        this.quarantine = new QuarantineExchange(scheduler, log, links);
         this.permits = new PermitExchange(
-                scheduler,
-                log,
-                new PermitExchange.Peers(
-                        address,
-                        this::isHub,
-                        components.peers()::knownHubs,
-                        this::memberAddresses,
-                        () -> components.peers().nodes().size() + 1,
-                        this::send));
+                scheduler, log, links, () -> components.peers().nodes().size() + 1);
     }
 
     void start(PeerTransport peerTransport) {
