Drop the limits of endpoints that are gone

Limits ended with an answer or a new instance under the same id only, so that those of endpoints that were replaced stayed and were counted by endpoints_limited. They are removed 60 s after they were confirmed last if their endpoint is not listed.

--- a/core/src/main/java/org/quetzalvane/core/limit/LimitTable.java
+++ b/core/src/main/java/org/quetzalvane/core/limit/LimitTable.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.time.Scheduler;
@@ -19,6 +20,8 @@
 public final class LimitTable {
     /** Largest number of limits kept; those confirmed least recently are evicted. */
     static final int MAX_LIMITS = 1_000;
+    /** Time after which the limit of an endpoint that is not known is removed, ms. */
+    static final long GONE_AFTER_MS = 60_000;
 
     private final Scheduler scheduler;
     private final Map<String, Limit> limits = new LinkedHashMap<>();
@@ -45,6 +48,17 @@
         return limits.size();
     }
 
+    /**
+     * Removes the limits of endpoints that are gone and were confirmed long ago; a limit may be known before its
+     * endpoint is.
+     *
+     * @param isListed whether an endpoint with an id is known
+     */
+    public void removeGone(Predicate<String> isListed) {
+        long oldest = scheduler.nanoTime() - GONE_AFTER_MS * 1_000_000;
+        limits.entrySet().removeIf(l -> l.getValue().confirmedNanos - oldest < 0 && !isListed.test(l.getKey()));
+    }
+
     /** Applies what an answer says; returns whether it changes the limit. */
     public boolean apply(EndpointLimit said) {
         long now = scheduler.nanoTime();
--- a/core/src/main/java/org/quetzalvane/core/team/PermitExchange.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PermitExchange.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 
 import org.quetzalvane.core.cluster.RendezvousHash;
 import org.quetzalvane.core.event.EventCode;
@@ -120,6 +121,19 @@
         }
     }
 
+    /**
+     * Drops what is kept for endpoints that are gone.
+     *
+     * @param isListed whether an endpoint with an id is known
+     */
+    public void removeGone(Predicate<String> isListed) {
+        limits.removeGone(isListed);
+        buckets.entrySet()
+                .removeIf(
+                        b -> b.getValue().isIdle() && !isListed.test(b.getKey().endpoint()));
+        waitUntilNanos.keySet().removeIf(i -> !isListed.test(i.endpoint()));
+    }
+
     @Override
     public long waitMs(Endpoint e) {
         Long until = limits.isLimited(e) ? waitUntilNanos.get(Instance.of(e)) : null;
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -326,6 +326,7 @@
     }
 
     private void reconcile() {
+        peerService.permits().removeGone(id -> platform.endpoints().find(id) != null);
         assignedEngines.reconcile(platform.endpoints().ready());
     }
 
