Return no permits of endpoints without a limit

A request that ended between its selection and its attempt returned a permit also where none was needed, which cost a message. Seen in review. PermitExchangeTest.returnedPermitOfAnEndpointWithoutALimitSendsNothing passes; it was not run on the code before.

--- a/core/src/main/java/org/quetzalvane/core/team/PermitExchange.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PermitExchange.java
@@ -169,7 +169,17 @@
 
     @Override
     public void giveBack(Endpoint e) {
-        giveBack(Instance.of(e));
+        if (!limits.isLimited(e)) {
+            return;
+        }
+        Instance i = Instance.of(e);
+        String holder = holder(i);
+        PermitBucket own = buckets.get(i);
+        if (peers.self().equals(holder) && own != null) {
+            own.giveBack();
+        } else if (holder != null) {
+            peers.send(holder, new PeerMessage.PermitReturn(peers.self(), i.endpoint(), i.bornMs()));
+        }
     }
 
     /** Processes a message of a peer; returns false if it does not concern limits. */
@@ -311,14 +321,4 @@
         }
         done.accept(permit);
     }
-
-    private void giveBack(Instance i) {
-        String holder = holder(i);
-        PermitBucket own = buckets.get(i);
-        if (peers.self().equals(holder) && own != null) {
-            own.giveBack();
-        } else if (holder != null) {
-            peers.send(holder, new PeerMessage.PermitReturn(peers.self(), i.endpoint(), i.bornMs()));
-        }
-    }
 }
--- a/core/src/test/java/org/quetzalvane/core/team/PermitExchangeTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/PermitExchangeTest.java
@@ -7,6 +7,7 @@
 import java.util.stream.IntStream;
 
 import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -170,6 +171,13 @@
         assertThat(network.nodes).allMatch(n -> n.exchange.limitedEndpoints() == 0);
     }
 
+    @Test
+    void returnedPermitOfAnEndpointWithoutALimitSendsNothing() {
+        PermitNetwork network = network(9, 1);
+        network.nodes.forEach(n -> n.exchange.giveBack(ENDPOINT));
+        assertThat(network.messages).isZero();
+    }
+
     private static PermitNetwork network(int nodes, int seed) {
         return new PermitNetwork(nodes, RandomSource.XO_SHI_RO_256_PP.create(seed));
     }
