--- a/core/src/main/java/org/quetzalvane/core/ResultCode.java
+++ b/core/src/main/java/org/quetzalvane/core/ResultCode.java
@@ -60,6 +60,9 @@
             "Endpoints crashed one after the other under this request, sent before, or under parts of its prompt."
                     + " The request was not run."),
 
+    ALLOWANCE_EXCEEDED(
+            215, 429, true, "The client account has used its allowance over all nodes. The request was not run."),
+
     OUTCOME_UNKNOWN(301, 502, false, "The request was dispatched and its outcome is unknown."),
     STREAM_BROKEN(302, 502, false, "The response broke off before its end mark and is incomplete."),
     WRONG_ECHO(303, 502, false, "The response is for another adapter, version or attempt than was requested."),
