--- /dev/null
+++ b/core/src/main/java/org/quetzalvane/core/serve/AttemptSender.java
@@ -0,0 +1,52 @@
+package org.quetzalvane.core.serve;
+
+import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.routes.Route;
+import org.quetzalvane.core.routes.ServiceSpec;
+
+/** Creates and sends the attempts of one request, each with the time that is left. Confined to the event loop. */
+final class AttemptSender {
+    /**
+     * Part of the remaining time that is kept for the network, ms; twice the delay between data centres, at most 2.5
+     * ms.
+     */
+    private static final long NETWORK_MARGIN_MS = 5;
+
+    private final Attempt.Shared shared;
+    private final ServiceSpec service;
+    private final long deadlineNanos;
+
+    AttemptSender(Attempt.Shared shared, ServiceSpec service, long deadlineNanos) {
+        this.shared = shared;
+        this.service = service;
+        this.deadlineNanos = deadlineNanos;
+    }
+
+    /** Time left to an endpoint, ms. */
+    long remainingMs() {
+        return (deadlineNanos - shared.context().scheduler().nanoTime()) / 1_000_000 - NETWORK_MARGIN_MS;
+    }
+
+    /** An attempt at an endpoint, not sent yet; null if no time is left. */
+    Attempt createAttempt(Endpoint e) {
+        return remainingMs() <= 0 ? null : new Attempt(shared, e, service.servesModels());
+    }
+
+    /**
+     * Sends an attempt.
+     *
+     * @param version adapter version that must serve it
+     * @param lastEventId id of the event after which the stream is to continue, or null
+     */
+    void send(Attempt a, int version, String lastEventId) {
+        Route route = shared.route();
+        boolean requireFresh = !route.retryable();
+        a.send(new EndpointRequest(
+                shared.request(), remainingMs(), enginePriority(route.priority()), version, lastEventId, requireFresh));
+    }
+
+    /** Route priorities 0, 1 and 2 become engine priorities 1, 3 and 5; larger ones are limited to 9. */
+    private static int enginePriority(int priority) {
+        return Math.min(9, 1 + 2 * priority);
+    }
+}
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -27,21 +27,16 @@
      * margin.
      */
     static final long DEFAULT_RETRY_AFTER_MS = 300;
-    /**
-     * Part of the remaining time that is kept for the network, ms; twice the delay between data centres, at most 2.5
-     * ms.
-     */
-    private static final long NETWORK_MARGIN_MS = 5;
 
     private final ServingContext context;
     private final CallerRequest request;
     private final CallerResponse response;
     private final RequestLog requestLog;
+    private final FinalResponse finalResponse;
     private final long arrivedNanos;
 
     private Route route;
     private ServiceSpec service;
-    private long deadlineNanos;
     private Scheduler.Timer deadlineTimer;
     private boolean done;
     private Attempt current;
@@ -53,15 +48,17 @@
     private final SilentAttempts silentAttempts = new SilentAttempts(this::candidateKept);
     private QuarantineGate quarantine;
     private Attempt.Shared shared;
+    private AttemptSender sender;
 
     /** Creates the flow of a request that has just arrived. */
     public RequestFlow(ServingContext context, CallerRequest request, CallerResponse response) {
         this.context = context;
         this.request = request;
         this.response = response;
-        this.requestLog = new RequestLog(context, request);
-        this.history = new AttemptHistory(context);
         this.arrivedNanos = context.scheduler().nanoTime();
+        this.requestLog = new RequestLog(context, request, arrivedNanos);
+        this.finalResponse = new FinalResponse(requestLog, response);
+        this.history = new AttemptHistory(context);
     }
 
     /** Starts handling the request; the response may be sent within this call. */
@@ -69,13 +66,13 @@
         RouteMatch match = RouteMatch.of(context.config().current(), request);
         route = match.route();
         service = match.service();
+        requestLog.setRoute(route);
         if (match.refusal() != null) {
             refuse(match.refusal(), match.retryAfterMs(), match.cause());
             return;
         }
         context.retryBudget().recordRequest(service.name());
         long ms = request.timeoutMs() < 0 ? route.timeoutMs() : Math.min(route.timeoutMs(), request.timeoutMs());
-        deadlineNanos = arrivedNanos + ms * 1_000_000;
         deadlineTimer = context.scheduler().schedule(Duration.ofMillis(ms), this::deadlineReached);
         if (request.adapter() != null) {
             context.adapterDemand().recordRequest(request.adapter());
@@ -85,6 +82,7 @@
         quarantine = new QuarantineGate(context.quarantine(), content);
         quarantine.watch(this::condemned);
         shared = new Attempt.Shared(context, request, content, route, response, this);
+        sender = new AttemptSender(shared, service, arrivedNanos + ms * 1_000_000);
         acquisition = new EngineAcquisition(context, request, route, this);
         permits = new PermitGate(context, request, route, this);
         streamVersion = new StreamVersion(context, request, route);
@@ -110,7 +108,7 @@
         if (done) {
             return;
         }
-        log(EventCode.REQUEST_CANCELLED, "after_ms", elapsedMs(), "sends", history.sends());
+        log(EventCode.REQUEST_CANCELLED, "after_ms", requestLog.elapsedMs(), "sends", history.sends());
         finish();
     }
 
@@ -170,7 +168,7 @@
             context.permits().giveBack(e);
             return;
         }
-        current = createAttempt(e);
+        current = sender.createAttempt(e);
         if (current == null) {
             context.permits().giveBack(e);
             deadlineReached();
@@ -181,26 +179,13 @@
 
     @Override
     public Attempt createCandidate(Endpoint e) {
-        return quarantine.check().maySend() ? createAttempt(e) : null;
-    }
-
-    private Attempt createAttempt(Endpoint e) {
-        return remainingMs() <= 0 ? null : new Attempt(shared, e, service.servesModels());
+        return quarantine.check().maySend() ? sender.createAttempt(e) : null;
     }
 
     @Override
     public void sendCandidate(Attempt a, int version) {
         quarantine.sent();
-        String lastEventId = responseStream == null ? request.lastEventId() : responseStream.lastId();
-        // Route priorities 0, 1 and 2 become engine priorities 1, 3 and 5; larger ones are limited to 9.
-        int enginePriority = Math.min(9, 1 + 2 * route.priority());
-        boolean requireFresh = !route.retryable();
-        a.send(new EndpointRequest(request, remainingMs(), enginePriority, version, lastEventId, requireFresh));
-    }
-
-    /** Time left to an endpoint, ms. */
-    private long remainingMs() {
-        return (deadlineNanos - context.scheduler().nanoTime()) / 1_000_000 - NETWORK_MARGIN_MS;
+        sender.send(a, version, responseStream == null ? request.lastEventId() : responseStream.lastId());
     }
 
     @Override
@@ -284,7 +269,7 @@
     @Override
     public void silent(Attempt a) {
         boolean replaceable = !silentAttempts.isReplacing()
-                && remainingMs() >= route.objectiveMs()
+                && sender.remainingMs() >= route.objectiveMs()
                 && mayRetryAfterThis()
                 && streamResumable();
         if (replaceable && context.retryBudget().tryReserve(service.name())) {
@@ -433,31 +418,14 @@
     }
 
     private void refuse(ResultCode code, long retryAfterMs, String cause) {
-        log(EventCode.REQUEST_REFUSED, "code", code.number(), "retry_after_ms", retryAfterMs, "why", cause);
-        response.sendError(code, retryAfterMs);
+        finalResponse.refuse(code, retryAfterMs, cause);
         finish();
     }
 
     private void fail(ResultCode code, String cause) {
         String endpoint =
                 current == null ? history.lastEndpoint() : current.endpoint().id();
-        log(
-                EventCode.REQUEST_FAILED,
-                "code",
-                code.number(),
-                "endpoint",
-                endpoint,
-                "sends",
-                history.mayHaveRun(),
-                "begun",
-                responseStream != null,
-                "why",
-                cause);
-        if (responseStream != null) {
-            response.abort();
-        } else {
-            response.sendError(code, -1);
-        }
+        finalResponse.fail(code, endpoint, history.mayHaveRun(), responseStream != null, cause);
         finish();
     }
 
@@ -487,11 +455,7 @@
         }
     }
 
-    private long elapsedMs() {
-        return (context.scheduler().nanoTime() - arrivedNanos) / 1_000_000;
-    }
-
     private void log(EventCode code, Object... fields) {
-        requestLog.log(code, route == null ? request.path() : route.name(), elapsedMs(), fields);
+        requestLog.log(code, fields);
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestLog.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestLog.java
@@ -6,27 +6,40 @@
 
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.routes.Route;
 
 /** Log lines of one request; each ends with what identifies the request and its size. Confined to the event loop. */
 final class RequestLog {
     private final ServingContext context;
     private final CallerRequest request;
+    private final long arrivedNanos;
+    private String route;
 
-    RequestLog(ServingContext context, CallerRequest request) {
+    RequestLog(ServingContext context, CallerRequest request, long arrivedNanos) {
         this.context = context;
         this.request = request;
+        this.arrivedNanos = arrivedNanos;
+        this.route = request.path();
+    }
+
+    /** Sets the route that is named from now on; a request without one is identified by its path. */
+    void setRoute(Route matched) {
+        route = matched == null ? request.path() : matched.name();
+    }
+
+    /** Time since the request arrived, ms. */
+    long elapsedMs() {
+        return (context.scheduler().nanoTime() - arrivedNanos) / 1_000_000;
     }
 
     /**
      * Logs an event of the request.
      *
-     * @param route name of its route, or its path before a route is known
-     * @param elapsedMs time since the request arrived, ms
      * @param fields names and values that precede the common fields
      */
-    void log(EventCode code, String route, long elapsedMs, Object... fields) {
+    void log(EventCode code, Object... fields) {
         List<Object> all = new ArrayList<>(Arrays.asList(fields));
-        all.addAll(List.of("route", route, "ms", elapsedMs));
+        all.addAll(List.of("route", route, "ms", elapsedMs()));
         if (request.adapter() != null) {
             TokenCounts t = request.tokenCounts();
             all.addAll(List.of("adapter", request.adapter(), "prompt", t.prompt(), "output", t.expectedOutput()));
