Authenticate requests by API keys and acquire their allowances

Cause: the product knows no client accounts; keys are forwarded to endpoints and any caller is served. Without accounts, requests are sent with the same headers in the same order.

--- a/core/src/main/java/org/quetzalvane/core/routes/Route.java
+++ b/core/src/main/java/org/quetzalvane/core/routes/Route.java
@@ -18,6 +18,7 @@
  * @param maxAttempts attempts of one request that may have run; refused attempts and failed connections do not count
  * @param resumable whether another endpoint may continue a stream that was broken off
  * @param gapObjectiveMs objective for the gap between events of a stream, in milliseconds
+ * @param isPublic whether a request needs no API key
  */
 public record Route(
         String name,
@@ -30,7 +31,8 @@
         List<TrafficSplit> splits,
         int maxAttempts,
         boolean resumable,
-        long gapObjectiveMs) {
+        long gapObjectiveMs,
+        boolean isPublic) {
 
     /**
      * Shortest idle timeout of callers of streams, ms; published by the platform together with the two factors below.
@@ -46,6 +48,23 @@
         splits = List.copyOf(splits);
     }
 
+    /** This route with another priority. */
+    public Route withPriority(int other) {
+        return new Route(
+                name,
+                host,
+                prefix,
+                kind,
+                timeoutMs,
+                objectiveMs,
+                other,
+                splits,
+                maxAttempts,
+                resumable,
+                gapObjectiveMs,
+                isPublic);
+    }
+
     /** The service for a request; the same request id always maps to the same service. */
     public String serviceFor(String requestId) {
         if (splits.size() == 1) {
--- a/core/src/main/java/org/quetzalvane/core/routes/ServingConfig.java
+++ b/core/src/main/java/org/quetzalvane/core/routes/ServingConfig.java
@@ -13,11 +13,23 @@
     private final Map<String, List<Route>> routesByHost = new HashMap<>();
     private final Map<String, ServiceSpec> services = new HashMap<>();
     private final IngressLimits limits;
+    private final AccountTable accounts;
 
-    /** Creates a version from its parts. */
+    /** Creates a version without client accounts from its parts. */
     public ServingConfig(long version, List<Route> routes, List<ServiceSpec> services, IngressLimits limits) {
+        this(version, routes, services, limits, null);
+    }
+
+    /**
+     * Creates a version from its parts.
+     *
+     * @param accounts client accounts, or null if callers are not identified
+     */
+    public ServingConfig(
+            long version, List<Route> routes, List<ServiceSpec> services, IngressLimits limits, AccountTable accounts) {
         this.version = version;
         this.limits = limits;
+        this.accounts = accounts;
         for (Route r : routes) {
             routesByHost.computeIfAbsent(r.host(), h -> new ArrayList<>()).add(r);
         }
@@ -35,6 +47,11 @@
         return limits;
     }
 
+    /** The client accounts; empty if this version does not identify callers. */
+    public Optional<AccountTable> accounts() {
+        return Optional.ofNullable(accounts);
+    }
+
     /** The route of a host with the longest prefix that matches the path. */
     public Optional<Route> match(String host, String path) {
         for (Route r : routesByHost.getOrDefault(host, List.of())) {
--- a/core/src/main/java/org/quetzalvane/core/serve/AttemptSender.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/AttemptSender.java
@@ -15,11 +15,13 @@
     private final Attempt.Shared shared;
     private final ServiceSpec service;
     private final long deadlineNanos;
+    private final AccountGate account;
 
-    AttemptSender(Attempt.Shared shared, ServiceSpec service, long deadlineNanos) {
+    AttemptSender(Attempt.Shared shared, ServiceSpec service, long deadlineNanos, AccountGate account) {
         this.shared = shared;
         this.service = service;
         this.deadlineNanos = deadlineNanos;
+        this.account = account;
     }
 
     /** Time left to an endpoint, ms. */
@@ -33,16 +35,23 @@
     }
 
     /**
-     * Sends an attempt.
+     * Sends an attempt under the account that was looked up last.
      *
      * @param version adapter version that must serve it
      * @param lastEventId id of the event after which the stream is to continue, or null
      */
     void send(Attempt a, int version, String lastEventId) {
         Route route = shared.route();
-        boolean requireFresh = !route.retryable();
+        account.sent(a);
         a.send(new EndpointRequest(
-                shared.request(), remainingMs(), enginePriority(route.priority()), version, lastEventId, requireFresh));
+                shared.request(),
+                remainingMs(),
+                enginePriority(route.priority()),
+                version,
+                lastEventId,
+                !route.retryable(),
+                account.accountName(),
+                account.forwardsCredentials()));
     }
 
     /** Route priorities 0, 1 and 2 become engine priorities 1, 3 and 5; larger ones are limited to 9. */
--- a/core/src/main/java/org/quetzalvane/core/serve/EndpointRequest.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EndpointRequest.java
@@ -10,6 +10,8 @@
  * @param lastEventId id of the event after which the stream is to continue, or null
  * @param requireFreshConnection whether a connection that was idle for long must not be used, because the request
  *     cannot be retried if that connection turns out to be closed
+ * @param account name of the client account, or null if the request has none
+ * @param forwardsCredentials whether the credentials of the caller are passed on
  */
 public record EndpointRequest(
         CallerRequest request,
@@ -17,4 +19,6 @@
         int enginePriority,
         int version,
         String lastEventId,
-        boolean requireFreshConnection) {}
+        boolean requireFreshConnection,
+        String account,
+        boolean forwardsCredentials) {}
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -1,15 +1,14 @@
 package org.quetzalvane.core.serve;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Set;
 
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.limit.Permit;
 import org.quetzalvane.core.quarantine.RequestContent;
 import org.quetzalvane.core.quarantine.Verdict;
-import org.quetzalvane.core.routes.RequiredVersions;
 import org.quetzalvane.core.routes.Route;
 import org.quetzalvane.core.routes.ServiceSpec;
 import org.quetzalvane.core.time.Scheduler;
@@ -34,6 +33,7 @@
     private final RequestLog requestLog;
     private final FinalResponse finalResponse;
     private final long arrivedNanos;
+    private final AccountGate account;
 
     private Route route;
     private ServiceSpec service;
@@ -44,6 +44,7 @@
     private StreamVersion streamVersion;
     private final AttemptHistory history;
     private EngineAcquisition acquisition;
+    private EndpointSelection selection;
     private PermitGate permits;
     private final SilentAttempts silentAttempts = new SilentAttempts(this::candidateKept);
     private QuarantineGate quarantine;
@@ -59,6 +60,7 @@
         this.requestLog = new RequestLog(context, request, arrivedNanos);
         this.finalResponse = new FinalResponse(requestLog, response);
         this.history = new AttemptHistory(context);
+        this.account = new AccountGate(context, request);
     }
 
     /** Starts handling the request; the response may be sent within this call. */
@@ -71,9 +73,29 @@
             refuse(match.refusal(), match.retryAfterMs(), match.cause());
             return;
         }
-        context.retryBudget().recordRequest(service.name());
+        AccountGate.Refusal refusal = account.checkArrival(route);
+        requestLog.setAccount(account.accountName());
+        if (refusal != null) {
+            refuse(refusal.code(), refusal.retryAfterMs(), refusal.cause());
+            return;
+        }
+        route = account.prioritized(route);
         long ms = request.timeoutMs() < 0 ? route.timeoutMs() : Math.min(route.timeoutMs(), request.timeoutMs());
         deadlineTimer = context.scheduler().schedule(Duration.ofMillis(ms), this::deadlineReached);
+        account.acquire(permit -> decided(permit, arrivedNanos + ms * 1_000_000));
+    }
+
+    private void decided(Permit allowance, long deadlineNanos) {
+        if (allowance.granted()) {
+            admitted(deadlineNanos);
+        } else {
+            long retryAfterMs = RetryAfter.spread(allowance.waitMs(), request.id());
+            refuse(ResultCode.ALLOWANCE_EXCEEDED, retryAfterMs, "wait_ms=" + allowance.waitMs());
+        }
+    }
+
+    private void admitted(long deadlineNanos) {
+        context.retryBudget().recordRequest(service.name());
         if (request.adapter() != null) {
             context.adapterDemand().recordRequest(request.adapter());
         }
@@ -82,8 +104,9 @@
         quarantine = new QuarantineGate(context.quarantine(), content);
         quarantine.watch(this::condemned);
         shared = new Attempt.Shared(context, request, content, route, response, this);
-        sender = new AttemptSender(shared, service, arrivedNanos + ms * 1_000_000);
+        sender = new AttemptSender(shared, service, deadlineNanos, account);
         acquisition = new EngineAcquisition(context, request, route, this);
+        selection = new EndpointSelection(context, request, service, history, acquisition, this);
         permits = new PermitGate(context, request, route, this);
         streamVersion = new StreamVersion(context, request, route);
         streamVersion.resolve(service.name(), this::streamVersionResolved);
@@ -131,40 +154,21 @@
 
     @Override
     public void selectNext() {
-        if (endIfCondemned()) {
-            return;
-        }
-        String version = streamVersion.required();
-        List<Endpoint> usable = context.endpoints().usable(service.name(), version);
-        if (usable.isEmpty()) {
-            giveUpWithoutEndpoint(version);
-            return;
-        }
-        if (service.servesModels() && request.adapter() != null) {
-            acquisition.tryNext(usable, history.triedEndpoints());
-            return;
-        }
-        Endpoint e = context.serviceEndpointSelector().select(usable, history.triedEndpoints(), request.id());
-        if (e == null) {
-            giveUp(
-                    ResultCode.NO_ENGINE,
-                    "endpoints=" + usable.size() + " tried="
-                            + history.triedEndpoints().size());
-        } else {
-            send(e, RequiredVersions.ANY_VERSION);
+        if (!endIfForbidden()) {
+            selection.next(streamVersion.required());
         }
     }
 
     @Override
     public void send(Endpoint e, int version) {
-        if (!endIfCondemned()) {
+        if (!endIfForbidden()) {
             permits.acquire(e, () -> sendPermitted(e, version));
         }
     }
 
     private void sendPermitted(Endpoint e, int version) {
         permits.sent();
-        if (endIfCondemned()) {
+        if (endIfForbidden()) {
             context.permits().giveBack(e);
             return;
         }
@@ -179,7 +183,8 @@
 
     @Override
     public Attempt createCandidate(Endpoint e) {
-        return quarantine.check().maySend() ? sender.createAttempt(e) : null;
+        boolean maySend = account.check(route) == null && quarantine.check().maySend();
+        return maySend ? sender.createAttempt(e) : null;
     }
 
     @Override
@@ -191,6 +196,7 @@
     @Override
     public void refused(Attempt a, ResponseHead head) {
         clearCurrent(a);
+        account.notRun(a);
         Endpoint e = a.endpoint();
         boolean lacksAdapter = head.misdirected() && request.adapter() != null;
         if (lacksAdapter) {
@@ -216,6 +222,7 @@
     @Override
     public void unreachable(Attempt a, String cause) {
         clearCurrent(a);
+        account.notRun(a);
         boolean mayAskAnother = history.recordUnreachable(a, cause);
         if (silentAttempts.isCandidate(a)) {
             silentAttempts.candidateFailed(a, cause);
@@ -246,7 +253,7 @@
         boolean retry = retryAcquired || mayRetryAfterThis() && streamResumable() && tryAcquireRetry();
         recordFailedAttempt(a, cause);
         if (retry) {
-            logRetry(a.endpoint(), cause);
+            requestLog.logRetry(a.endpoint(), responseStream != null, cause);
             selectNext();
         } else {
             fail(code, cause);
@@ -288,7 +295,7 @@
     public void replace(Attempt silent, Attempt candidate) {
         silent.giveUp();
         recordFailedAttempt(silent, "silent");
-        logRetry(silent.endpoint(), "silent");
+        requestLog.logRetry(silent.endpoint(), responseStream != null, "silent");
         current = candidate;
     }
 
@@ -310,15 +317,10 @@
         return responseStream == null ? arrivedNanos : a.lastProgressNanos();
     }
 
-    private void logRetry(Endpoint e, String cause) {
-        EventCode code = responseStream == null ? EventCode.REQUEST_RETRIED : EventCode.REQUEST_RESUMED;
-        log(code, "endpoint", e.id(), "software", e.softwareVersion(), "cause", cause);
-    }
-
     @Override
     public void completed(Attempt a) {
         clearCurrent(a);
-        log(EventCode.REQUEST_DONE, RequestLog.doneFields(a, history.mayHaveRun() + 1, arrivedNanos));
+        requestLog.logDone(a, history.mayHaveRun() + 1);
         finish();
     }
 
@@ -357,6 +359,16 @@
         return history.triedEndpoints();
     }
 
+    /** Ends the request if nothing may be sent any more; returns whether it has ended. */
+    private boolean endIfForbidden() {
+        AccountGate.Refusal refusal = account.check(route);
+        if (refusal == null) {
+            return endIfCondemned();
+        }
+        giveUp(refusal.code(), refusal.retryAfterMs(), refusal.cause());
+        return true;
+    }
+
     private boolean endIfCondemned() {
         Verdict v = quarantine.check();
         if (!v.maySend()) {
@@ -376,20 +388,6 @@
         }
     }
 
-    private void giveUpWithoutEndpoint(String version) {
-        long backoffMs = context.endpoints().backoffMs(service.name(), version);
-        if (backoffMs > 0) {
-            long retryAfterMs = RetryAfter.spread(backoffMs, request.id());
-            giveUp(ResultCode.OVERLOADED, retryAfterMs, "all endpoints asked to wait, shortest_ms=" + backoffMs);
-        } else if (version != null) {
-            giveUp(ResultCode.STREAM_NOT_RESUMABLE, "no endpoint of software version " + version);
-        } else {
-            giveUp(
-                    ResultCode.NO_ENGINE,
-                    "endpoints=0 tried=" + history.triedEndpoints().size());
-        }
-    }
-
     private void clearCurrent(Attempt ended) {
         if (current == ended) {
             current = null;
@@ -443,6 +441,7 @@
 
     private void finish() {
         done = true;
+        account.close();
         if (quarantine != null) {
             quarantine.close();
         }
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestIdentity.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestIdentity.java
@@ -8,17 +8,13 @@
  */
 final class RequestIdentity {
     private static final LongHashFunction HASH = LongHashFunction.xx3();
-    private static final String CREDENTIALS = "authorization";
 
     private RequestIdentity() {}
 
     /** Hash that repeats of a request share. */
     static long of(CallerRequest r) {
-        String credentials = r.headers().stream()
-                .filter(h -> h.name().equalsIgnoreCase(CREDENTIALS))
-                .map(Header::value)
-                .findFirst()
-                .orElse("");
+        String credentials =
+                r.credentials().authorization().stream().findFirst().orElse("");
         return HASH.hashLongs(new long[] {
             HASH.hashChars(r.method()),
             HASH.hashChars(r.host()),
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestLog.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestLog.java
@@ -14,6 +14,7 @@
     private final CallerRequest request;
     private final long arrivedNanos;
     private String route;
+    private String account;
 
     RequestLog(ServingContext context, CallerRequest request, long arrivedNanos) {
         this.context = context;
@@ -27,6 +28,11 @@
         route = matched == null ? request.path() : matched.name();
     }
 
+    /** Sets the client account that is named from now on, or null if there is none. */
+    void setAccount(String name) {
+        account = name;
+    }
+
     /** Time since the request arrived, ms. */
     long elapsedMs() {
         return (context.scheduler().nanoTime() - arrivedNanos) / 1_000_000;
@@ -40,6 +46,9 @@
     void log(EventCode code, Object... fields) {
         List<Object> all = new ArrayList<>(Arrays.asList(fields));
         all.addAll(List.of("route", route, "ms", elapsedMs()));
+        if (account != null) {
+            all.addAll(List.of("account", account));
+        }
         if (request.adapter() != null) {
             TokenCounts t = request.tokenCounts();
             all.addAll(List.of("adapter", request.adapter(), "prompt", t.prompt(), "output", t.expectedOutput()));
@@ -51,30 +60,40 @@
     }
 
     /**
-     * Fields of a completed request. {@code first_ms} and {@code gap_ms} belong to the last attempt, also of a resumed
+     * Logs that a request is retried after an attempt that may have run.
+     *
+     * @param begun whether the response to the caller has begun, so that its stream is resumed
+     */
+    void logRetry(Endpoint failed, boolean begun, String cause) {
+        EventCode code = begun ? EventCode.REQUEST_RESUMED : EventCode.REQUEST_RETRIED;
+        log(code, "endpoint", failed.id(), "software", failed.softwareVersion(), "cause", cause);
+    }
+
+    /**
+     * Logs a completed request. {@code first_ms} and {@code gap_ms} belong to the last attempt, also of a resumed
      * stream.
      *
      * @param sends attempts that may have run; refused ones are left out
      */
-    static Object[] doneFields(Attempt last, int sends, long arrivedNanos) {
+    void logDone(Attempt last, int sends) {
         Endpoint e = last.endpoint();
-        return new Object[] {
-            "endpoint",
-            e.id(),
-            "software",
-            e.softwareVersion(),
-            "status",
-            last.head().status(),
-            "delimited",
-            last.head().delimited(),
-            "sends",
-            sends,
-            "held_ms",
-            (last.sentNanos() - arrivedNanos) / 1_000_000,
-            "first_ms",
-            last.firstByteNanos() == 0 ? -1 : (last.firstByteNanos() - arrivedNanos) / 1_000_000,
-            "gap_ms",
-            last.longestGapMs()
-        };
+        log(
+                EventCode.REQUEST_DONE,
+                "endpoint",
+                e.id(),
+                "software",
+                e.softwareVersion(),
+                "status",
+                last.head().status(),
+                "delimited",
+                last.head().delimited(),
+                "sends",
+                sends,
+                "held_ms",
+                (last.sentNanos() - arrivedNanos) / 1_000_000,
+                "first_ms",
+                last.firstByteNanos() == 0 ? -1 : (last.firstByteNanos() - arrivedNanos) / 1_000_000,
+                "gap_ms",
+                last.longestGapMs());
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/serve/ServingContext.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ServingContext.java
@@ -1,5 +1,7 @@
 package org.quetzalvane.core.serve;
 
+import java.util.function.BooleanSupplier;
+
 import org.quetzalvane.core.choice.AdapterDemand;
 import org.quetzalvane.core.choice.Admission;
 import org.quetzalvane.core.choice.EndpointLoads;
@@ -10,6 +12,7 @@
 import org.quetzalvane.core.choice.ServiceEndpointSelector;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.EndpointTable;
+import org.quetzalvane.core.limit.AccountAllowances;
 import org.quetzalvane.core.limit.EndpointPermits;
 import org.quetzalvane.core.quarantine.PromptQuarantine;
 import org.quetzalvane.core.residency.AdapterLoader;
@@ -36,6 +39,8 @@
  * @param engineSelector selects engines
  * @param serviceEndpointSelector selects endpoints of plain services
  * @param permits permits for endpoints that named a limit
+ * @param allowances allowances of client accounts
+ * @param keysVerifiable whether the configuration is recent enough to tell whether an API key is valid
  * @param admission refuses requests beyond the engines' capacity
  * @param retryBudget this node's share of the retry budget
  * @param streamOrigins software versions that streams come from
@@ -58,6 +63,8 @@
         EngineSelector engineSelector,
         ServiceEndpointSelector serviceEndpointSelector,
         EndpointPermits permits,
+        AccountAllowances allowances,
+        BooleanSupplier keysVerifiable,
         Admission admission,
         RetryBudgetShare retryBudget,
         StreamOrigins streamOrigins,
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -20,6 +20,7 @@
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.fleet.EndpointTable;
+import org.quetzalvane.core.limit.AccountAllowances;
 import org.quetzalvane.core.limit.EndpointPermits;
 import org.quetzalvane.core.limit.Permit;
 import org.quetzalvane.core.quarantine.PromptQuarantine;
@@ -85,6 +86,8 @@
                 new EngineSelector(inputs, "a", e -> true),
                 new ServiceEndpointSelector(loads, outliers, permits, "a"),
                 permits,
+                AccountAllowances.UNLIMITED,
+                () -> true,
                 new Admission(),
                 retryBudget,
                 origins,
@@ -109,7 +112,8 @@
                     List.of(new TrafficSplit(service, 1)),
                     2,
                     true,
-                    300));
+                    300,
+                    false));
         }
         ServiceSpec plain = new ServiceSpec("plain", 10, null);
         ServiceSpec engines = new ServiceSpec("engines", 10, new EngineSpec(4, 1_000, List.of(), 10, 4));
@@ -156,10 +160,11 @@
                 new byte[0],
                 5_000,
                 adapter,
-                new TokenCounts(100, 0, 0),
+                new TokenCounts(100, 0, 0, TokenCounts.Statement.VALID),
                 lastEventId,
                 resumes,
-                SHARED_PARTS);
+                SHARED_PARTS,
+                Credentials.NONE);
     }
 
     /** What the quarantine is told of a request that {@link #start} starts. */
--- a/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
+++ b/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
@@ -58,7 +58,8 @@
                 0.2,
                 50,
                 10_000,
-                5);
+                5,
+                BootSettings.Revocation.LENIENT);
         EntryNode node = new EntryNode(settings);
         node.start();
         exercisePeerCodec();
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -19,6 +19,7 @@
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.limit.AccountAllowances;
 import org.quetzalvane.core.limit.EndpointPermits;
 import org.quetzalvane.core.residency.AdapterUsage;
 import org.quetzalvane.core.residency.EngineController;
@@ -258,6 +259,8 @@
                 new EngineSelector(inputs, settings.zone(), peerService::hasOwner),
                 new ServiceEndpointSelector(endpointLoads, outliers, permits, settings.zone()),
                 permits,
+                AccountAllowances.UNLIMITED,
+                this::keysVerifiable,
                 new Admission(),
                 retries,
                 peerService.streamOrigins(),
@@ -266,6 +269,11 @@
                 log);
     }
 
+    private boolean keysVerifiable() {
+        BootSettings.Revocation r = settings.revocation();
+        return !r.strict() || platform.configAgeMs() <= r.afterMs();
+    }
+
     private StatusExchange.LocalNode localNode() {
         return new StatusExchange.LocalNode(
                 settings.peerAddress(),
--- a/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
+++ b/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
@@ -38,6 +38,7 @@
                 ratio,
                 extra,
                 10_000,
-                5);
+                5,
+                BootSettings.Revocation.LENIENT);
     }
 }
