Test accounts of requests on the manual clock and the decoding of accounts

Cause: the authentication of requests and the use of allowances had no tests of their own. Change: AccountRequestTest (table of credentials, revocation before each kind of send, allowance) and AccountDecoderTest (valid and malformed accounts, messages without keys); FakeQuarantine moves out of the fixture.

--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -20,17 +20,14 @@
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.fleet.EndpointTable;
-import org.quetzalvane.core.limit.AccountAllowances;
 import org.quetzalvane.core.limit.EndpointPermits;
 import org.quetzalvane.core.limit.Permit;
-import org.quetzalvane.core.quarantine.PromptQuarantine;
-import org.quetzalvane.core.quarantine.Registration;
 import org.quetzalvane.core.quarantine.RequestContent;
-import org.quetzalvane.core.quarantine.Verdict;
 import org.quetzalvane.core.residency.AdapterLoader;
 import org.quetzalvane.core.residency.AdapterUsage;
 import org.quetzalvane.core.residency.LoadRequest;
 import org.quetzalvane.core.residency.ResidencyTable;
+import org.quetzalvane.core.routes.AccountTable;
 import org.quetzalvane.core.routes.AdapterRef;
 import org.quetzalvane.core.routes.CurrentConfig;
 import org.quetzalvane.core.routes.EngineSpec;
@@ -59,6 +56,8 @@
     final FakeStreamOrigins origins = new FakeStreamOrigins();
     final FakeQuarantine quarantine = new FakeQuarantine();
     final FakePermits permits = new FakePermits();
+    final FakeAllowances allowances = new FakeAllowances();
+    boolean keysVerifiable = true;
     final FakeCallerResponse response = new FakeCallerResponse();
     private final RetryBudgetShare retryBudget = new RetryBudgetShare(clock, 0.2, 50, 10_000, () -> 1);
     final List<EventCode> logged = new ArrayList<>();
@@ -86,8 +85,8 @@
                 new EngineSelector(inputs, "a", e -> true),
                 new ServiceEndpointSelector(loads, outliers, permits, "a"),
                 permits,
-                AccountAllowances.UNLIMITED,
-                () -> true,
+                allowances,
+                () -> keysVerifiable,
                 new Admission(),
                 retryBudget,
                 origins,
@@ -98,6 +97,15 @@
 
     @BeforeEach
     void configure() {
+        configure(1, null, false);
+        for (int n = 1; n <= 2; n++) {
+            endpoints.apply(endpoint("plain-" + n, "plain"));
+            endpoints.apply(endpoint("engine-" + n, "engines"));
+        }
+    }
+
+    /** Puts a version in force with one route of each kind, whose path begins with the kind. */
+    void configure(long version, AccountTable accounts, boolean routesArePublic) {
         List<Route> routes = new ArrayList<>();
         for (RouteKind kind : RouteKind.values()) {
             String service = kind == RouteKind.STREAMING ? "engines" : "plain";
@@ -113,15 +121,11 @@
                     2,
                     true,
                     300,
-                    false));
+                    routesArePublic));
         }
         ServiceSpec plain = new ServiceSpec("plain", 10, null);
         ServiceSpec engines = new ServiceSpec("engines", 10, new EngineSpec(4, 1_000, List.of(), 10, 4));
-        config.update(new ServingConfig(1, routes, List.of(plain, engines), IngressLimits.DEFAULT));
-        for (int n = 1; n <= 2; n++) {
-            endpoints.apply(endpoint("plain-" + n, "plain"));
-            endpoints.apply(endpoint("engine-" + n, "engines"));
-        }
+        config.update(new ServingConfig(version, routes, List.of(plain, engines), IngressLimits.DEFAULT, accounts));
     }
 
     private static Endpoint endpoint(String id, String service) {
@@ -144,7 +148,11 @@
     }
 
     RequestFlow start(RouteKind kind, AdapterRef adapter, String lastEventId, String resumes) {
-        RequestFlow flow = new RequestFlow(context, request(kind, adapter, lastEventId, resumes), response);
+        return start(request(kind, adapter, lastEventId, resumes));
+    }
+
+    RequestFlow start(CallerRequest request) {
+        RequestFlow flow = new RequestFlow(context, request, response);
         flow.start();
         return flow;
     }
@@ -302,50 +310,6 @@
         }
     }
 
-    /** Fake that records what it is told and refuses or tries requests as the test says. */
-    static final class FakeQuarantine implements PromptQuarantine {
-        final List<String> told = new ArrayList<>();
-        Verdict verdict = Verdict.ADMIT;
-        private Runnable condemned = () -> {};
-
-        /** Condemns the parts of the request that is watched. */
-        void condemn() {
-            verdict = Verdict.refuse(4_000, "test");
-            condemned.run();
-        }
-
-        @Override
-        public Verdict check(RequestContent request) {
-            told.add("check " + request);
-            Verdict v = verdict;
-            if (v.kind() == Verdict.Kind.TRIAL) {
-                verdict = Verdict.refuse(4_000, "tried");
-            }
-            return v;
-        }
-
-        @Override
-        public void recordPastBeginning(RequestContent request) {
-            told.add("past " + request);
-        }
-
-        @Override
-        public void recordBroken(Endpoint endpoint, RequestContent request, long beginningMs) {
-            told.add("broken " + endpoint.id() + " " + beginningMs + " " + request);
-        }
-
-        @Override
-        public void recordUnreachable(Endpoint endpoint) {
-            told.add("unreachable " + endpoint.id());
-        }
-
-        @Override
-        public Registration watch(RequestContent request, Runnable callback) {
-            condemned = callback;
-            return () -> condemned = () -> {};
-        }
-    }
-
     /** Fake that records what the caller receives. */
     static final class FakeCallerResponse implements CallerResponse {
         final StringBuilder body = new StringBuilder();
