--- a/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
+++ b/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
@@ -13,6 +13,30 @@
         return withRetryBudget(name, seeds, storeAddress, 0.2, 50);
     }
 
+    /** Settings with another behaviour while the configuration may be out of date. */
+    static BootSettings withRevocation(BootSettings s, BootSettings.Revocation revocation) {
+        return new BootSettings(
+                s.nodeName(),
+                s.zone(),
+                s.callerAddress(),
+                s.readinessAddress(),
+                s.peerAddress(),
+                s.directoryAddress(),
+                s.capacity(),
+                s.seeds(),
+                s.storeAddress(),
+                s.enginePartitions(),
+                s.drainTimeoutMs(),
+                s.gracePeriodMs(),
+                s.leaseDurationMs(),
+                s.fencingEnforced(),
+                s.retryRatio(),
+                s.retryExtra(),
+                s.retryWindowMs(),
+                s.maxDirectoryTtlS(),
+                revocation);
+    }
+
     /** The same with the given part of the requests, and number beyond it, that all nodes may retry in a window. */
     static BootSettings withRetryBudget(
             String name, Set<String> seeds, String storeAddress, double ratio, double extra) {
