--- a/entry/src/main/java/org/quetzalvane/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryMetrics.java
@@ -23,15 +23,19 @@
     private static final int RESERVOIR_SAMPLES = 1_028;
 
     private final MetricRegistry registry = new MetricRegistry();
+    private final AccountLabels accounts = new AccountLabels();
 
     /**
      * Increments the counter of an event and that of its field {@code code}, if there is one. For {@code REQUEST_DONE},
      * adds each field whose name ends in {@code ms} to its histogram and counts the values of boolean fields. Fields
-     * alternate names and values.
+     * alternate names and values. A refusal of an account also counts for the account.
      */
     void update(EventCode code, Object... fields) {
         counter("events_total{event=\"" + code.name().toLowerCase(Locale.ROOT) + "\"}")
                 .inc();
+        if (code == EventCode.REQUEST_REFUSED) {
+            countRefusal(fields);
+        }
         for (int i = 0; i + 1 < fields.length; i += 2) {
             String name = String.valueOf(fields[i]);
             if (name.equals("code")) {
@@ -45,6 +49,33 @@
         }
     }
 
+    /** Counts a request whose account is known and has allowance left. */
+    void countAdmitted(String account) {
+        accountCounter("admitted_total", account, "").inc();
+    }
+
+    /** Adds units of an account's allowance that were charged, or given back if negative. */
+    void countUnits(String account, long units) {
+        accountCounter("units", account, "").inc(units);
+    }
+
+    private void countRefusal(Object... fields) {
+        Object account = null;
+        Object result = null;
+        for (int i = 0; i + 1 < fields.length; i += 2) {
+            account = "account".equals(fields[i]) ? fields[i + 1] : account;
+            result = "code".equals(fields[i]) ? fields[i + 1] : result;
+        }
+        if (account != null && result != null) {
+            accountCounter("refused_total", account.toString(), ",code=\"" + result + "\"")
+                    .inc();
+        }
+    }
+
+    private Counter accountCounter(String name, String account, String moreLabels) {
+        return counter("account_" + name + "{account=\"" + accounts.of(account) + "\"" + moreLabels + "}");
+    }
+
     /** Registers a gauge that is evaluated at each scrape. */
     void gauge(String name, LongSupplier value) {
         registry.register(PREFIX + name, (Gauge<Long>) value::getAsLong);
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -259,7 +259,7 @@
                 new EngineSelector(inputs, settings.zone(), peerService::hasOwner),
                 new ServiceEndpointSelector(endpointLoads, outliers, permits, settings.zone()),
                 permits,
-                AccountAllowances.UNLIMITED,
+                new CountedAllowances(AccountAllowances.UNLIMITED, metrics),
                 this::keysVerifiable,
                 new Admission(),
                 retries,
@@ -383,18 +383,7 @@
 
     /** Serves the metrics as text on a port of the IP address for callers; waits until the port is bound. */
     void listenMetrics(int port) {
-        metrics.gauge("callers_unanswered", callerServer::busyConnections);
-        metrics.gauge("operator_records_age_ms", platform::configAgeMs);
-        metrics.gauge("endpoint_entries_age_ms", platform::entriesAgeMs);
-        metrics.gauge("peers_up", () -> peerTable.nodes().size());
-        metrics.gauge("hub", () -> peerService.isHub() ? 1 : 0);
-        metrics.gauge("stream_origins", () -> peerService.streamOrigins().size());
-        metrics.gauge("endpoints_limited", () -> peerService.permits().limitedEndpoints());
-        metrics.gauge("permits_granted", () -> peerService.permits().granted());
-        metrics.gauge("permits_denied", () -> peerService.permits().denied());
-        metrics.gauge("members", () -> peerTable.members().size());
-        metrics.gauge("duties_held", () -> lease.owned().size());
-        metrics.gauge("duty_generation", lease::generation);
+        NodeGauges.register(metrics, callerServer, platform, peerTable, peerService, lease);
         InetSocketAddress own = Addresses.parse(settings.callerAddress());
         new HttpServer(loop, this::callerLimits, this::serveMetrics)
                 .listen(new InetSocketAddress(own.getAddress(), port));
--- /dev/null
+++ b/entry/src/main/java/org/quetzalvane/entry/NodeGauges.java
@@ -0,0 +1,31 @@
+package org.quetzalvane.entry;
+
+import org.quetzalvane.core.team.AssignmentLease;
+import org.quetzalvane.core.team.PeerTable;
+import org.quetzalvane.transport.HttpServer;
+
+/** Registers the gauges of a node's state. Stateless. */
+final class NodeGauges {
+    private NodeGauges() {}
+
+    static void register(
+            EntryMetrics metrics,
+            HttpServer callerServer,
+            PlatformState platform,
+            PeerTable peerTable,
+            PeerService peerService,
+            AssignmentLease lease) {
+        metrics.gauge("callers_unanswered", callerServer::busyConnections);
+        metrics.gauge("operator_records_age_ms", platform::configAgeMs);
+        metrics.gauge("endpoint_entries_age_ms", platform::entriesAgeMs);
+        metrics.gauge("peers_up", () -> peerTable.nodes().size());
+        metrics.gauge("hub", () -> peerService.isHub() ? 1 : 0);
+        metrics.gauge("stream_origins", () -> peerService.streamOrigins().size());
+        metrics.gauge("endpoints_limited", () -> peerService.permits().limitedEndpoints());
+        metrics.gauge("permits_granted", () -> peerService.permits().granted());
+        metrics.gauge("permits_denied", () -> peerService.permits().denied());
+        metrics.gauge("members", () -> peerTable.members().size());
+        metrics.gauge("duties_held", () -> lease.owned().size());
+        metrics.gauge("duty_generation", lease::generation);
+    }
+}
