--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -19,6 +19,7 @@
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.limit.AccountAllowances;
 import org.quetzalvane.core.limit.EndpointPermits;
 import org.quetzalvane.core.residency.AdapterUsage;
 import org.quetzalvane.core.residency.EngineController;
@@ -258,6 +259,8 @@
                 new EngineSelector(inputs, settings.zone(), peerService::hasOwner),
                 new ServiceEndpointSelector(endpointLoads, outliers, permits, settings.zone()),
                 permits,
+                new CountedAllowances(AccountAllowances.UNLIMITED, metrics),
+                this::keysVerifiable,
                 new Admission(),
                 retries,
                 peerService.streamOrigins(),
@@ -266,6 +269,11 @@
                 log);
     }
 
+    private boolean keysVerifiable() {
+        BootSettings.Revocation r = settings.revocation();
+        return !r.strict() || platform.configAgeMs() <= r.afterMs();
+    }
+
     private StatusExchange.LocalNode localNode() {
         return new StatusExchange.LocalNode(
                 settings.peerAddress(),
@@ -375,18 +383,7 @@
 
     /** Serves the metrics as text on a port of the IP address for callers; waits until the port is bound. */
     void listenMetrics(int port) {
-        metrics.gauge("callers_unanswered", callerServer::busyConnections);
-        metrics.gauge("operator_records_age_ms", platform::configAgeMs);
-        metrics.gauge("endpoint_entries_age_ms", platform::entriesAgeMs);
-        metrics.gauge("peers_up", () -> peerTable.nodes().size());
-        metrics.gauge("hub", () -> peerService.isHub() ? 1 : 0);
-        metrics.gauge("stream_origins", () -> peerService.streamOrigins().size());
-        metrics.gauge("endpoints_limited", () -> peerService.permits().limitedEndpoints());
-        metrics.gauge("permits_granted", () -> peerService.permits().granted());
-        metrics.gauge("permits_denied", () -> peerService.permits().denied());
-        metrics.gauge("members", () -> peerTable.members().size());
-        metrics.gauge("duties_held", () -> lease.owned().size());
-        metrics.gauge("duty_generation", lease::generation);
+        NodeGauges.register(metrics, callerServer, platform, peerTable, peerService, lease);
         InetSocketAddress own = Addresses.parse(settings.callerAddress());
         new HttpServer(loop, this::callerLimits, this::serveMetrics)
                 .listen(new InetSocketAddress(own.getAddress(), port));
