Wait for the peers' records when the store is away at the start

A node that started while the store did not answer applied the first answer of a peer and became ready with it, although that peer may be out of date. A complete list states its end offset, so that a key which a newer list lacks counts as removed. A listing of the store is used at once, as before, and so is the list of a hub that has just heard from the store.

Found with it in the same records: - a relayed record of a single endpoint initialized the endpoint list; - a removal that follows from a listing had the offset of the next record, so that the key was not used when it was written again; - the age of a store that never answered was counted from the origin of the clock; - records passed on while the connection to the hub was lost were not requested once a later record had arrived.

Against the code before, three new cases of RecordFollowerTest failed (restored key ignored, state initialized by one record, age of 0 ms). In a trial without the waiting, without removals from lists and without the reset of the relay, the cases of StartupRecordsTest, RecordFollowerTest and RecordRelayTest for them failed.

--- a/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
+++ b/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
@@ -4,10 +4,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
@@ -34,6 +32,8 @@
      * within about 2 s.
      */
     static final long REWRITE_MS = 2_500;
+    /** Stated as the time since the last response of a store that has not answered yet, ms. */
+    static final long NEVER_MS = 1L << 40;
 
     private final Scheduler scheduler;
     private final KeyedTopic topic;
@@ -46,8 +46,10 @@
     private final Map<String, StoreRecord> newest = new HashMap<>();
     private long offset = -1;
     private long appliedOffset = -1;
+    private long peerEndOffset;
     private boolean initialized;
     private boolean reachable = true;
+    private boolean heard;
     private long lastResponseNanos;
     /** Whether the store came back from a copy and what it lost may still be written again. */
     private boolean rewriting;
@@ -98,14 +100,28 @@
     }
 
     /** The newest record of each key, including removed keys, for a peer that cannot reach the store. */
-    public Collection<StoreRecord> records() {
-        return List.copyOf(newest.values());
+    public PeerRecords records() {
+        // Keys that a restored store lacks may still be written again and do not count as removed.
+        return new PeerRecords(List.copyOf(newest.values()), rewriting ? 0 : Math.max(offset, peerEndOffset));
     }
 
-    /** Applies the records that a peer knows. */
+    /** Applies records that a peer knows, and the removals that follow from keys that it lacks. */
+    public void applyFromPeer(PeerRecords known) {
+        peerEndOffset = Math.max(peerEndOffset, known.endOffset());
+        List<StoreRecord> changes = new ArrayList<>(known.records());
+        changes.addAll(known.absentFrom(newest));
+        applyAll(changes);
+        initialized = initialized || !known.records().isEmpty();
+    }
+
+    /** Applies records that a peer has just applied; unlike a complete list, they do not initialize the state. */
     public void applyFromPeer(Collection<StoreRecord> records) {
         applyAll(records);
-        initialized = initialized || !records.isEmpty();
+    }
+
+    /** Whether the store has answered. */
+    public boolean heard() {
+        return heard;
     }
 
     /** Greatest offset of the records applied, or -1. */
@@ -113,9 +129,9 @@
         return appliedOffset;
     }
 
-    /** Time since the last response of the store, milliseconds; without meaning before the first response. */
+    /** Time since the last response of the store, milliseconds; {@link #NEVER_MS} before the first response. */
     public long msSinceLastResponse() {
-        return (scheduler.nanoTime() - lastResponseNanos) / 1_000_000;
+        return !heard ? NEVER_MS : (scheduler.nanoTime() - lastResponseNanos) / 1_000_000;
     }
 
     private void readNewest() {
@@ -169,15 +185,9 @@
         });
     }
 
-    /** Marks keys that a newer listing lacks as removed, at the listing's end offset. */
+    /** Marks keys that a newer listing lacks as removed. */
     private void removeAbsent(KeyedTopic.ReadResult page) {
-        Set<String> present = new HashSet<>();
-        page.records().forEach(r -> present.add(r.key()));
-        List<StoreRecord> removed = newest.values().stream()
-                .filter(r -> r.value() != null && !present.contains(r.key()) && r.offset() < page.endOffset())
-                .map(r -> new StoreRecord(r.key(), null, page.endOffset()))
-                .toList();
-        applyAll(removed);
+        applyAll(new PeerRecords(page.records(), page.endOffset()).absentFrom(newest));
     }
 
     private void read() {
@@ -204,7 +214,7 @@
         List<StoreRecord> newer = new ArrayList<>();
         for (StoreRecord r : records) {
             StoreRecord known = newest.get(r.key());
-            if (known == null || known.offset() < r.offset()) {
+            if (known == null || PeerRecords.replaces(r, known)) {
                 newest.put(r.key(), r);
                 appliedOffset = Math.max(appliedOffset, r.offset());
                 newer.add(r);
@@ -234,6 +244,7 @@
     }
 
     private void onResponse() {
+        heard = true;
         lastResponseNanos = scheduler.nanoTime();
         if (!reachable) {
             reachable = true;
--- a/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
@@ -12,6 +12,7 @@
 import org.quetzalvane.core.residency.EngineResidency;
 import org.quetzalvane.core.residency.LoadRequest;
 import org.quetzalvane.core.routes.AdapterRef;
+import org.quetzalvane.core.store.PeerRecords;
 import org.quetzalvane.core.store.StoreRecord;
 
 /** A message between nodes. The lists and maps of a message must not be changed after construction. */
@@ -118,8 +119,10 @@
      * @param topic name of the topic
      * @param complete whether these are all records known; otherwise those that the sender has just applied
      * @param records newest record of each key
+     * @param endOffset of a complete list, see {@link PeerRecords}; otherwise, and from older versions, 0
      */
-    record Records(String from, String topic, boolean complete, List<StoreRecord> records) implements PeerMessage {}
+    record Records(String from, String topic, boolean complete, List<StoreRecord> records, long endOffset)
+            implements PeerMessage {}
 
     /**
      * An endpoint states that it leaves; sent to all hubs, and by a hub to which it is news to its members.
--- a/core/src/main/java/org/quetzalvane/core/team/RecordRelay.java
+++ b/core/src/main/java/org/quetzalvane/core/team/RecordRelay.java
@@ -68,9 +68,26 @@
         }
     }
 
+    /** Drops what is known of a lost hub: records that it passed on meanwhile are missing here. */
+    public void onDisconnect(String peer) {
+        if (peer.equals(hub)) {
+            hub = null;
+            complete = false;
+        }
+    }
+
+    /** Whether a node is the hub and has just heard from the store, so that its records are as recent as a listing. */
+    public boolean hubHearsStore(String from) {
+        return from.equals(hub) && storeHeard && viewIsRecent();
+    }
+
     /** Whether the hub passes the records on, so that this node need not read the store. */
     public boolean reliesOnHub() {
-        return complete && storeHeard && scheduler.nanoTime() - viewNanos < MAX_VIEW_AGE_MS * 1_000_000;
+        return complete && storeHeard && viewIsRecent();
+    }
+
+    private boolean viewIsRecent() {
+        return scheduler.nanoTime() - viewNanos < MAX_VIEW_AGE_MS * 1_000_000;
     }
 
     /** Time since the hub last heard from the store on a topic, milliseconds; 0 for a topic it has not named. */
--- a/core/src/test/java/org/quetzalvane/core/store/RecordFollowerTest.java
+++ b/core/src/test/java/org/quetzalvane/core/store/RecordFollowerTest.java
@@ -80,7 +80,7 @@
             topic.respond(KeyedTopic.ReadResult.failed("status 503"));
             clock.advance(Duration.ofSeconds(1));
         }
-        assertThat(follower.records()).hasSize(2);
+        assertThat(follower.records().records()).hasSize(2);
         topic.respond(KeyedTopic.ReadResult.ok(List.of(), 2));
         assertThat(events).containsExactly("STORE_LOST", "STORE_BACK");
     }
@@ -90,10 +90,51 @@
         RecordFollower fresh =
                 new RecordFollower(clock, new FakeTopic(), (c, s, f) -> {}, 1_000, 100, r -> received.add(r.key()));
         assertThat(fresh.initialized()).isFalse();
-        fresh.applyFromPeer(List.of(record("a", "5", 9)));
-        fresh.applyFromPeer(List.of(record("a", "4", 8)));
+        fresh.applyFromPeer(new PeerRecords(List.of(record("a", "5", 9)), 10));
+        fresh.applyFromPeer(new PeerRecords(List.of(record("a", "4", 8)), 9));
         assertThat(fresh.initialized()).isTrue();
-        assertThat(fresh.records()).extracting(StoreRecord::offset).containsExactly(9L);
+        assertThat(fresh.records().records()).extracting(StoreRecord::offset).containsExactly(9L);
+    }
+
+    /** A relayed record of one endpoint made a starting node ready that knew no other endpoint. */
+    @Test
+    void recordsThatAPeerHasJustAppliedDoNotInitializeTheState() {
+        RecordFollower fresh =
+                new RecordFollower(clock, new FakeTopic(), (c, s, f) -> {}, 1_000, 100, r -> received.add(r.key()));
+        fresh.applyFromPeer(List.of(record("a", "5", 9)));
+        assertThat(fresh.initialized()).isFalse();
+        assertThat(fresh.records().endOffset()).isZero();
+    }
+
+    /** A hub that listed the store after a removal does not know the removed key; its members kept the key. */
+    @Test
+    void keyMissingFromANewerListOfAPeerIsRemoved() {
+        follower.applyFromPeer(new PeerRecords(List.of(record("a", "9", 7)), 8));
+        assertThat(received).containsExactly("a=1", "b=1", "a=9", "b=-");
+    }
+
+    /** An older list, or one of a node that does not state its end offset, removes nothing. */
+    @ParameterizedTest
+    @CsvSource({"0", "1"})
+    void keyMissingFromAnOlderListOfAPeerIsKept(long endOffset) {
+        follower.applyFromPeer(new PeerRecords(List.of(record("a", "1", 0)), endOffset));
+        assertThat(received).containsExactly("a=1", "b=1");
+    }
+
+    /** The removal had the offset of the next record, which was then taken for an older one. */
+    @Test
+    void keyThatAListingLacksIsUsedAgainOnceItIsWritten() {
+        topic.respond(KeyedTopic.ReadResult.expired());
+        topic.respond(KeyedTopic.ReadResult.ok(List.of(record("a", "9", 7)), 8));
+        topic.respond(KeyedTopic.ReadResult.ok(List.of(record("b", "2", 8)), 9));
+        assertThat(received).endsWith("b=-", "b=2");
+    }
+
+    /** The time since the start of the clock was stated, which made a node that never heard the store look current. */
+    @Test
+    void storeThatNeverAnsweredIsNotRecent() {
+        RecordFollower fresh = new RecordFollower(clock, new FakeTopic(), (c, s, f) -> {}, 1_000, 100, r -> {});
+        assertThat(fresh.msSinceLastResponse()).isGreaterThan(3_600_000);
     }
 
     @Test
--- a/core/src/test/java/org/quetzalvane/core/team/RecordRelayTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/RecordRelayTest.java
@@ -51,6 +51,20 @@
         assertThat(relay.reliesOnHub()).isEqualTo(relies);
     }
 
+    /** Records passed on while the connection was lost were never requested once a later record had arrived. */
+    @Test
+    void allRecordsAreRequestedAfterTheConnectionToTheHubWasLost() {
+        synchronize("h1");
+        relay.onDisconnect("h1");
+        applied = 7;
+        assertThat(relay.reliesOnHub()).isFalse();
+        assertThat(view("h1", 7, 10)).isTrue();
+        assertThat(relay.reliesOnHub()).isFalse();
+        relay.onRecords("h1", TOPIC);
+        view("h1", 7, 10);
+        assertThat(relay.reliesOnHub()).isTrue();
+    }
+
     @Test
     void ageOfTheRecordsIsThatOfTheHub() {
         synchronize("h1");
--- a/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
+++ b/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
@@ -100,7 +100,7 @@
                 new PeerMessage.AdapterLoadRequest("p", 1, "e", new LoadRequest(ref, 1, 0, 100, 100)),
                 new PeerMessage.AdapterLoadReply("p", 1, true),
                 new PeerMessage.RecordsRequest("p"),
-                new PeerMessage.Records("p", "t", true, List.of(new StoreRecord("k", new byte[1], 1))),
+                new PeerMessage.Records("p", "t", true, List.of(new StoreRecord("k", new byte[1], 1)), 2),
                 new PeerMessage.StreamOrigins("p", Map.of("v", List.of(1L))),
                 new PeerMessage.StreamOriginRequest("p", 1, 1),
                 new PeerMessage.StreamOriginReply("p", 1, "v"),
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -73,8 +73,6 @@
     private static final long ENGINE_CALL_TIMEOUT_MS = 150;
     /** Longest idle time, ms, of a pooled connection that may carry a request that cannot be retried. */
     private static final long NON_RETRYABLE_MAX_IDLE_MS = 1_500;
-    /** Interval at which records are requested from the peers until the node is ready, ms. */
-    private static final long PEER_RECORDS_INTERVAL_MS = 500;
     /** Part of the grace period that is reserved for ending the process, ms. */
     private static final long SHUTDOWN_MARGIN_MS = 700;
     /**
@@ -145,7 +143,7 @@
                 new StatusExchange.Components(
                         peerTable, endpointLoads, adapterUsage, residency, lease, assignedEngines, loadTimes, log),
                 localNode(),
-                new PeerService.RecordAccess(platform::records, platform::applyFromPeer),
+                new PeerService.RecordAccess(platform::records, platform.followers()),
                 relay,
                 m -> notices.markDraining(m.endpoint(), m.bornMs(), m.from()));
         platform.exchange(relay, peerService::relayRecords);
@@ -178,7 +176,6 @@
             platform.start();
             assignmentMember.start();
             peerService.start(transport);
-            loop.schedule(Duration.ofMillis(PEER_RECORDS_INTERVAL_MS), this::requestRecordsFromPeers);
         });
     }
 
@@ -361,13 +358,6 @@
                 new EngineController.Context(loop, gateway, log, adapterUsage, loadTimes), token, service.engine(), e);
     }
 
-    private void requestRecordsFromPeers() {
-        if (!ready() && !leaving) {
-            peerService.requestRecords();
-            loop.schedule(Duration.ofMillis(PEER_RECORDS_INTERVAL_MS), this::requestRecordsFromPeers);
-        }
-    }
-
     private ServerLimits callerLimits() {
         IngressLimits l = platform.config().limits();
         return new ServerLimits(l.maxHeaderBytes(), l.maxBodyBytes(), l.headerTimeoutMs(), l.idleTimeoutMs());
--- a/entry/src/main/java/org/quetzalvane/entry/PeerService.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerService.java
@@ -18,6 +18,8 @@
 import org.quetzalvane.core.residency.EngineController;
 import org.quetzalvane.core.residency.EngineResidency;
 import org.quetzalvane.core.residency.LoadRequest;
+import org.quetzalvane.core.store.PeerRecords;
+import org.quetzalvane.core.store.RecordFollower;
 import org.quetzalvane.core.store.StoreRecord;
 import org.quetzalvane.core.team.HubLinks;
 import org.quetzalvane.core.team.NodeInfo;
@@ -25,6 +27,7 @@
 import org.quetzalvane.core.team.PermitExchange;
 import org.quetzalvane.core.team.QuarantineExchange;
 import org.quetzalvane.core.team.RecordRelay;
+import org.quetzalvane.core.team.StartupRecords;
 import org.quetzalvane.core.team.StatusExchange;
 import org.quetzalvane.core.team.StreamOriginTable;
 import org.quetzalvane.core.time.Scheduler;
@@ -44,6 +47,7 @@
     private final StatusExchange exchange;
     private final String address;
     private final RecordAccess records;
+    private final StartupRecords startupRecords;
     private final RecordRelay relay;
     private final StreamOriginTable streamOrigins;
     private final QuarantineExchange quarantine;
@@ -58,9 +62,9 @@
      * The records of the store that this node knows.
      *
      * @param known known records by topic name, for peers that do not read the store
-     * @param received takes the records of one topic that a peer sent
+     * @param followers follower of each topic, by its name in the messages between nodes
      */
-    record RecordAccess(Supplier<Map<String, List<StoreRecord>>> known, Consumer<PeerMessage.Records> received) {}
+    record RecordAccess(Supplier<Map<String, PeerRecords>> known, Map<String, RecordFollower> followers) {}
 
     /**
      * Creates the service.
@@ -81,6 +85,8 @@
         this.address = local.address();
         this.records = records;
         this.relay = relay;
+        this.startupRecords =
+                new StartupRecords(scheduler, records.followers(), this::recordSources, this::requestRecords);
         this.exchange = new StatusExchange(scheduler, components, local, this);
         this.streamOrigins = new StreamOriginTable(scheduler, address, components.peers()::knownHubs, this::send);
         HubLinks links =
@@ -93,6 +99,7 @@
     void start(PeerTransport peerTransport) {
         transport = peerTransport;
         exchange.start();
+        startupRecords.start();
         quarantine.start();
         permits.start();
     }
@@ -127,9 +134,15 @@
         exchange.run();
     }
 
-    /** Requests the known records of every reachable peer. */
-    void requestRecords() {
-        components.peers().contacts().forEach(p -> send(p, new PeerMessage.RecordsRequest(address)));
+    private boolean requestRecords(String peer) {
+        return send(peer, new PeerMessage.RecordsRequest(address));
+    }
+
+    /** Peers to ask for records: all contacts but those known to have them from a hub. */
+    private Set<String> recordSources() {
+        Set<String> sources = components.peers().contacts();
+        components.peers().nodes().stream().filter(n -> !n.hub()).forEach(n -> sources.remove(n.address()));
+        return sources;
     }
 
     /** Tells the hubs, and the nodes that report to this one, that an endpoint leaves. */
@@ -149,7 +162,7 @@
 
     /** Passes records that were just applied on to the nodes that report to this one. */
     void relayRecords(String topic, List<StoreRecord> applied) {
-        sendToMembers(new PeerMessage.Records(address, topic, false, applied));
+        sendToMembers(new PeerMessage.Records(address, topic, false, applied, 0));
     }
 
     @Override
@@ -217,9 +230,7 @@
         } else if (m instanceof PeerMessage.AdapterLoadReply r) {
             completeLoad(r.number(), outcome(r.loaded()));
         } else if (m instanceof PeerMessage.RecordsRequest a) {
-            records.known()
-                    .get()
-                    .forEach((topic, known) -> send(a.from(), new PeerMessage.Records(address, topic, true, known)));
+            sendRecords(a.from());
         } else if (m instanceof PeerMessage.EndpointLeaving l) {
             if (endpointLeaving.test(l)) {
                 sendToMembers(l);
@@ -231,7 +242,7 @@
         } else if (m instanceof PeerMessage.StreamOriginReply r) {
             streamOrigins.onReply(r);
         } else if (m instanceof PeerMessage.Records r) {
-            records.received().accept(r);
+            startupRecords.onRecords(r, relay.hubHearsStore(r.from()));
             if (r.complete()) {
                 relay.onRecords(r.from(), r.topic());
             }
@@ -248,9 +259,17 @@
         } else {
             log.log(EventCode.PEER_LOST, peer);
             exchange.onDisconnect(peer);
+            relay.onDisconnect(peer);
         }
     }
 
+    private void sendRecords(String peer) {
+        records.known()
+                .get()
+                .forEach((topic, known) ->
+                        send(peer, new PeerMessage.Records(address, topic, true, known.records(), known.endOffset())));
+    }
+
     private void handleView(PeerMessage.View v) {
         exchange.onView(v);
         if (v.from().equals(exchange.reportsTo()) && relay.onView(v.from(), v.records())) {
--- a/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
@@ -12,6 +12,7 @@
 import org.quetzalvane.core.fleet.EndpointTable;
 import org.quetzalvane.core.routes.CurrentConfig;
 import org.quetzalvane.core.routes.RequiredVersions;
+import org.quetzalvane.core.store.PeerRecords;
 import org.quetzalvane.core.store.RecordFollower;
 import org.quetzalvane.core.store.StoreRecord;
 import org.quetzalvane.core.team.PeerMessage;
@@ -115,13 +116,13 @@
     }
 
     /** All known records by topic, for a peer that cannot reach the store. */
-    Map<String, List<StoreRecord>> records() {
-        Map<String, List<StoreRecord>> known = new HashMap<>();
-        if (config.current().isPresent()) {
-            known.put(PEER_TOPIC_OPERATOR, List.copyOf(operatorRecords.records()));
+    Map<String, PeerRecords> records() {
+        Map<String, PeerRecords> known = new HashMap<>();
+        if (operatorRecords.initialized() && config.current().isPresent()) {
+            known.put(PEER_TOPIC_OPERATOR, operatorRecords.records());
         }
         if (entries.initialized()) {
-            known.put(PEER_TOPIC_ENDPOINTS, List.copyOf(entries.records()));
+            known.put(PEER_TOPIC_ENDPOINTS, entries.records());
         }
         return known;
     }
@@ -129,7 +130,7 @@
     /** How far this node has read each topic that it knows the records of. */
     Map<String, PeerMessage.TopicPosition> positions() {
         Map<String, PeerMessage.TopicPosition> positions = new HashMap<>();
-        if (config.current().isPresent()) {
+        if (operatorRecords.initialized() && config.current().isPresent()) {
             positions.put(PEER_TOPIC_OPERATOR, position(operatorRecords));
         }
         if (entries.initialized()) {
@@ -155,11 +156,9 @@
         entries.exchange(relay::reliesOnHub, records -> next.accept(PEER_TOPIC_ENDPOINTS, records));
     }
 
-    /**
-     * Applies records that a peer sent. Records of any topic other than the operator's are taken as endpoint records.
-     */
-    void applyFromPeer(PeerMessage.Records r) {
-        follower(r.topic()).applyFromPeer(r.records());
+    /** Known records by the topic's name in the messages between nodes. */
+    Map<String, RecordFollower> followers() {
+        return Map.of(PEER_TOPIC_OPERATOR, operatorRecords, PEER_TOPIC_ENDPOINTS, entries);
     }
 
     private RecordFollower follower(String topic) {
--- a/entry/src/test/java/org/quetzalvane/entry/PausedNodes.java
+++ b/entry/src/test/java/org/quetzalvane/entry/PausedNodes.java
@@ -1,7 +1,6 @@
 package org.quetzalvane.entry;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -13,6 +12,7 @@
 import org.quetzalvane.core.residency.AdapterUsage;
 import org.quetzalvane.core.residency.LoadTimeEstimator;
 import org.quetzalvane.core.residency.ResidencyTable;
+import org.quetzalvane.core.store.PeerRecords;
 import org.quetzalvane.core.store.RecordFollower;
 import org.quetzalvane.core.store.StoreRecord;
 import org.quetzalvane.core.team.AssignedEngines;
@@ -20,6 +20,7 @@
 import org.quetzalvane.core.team.PeerMessage;
 import org.quetzalvane.core.team.PeerTable;
 import org.quetzalvane.core.team.RecordRelay;
+import org.quetzalvane.core.team.StartupRecords;
 import org.quetzalvane.core.team.StatusExchange;
 import org.quetzalvane.core.time.ManualScheduler;
 
@@ -88,6 +89,7 @@
         private final RecordRelay relay;
         private final AssignmentMember member;
         private final Map<String, RecordFollower> followers = new HashMap<>();
+        private final StartupRecords startupRecords;
         private final Map<String, String> values = new TreeMap<>();
         private Set<String> targets = Set.of();
         private boolean storeReachable = true;
@@ -113,6 +115,7 @@
             relay = new RecordRelay(scheduler, topic -> followers.get(topic).appliedOffset());
             follow(client, OPERATOR, PlatformState.CONFIG_WAIT_MS, 0);
             follow(client, ENDPOINTS, PlatformState.ENTRIES_WAIT_MS, PlatformState.ENTRIES_INTERVAL_MS);
+            startupRecords = new StartupRecords(scheduler, followers, peers::contacts, this::requestRecords);
         }
 
         private StatusExchange.Components components() {
@@ -139,6 +142,10 @@
             followers.put(topic, f);
         }
 
+        private boolean requestRecords(String peer) {
+            return send(peer, new PeerMessage.RecordsRequest(address));
+        }
+
         private void apply(StoreRecord r) {
             if (r.value() == null) {
                 values.remove(r.key());
@@ -151,6 +158,7 @@
             followers.values().forEach(RecordFollower::start);
             member.start();
             exchange.start();
+            startupRecords.start();
         }
 
         /** Newest value of each key as this node knows it. */
@@ -196,7 +204,7 @@
         }
 
         private void sendToMembers(String topic, List<StoreRecord> records) {
-            PeerMessage.Records m = new PeerMessage.Records(address, topic, false, records);
+            PeerMessage.Records m = new PeerMessage.Records(address, topic, false, records, 0);
             peers.members().forEach(n -> send(n.address(), m));
         }
 
@@ -217,6 +225,10 @@
             return true;
         }
 
+        private PeerMessage completeList(String topic, PeerRecords known) {
+            return new PeerMessage.Records(address, topic, true, known.records(), known.endOffset());
+        }
+
         private void receive(PeerMessage m) {
             if (m instanceof PeerMessage.Status s) {
                 exchange.onStatus(s);
@@ -226,10 +238,9 @@
                     send(v.from(), new PeerMessage.RecordsRequest(address));
                 }
             } else if (m instanceof PeerMessage.RecordsRequest r) {
-                followers.forEach((topic, f) ->
-                        send(r.from(), new PeerMessage.Records(address, topic, true, new ArrayList<>(f.records()))));
+                followers.forEach((topic, f) -> send(r.from(), completeList(topic, f.records())));
             } else if (m instanceof PeerMessage.Records r) {
-                followers.get(r.topic()).applyFromPeer(r.records());
+                startupRecords.onRecords(r, relay.hubHearsStore(r.from()));
                 if (r.complete()) {
                     relay.onRecords(r.from(), r.topic());
                 }
