--- a/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
+++ b/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
@@ -43,6 +43,7 @@
     private final Consumer<StoreRecord> listener;
     private BooleanSupplier relayed = () -> false;
     private Consumer<List<StoreRecord>> relay = records -> {};
+    private Runnable batchListener = () -> {};
     private final Map<String, StoreRecord> newest = new HashMap<>();
     private long offset = -1;
     private long appliedOffset = -1;
@@ -87,6 +88,11 @@
         relay = next;
     }
 
+    /** Sets what runs after each batch of records that were newer than the known ones, before they are passed on. */
+    public void onBatchApplied(Runnable task) {
+        batchListener = task;
+    }
+
     /** Starts reading: all newest records first, then each later one. */
     public void start() {
         readNewest();
@@ -208,20 +214,21 @@
                 newest.put(r.key(), r);
                 appliedOffset = Math.max(appliedOffset, r.offset());
                 newer.add(r);
-                notifyListener(r);
+                guarded(r.key(), r.offset(), () -> listener.accept(r));
             }
         }
         if (!newer.isEmpty()) {
+            guarded("batch", appliedOffset, batchListener);
             relay.accept(newer);
         }
     }
 
-    /** Notifies the listener; its failure on one record must not stop the follower. */
-    private void notifyListener(StoreRecord r) {
+    /** Runs a listener; its failure on one record or batch must not stop the follower. */
+    private void guarded(String key, long at, Runnable task) {
         try {
-            listener.accept(r);
+            task.run();
         } catch (RuntimeException e) {
-            log.log(EventCode.TASK_FAILED, topic.name(), "key", r.key(), "offset", r.offset(), "cause", e);
+            log.log(EventCode.TASK_FAILED, topic.name(), "key", key, "offset", at, "cause", e);
         }
     }
 
--- a/core/src/test/java/org/quetzalvane/core/store/RecordFollowerTest.java
+++ b/core/src/test/java/org/quetzalvane/core/store/RecordFollowerTest.java
@@ -48,6 +48,29 @@
         assertThat(topic.lastOffset).isEqualTo(3);
     }
 
+    /** Work that depends on all records is not repeated for each record of a batch. */
+    @Test
+    void batchListenerRunsOnceForAllNewerRecordsOfAResponseAndBeforeTheyArePassedOn() {
+        follower.onBatchApplied(() -> received.add("batch"));
+        follower.exchange(() -> false, records -> received.add("passed on " + records.size()));
+        received.clear();
+        topic.respond(KeyedTopic.ReadResult.ok(List.of(record("a", "2", 2), record("b", "2", 3)), 4));
+        clock.advance(Duration.ofMillis(100));
+        topic.respond(KeyedTopic.ReadResult.ok(List.of(record("a", "2", 2)), 4));
+        assertThat(received).containsExactly("a=2", "b=2", "batch", "passed on 2");
+    }
+
+    @Test
+    void recordsArePassedOnThoughTheBatchListenerFails() {
+        follower.onBatchApplied(() -> {
+            throw new IllegalStateException("batch");
+        });
+        follower.exchange(() -> false, records -> received.add("passed on " + records.size()));
+        topic.respond(KeyedTopic.ReadResult.ok(List.of(record("a", "2", 2)), 3));
+        assertThat(received).endsWith("a=2", "passed on 1");
+        assertThat(events).contains("TASK_FAILED");
+    }
+
     @Test
     void listenerThatFailsOnOneRecordReceivesTheNext() {
         FakeTopic other = new FakeTopic();
--- a/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
@@ -49,12 +49,15 @@
     private final RecordFollower entries;
     private final StructuredLog log;
     private final Runnable changed;
+    /** Whether the batch of records in progress changed the configuration or an endpoint. */
+    private boolean batchChanged;
+
     private RecordRelay relay;
 
     /**
      * Creates the state of a node that has read nothing yet.
      *
-     * @param changed runs when the configuration or an endpoint changed
+     * @param changed runs after a batch of records in which the configuration or an endpoint changed
      */
     PlatformState(Scheduler scheduler, StoreClient store, StructuredLog log, Runnable changed) {
         this.log = log;
@@ -69,6 +72,8 @@
                 ENTRIES_WAIT_MS,
                 ENTRIES_INTERVAL_MS,
                 this::applyEndpointRecord);
+        operatorRecords.onBatchApplied(this::batchApplied);
+        entries.onBatchApplied(this::batchApplied);
     }
 
     void start() {
@@ -170,6 +175,17 @@
         return new PeerMessage.TopicPosition(f.appliedOffset(), f.msSinceLastResponse());
     }
 
+    /**
+     * Reports the changes of a batch at once: all endpoints write an entry each second, and what depends on them goes
+     * through all endpoints.
+     */
+    private void batchApplied() {
+        if (batchChanged) {
+            batchChanged = false;
+            changed.run();
+        }
+    }
+
     private void applyOperatorRecord(StoreRecord r) {
         if (r.value() == null) {
             return;
@@ -189,7 +205,7 @@
         if (config.update(RecordDecoder.config(r))) {
             long version = config.current().get().version();
             log.log(EventCode.CONFIG_MOVED, "config", "version", version, "offset", r.offset());
-            changed.run();
+            batchChanged = true;
         }
     }
 
@@ -203,7 +219,7 @@
         if (r.value() == null) {
             log.log(EventCode.ENDPOINT_CHANGED, r.key(), "state", "removed", "offset", r.offset());
             endpoints.entryRemoved(r.key());
-            changed.run();
+            batchChanged = true;
             return;
         }
         try {
@@ -221,7 +237,7 @@
                         "born",
                         e.bornMs());
             }
-            changed.run();
+            batchChanged = true;
         } catch (RecordException ex) {
             log.log(EventCode.BAD_RECORD, r.key(), "offset", r.offset(), "cause", ex.getMessage());
         }
--- a/entry/src/test/java/org/quetzalvane/entry/NodeCostMain.java
+++ b/entry/src/test/java/org/quetzalvane/entry/NodeCostMain.java
@@ -28,6 +28,7 @@
 final class NodeCostMain {
     /** Nodes and engines. */
     private static final int[][] SIZES = {{9, 12}, {70, 63}, {138, 98}};
+
     private static final int WARM_UP_INTERVALS = 60;
     private static final int INTERVALS = 100;
     private static final int REQUESTS = 20_000;
--- a/entry/src/test/java/org/quetzalvane/entry/SimulatedNodes.java
+++ b/entry/src/test/java/org/quetzalvane/entry/SimulatedNodes.java
@@ -66,8 +66,9 @@
                     "10.20." + i / 200 + "." + (10 + i % 200) + ":7400", "zone-" + i % ZONES, 50 + i * 7 % 100);
             nodes.put(n.address, n);
         }
-        nodes.values().forEach(n -> clock.repeat(
-                Duration.ofMillis(PeerTable.STATUS_INTERVAL_MS), () -> measured(n, "run", n.exchange::run)));
+        nodes.values()
+                .forEach(n -> clock.repeat(
+                        Duration.ofMillis(PeerTable.STATUS_INTERVAL_MS), () -> measured(n, "run", n.exchange::run)));
         clock.advance(Duration.ofSeconds(4));
         assignPartitions();
     }
