--- a/entry/src/test/java/org/quetzalvane/entry/NodeCostMain.java
+++ b/entry/src/test/java/org/quetzalvane/entry/NodeCostMain.java
@@ -139,13 +139,13 @@
                 records.add(new StoreRecord(e.id(), entry(e), (long) batch * engines.size() + records.size()));
             }
             encode.begin();
-            byte[] frame = codec.encode(new PeerMessage.Records("10.20.0.10:7400", "endpoints", false, records));
+            byte[] frame = codec.encode(new PeerMessage.Records("10.20.0.10:7400", "endpoints", false, records, 0));
             encode.end();
             decode.begin();
             PeerMessage.Records received = (PeerMessage.Records) codec.decode(frame);
             decode.end();
             apply.begin();
-            state[0].applyFromPeer(received);
+            state[0].followers().get("endpoints").applyFromPeer(received.records());
             apply.end();
         }
         System.out.println(encode.row("encode of entries per second and receiver" + label, RECORD_BATCHES));
