--- a/entry/src/test/java/org/quetzalvane/entry/ClientAccountTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/ClientAccountTest.java
@@ -75,12 +75,43 @@
         assertThat(CallerClient.sendWith(node.callerAddress(), "/once/x", "id-1", null, headers))
                 .startsWith("HTTP/1.1 401")
                 .contains("\"code\":102")
+                .containsIgnoringCase("www-authenticate: Bearer\r\n")
                 .doesNotContainIgnoringCase("retry-after");
         assertThat(CallerClient.sendWith(node.callerAddress(), "/nowhere/x", "id-2", null, headers))
                 .startsWith("HTTP/1.1 404");
         assertThat(plain.arrivals()).isEmpty();
     }
 
+    /** Guards against malformed token counts that are charged as if none were stated; only accounts are checked. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = ';',
+            value = {
+                "100,20; 200",
+                " 100 , 0 ; 200",
+                "100; 400",
+                "100,; 400",
+                ",20; 400",
+                "100,20,30; 400",
+                "100,20,; 400",
+                "-1,20; 400",
+                "1.5,20; 400",
+                "x,20; 400",
+                "1000000000000,1; 400",
+                "; 400"
+            })
+    void tokenCountsOfAnAccountMustBeTwoNumbers(String counts, int status) throws Exception {
+        String header = CallerClient.TOKENS_HEADER + ": " + (counts == null ? "" : counts) + "\r\n";
+        assertThat(CallerClient.sendWith(node.callerAddress(), "/open/x", "id-1", null, header))
+                .startsWith("HTTP/1.1 200");
+        String response = CallerClient.sendWith(node.callerAddress(), "/again/x", "id-2", null, K1 + header);
+        assertThat(response).startsWith("HTTP/1.1 " + status);
+        assertThat(response.contains("\"code\":101")).isEqualTo(status == 400);
+        assertThat(plain.arrivals()).hasSize(status == 400 ? 1 : 2);
+        assertThat(CallerClient.sendWith(node.callerAddress(), "/again/x", "id-3", null, K1 + header + header))
+                .startsWith("HTTP/1.1 400");
+    }
+
     /** Guards against a change of what endpoints receive in deployments without accounts. */
     @Test
     void withoutAccountsBothHeadersArriveInTheirPlaces() throws Exception {
