Add the subcommand accounts, which sums the figures of client accounts over nodes

Cause: an operator had to read the metrics page of each node to see why an account is refused. Change: AccountsCommand reads the metrics pages of the given nodes; a node that does not answer is reported, exit code 1.

--- a/cli/src/main/java/org/quetzalvane/cli/QuetzalvaneMain.java
+++ b/cli/src/main/java/org/quetzalvane/cli/QuetzalvaneMain.java
@@ -35,6 +35,7 @@
         commands.put("status", new StatusCommand());
         commands.put("timeline", new TimelineCommand());
         commands.put("explain", new ExplainCommand());
+        commands.put("accounts", new AccountsCommand());
         commands.put("check-settings", new CheckSettingsCommand());
         commands.put("trace", new TraceCommand());
         commands.put("replay", new ReplayCommand());
--- a/cli/src/test/java/org/quetzalvane/cli/QuetzalvaneMainTest.java
+++ b/cli/src/test/java/org/quetzalvane/cli/QuetzalvaneMainTest.java
@@ -100,7 +100,18 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"publish", "status", "timeline", "explain", "check-settings", "trace", "replay", "measure"})
+    @ValueSource(
+            strings = {
+                "publish",
+                "status",
+                "timeline",
+                "explain",
+                "accounts",
+                "check-settings",
+                "trace",
+                "replay",
+                "measure"
+            })
     void everySubcommandHasHelp(String command) {
         assertThat(QuetzalvaneMain.run(command, "--help")).isZero();
         assertThat(out.toString(StandardCharsets.UTF_8)).contains("--json");
@@ -186,6 +197,38 @@
         assertThat(QuetzalvaneMain.run("explain", "r9", one.toString())).isEqualTo(1);
     }
 
+    /** Guards against figures of one node that are shown as those of all, and against a missing node that is not told. */
+    @Test
+    void accountsAreSummedOverTheNodesThatAnswer() throws Exception {
+        String page =
+                """
+                quetzalvane_account_admitted_total{account="a"} 3
+                quetzalvane_account_admitted_total{account="q\\"b"} 1
+                quetzalvane_account_units{account="a"} 900
+                quetzalvane_account_refused_total{account="a",code="215"} 2
+                quetzalvane_refused_total{code="215"} 7
+                quetzalvane_peers_up 2
+                """;
+        try (JettyHttpServer one = metricsPage(page);
+                JettyHttpServer two = metricsPage(page)) {
+            String[] pages = {"127.0.0.1:" + one.port(), "127.0.0.1:" + two.port()};
+            assertThat(QuetzalvaneMain.run("accounts", pages[0], pages[1])).isZero();
+            assertThat(out.toString(StandardCharsets.UTF_8).lines())
+                    .containsExactly("a admitted=6 units=1800 refused_215=4", "q\"b admitted=2 units=0");
+            out.reset();
+            assertThat(QuetzalvaneMain.run("accounts", "--json", pages[0], UNREACHABLE))
+                    .isEqualTo(1);
+            assertThat(lines().get(0).path("refused").path("215").asLong()).isEqualTo(2);
+            assertThat(err.toString(StandardCharsets.UTF_8)).contains(UNREACHABLE + " unreachable");
+        }
+    }
+
+    private static JettyHttpServer metricsPage(String text) throws Exception {
+        return JettyHttpServer.builder()
+                .route("GET", "/", e -> e.respond(200, "text/plain", text.getBytes(StandardCharsets.UTF_8)))
+                .start("127.0.0.1:0");
+    }
+
     @Test
     void replayPrintsItsReportAsJson() {
         String file = directory.resolve("t.jsonl").toString();
