--- a/entry/src/test/java/org/quetzalvane/entry/ClientAccountTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/ClientAccountTest.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.entry;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -30,6 +31,8 @@
     private static final String K1 = "Authorization: Bearer k1\r\n";
     private static final String OWN_ACCOUNT = Arrival.ACCOUNT_HEADER.toLowerCase() + ": other\r\n";
     private static final long POLL_MS = 10;
+    /** Bound on the time from a revocation to its effect on every node. */
+    private static final long APPLY_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
     @RegisterExtension
     final LoopbackCluster cluster = new LoopbackCluster();
@@ -135,7 +138,7 @@
             TimeUnit.MILLISECONDS.sleep(POLL_MS);
         }
         cluster.store().writeConfig(SampleConfig.withAccounts(2, WITHOUT_K1));
-        awaitRefusal("/again/x", K1);
+        awaitRefusal(node, "/again/x", K1);
         goOn.complete(null);
         String both = responses.get(20, TimeUnit.SECONDS);
         assertThat(both.split("HTTP/1.1 ", -1)).hasSize(3);
@@ -145,6 +148,22 @@
                 .startsWith("HTTP/1.1 200");
     }
 
+    /** Guards against a node, hub or member, on which a revoked key stays valid beyond the bound. */
+    @Test
+    void revocationTakesEffectOnEveryNodeInTime() throws Exception {
+        List<BootSettings> nodes = new ArrayList<>(List.of(node));
+        for (int i = 0; i < 4; i++) {
+            nodes.add(cluster.startNode());
+        }
+        cluster.awaitNodesKnowEachOther();
+        cluster.store().writeConfig(SampleConfig.withAccounts(2, WITHOUT_K1));
+        long writtenNanos = System.nanoTime();
+        for (BootSettings n : nodes) {
+            awaitRefusal(n, "/again/x", K1);
+        }
+        assertThat(System.nanoTime() - writtenNanos).isLessThan(APPLY_NANOS);
+    }
+
     /** Guards against a malformed version that takes effect, or whose keys are logged as valid. */
     @Test
     void malformedVersionLeavesTheLastValidOneInForce() throws Exception {
@@ -211,7 +230,7 @@
         }
     }
 
-    private void awaitRefusal(String path, String headers) throws IOException {
+    private static void awaitRefusal(BootSettings node, String path, String headers) throws IOException {
         String response = "";
         for (int i = 0; !response.startsWith("HTTP/1.1 401"); i++) {
             response = CallerClient.sendWith(node.callerAddress(), path, "poll-" + i, null, headers);
