--- a/entry/src/test/java/org/quetzalvane/entry/ClientAccountTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/ClientAccountTest.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.entry;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -30,6 +31,8 @@
     private static final String K1 = "Authorization: Bearer k1\r\n";
     private static final String OWN_ACCOUNT = Arrival.ACCOUNT_HEADER.toLowerCase() + ": other\r\n";
     private static final long POLL_MS = 10;
+    /** Bound on the time from a revocation to its effect on every node. */
+    private static final long APPLY_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
     @RegisterExtension
     final LoopbackCluster cluster = new LoopbackCluster();
@@ -75,12 +78,43 @@
         assertThat(CallerClient.sendWith(node.callerAddress(), "/once/x", "id-1", null, headers))
                 .startsWith("HTTP/1.1 401")
                 .contains("\"code\":102")
+                .containsIgnoringCase("www-authenticate: Bearer\r\n")
                 .doesNotContainIgnoringCase("retry-after");
         assertThat(CallerClient.sendWith(node.callerAddress(), "/nowhere/x", "id-2", null, headers))
                 .startsWith("HTTP/1.1 404");
         assertThat(plain.arrivals()).isEmpty();
     }
 
+    /** Guards against malformed token counts that are charged as if none were stated; only accounts are checked. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = ';',
+            value = {
+                "100,20; 200",
+                " 100 , 0 ; 200",
+                "100; 400",
+                "100,; 400",
+                ",20; 400",
+                "100,20,30; 400",
+                "100,20,; 400",
+                "-1,20; 400",
+                "1.5,20; 400",
+                "x,20; 400",
+                "1000000000000,1; 400",
+                "; 400"
+            })
+    void tokenCountsOfAnAccountMustBeTwoNumbers(String counts, int status) throws Exception {
+        String header = CallerClient.TOKENS_HEADER + ": " + (counts == null ? "" : counts) + "\r\n";
+        assertThat(CallerClient.sendWith(node.callerAddress(), "/open/x", "id-1", null, header))
+                .startsWith("HTTP/1.1 200");
+        String response = CallerClient.sendWith(node.callerAddress(), "/again/x", "id-2", null, K1 + header);
+        assertThat(response).startsWith("HTTP/1.1 " + status);
+        assertThat(response.contains("\"code\":101")).isEqualTo(status == 400);
+        assertThat(plain.arrivals()).hasSize(status == 400 ? 1 : 2);
+        assertThat(CallerClient.sendWith(node.callerAddress(), "/again/x", "id-3", null, K1 + header + header))
+                .startsWith("HTTP/1.1 400");
+    }
+
     /** Guards against a change of what endpoints receive in deployments without accounts. */
     @Test
     void withoutAccountsBothHeadersArriveInTheirPlaces() throws Exception {
@@ -104,7 +138,7 @@
             TimeUnit.MILLISECONDS.sleep(POLL_MS);
         }
         cluster.store().writeConfig(SampleConfig.withAccounts(2, WITHOUT_K1));
-        awaitRefusal("/again/x", K1);
+        awaitRefusal(node, "/again/x", K1);
         goOn.complete(null);
         String both = responses.get(20, TimeUnit.SECONDS);
         assertThat(both.split("HTTP/1.1 ", -1)).hasSize(3);
@@ -114,6 +148,22 @@
                 .startsWith("HTTP/1.1 200");
     }
 
+    /** Guards against a node, hub or member, on which a revoked key stays valid beyond the bound. */
+    @Test
+    void revocationTakesEffectOnEveryNodeInTime() throws Exception {
+        List<BootSettings> nodes = new ArrayList<>(List.of(node));
+        for (int i = 0; i < 4; i++) {
+            nodes.add(cluster.startNode());
+        }
+        cluster.awaitNodesKnowEachOther();
+        cluster.store().writeConfig(SampleConfig.withAccounts(2, WITHOUT_K1));
+        long writtenNanos = System.nanoTime();
+        for (BootSettings n : nodes) {
+            awaitRefusal(n, "/again/x", K1);
+        }
+        assertThat(System.nanoTime() - writtenNanos).isLessThan(APPLY_NANOS);
+    }
+
     /** Guards against a malformed version that takes effect, or whose keys are logged as valid. */
     @Test
     void malformedVersionLeavesTheLastValidOneInForce() throws Exception {
@@ -180,7 +230,7 @@
         }
     }
 
-    private void awaitRefusal(String path, String headers) throws IOException {
+    private static void awaitRefusal(BootSettings node, String path, String headers) throws IOException {
         String response = "";
         for (int i = 0; !response.startsWith("HTTP/1.1 401"); i++) {
             response = CallerClient.sendWith(node.callerAddress(), path, "poll-" + i, null, headers);
