Tell nodes that start which endpoints said that they leave

A mark of a leaving endpoint was known only to the nodes that were up when it was announced. A node that started later took the endpoint's entry, which says ready until the list catches up, and sent requests to it; the same held for the members of a restarted hub. Nodes now exchange the marks of the last 60 s whenever a connection is made and with each list of records, and keep a mark that arrives before the entry.

--- a/core/src/main/java/org/quetzalvane/core/fleet/EndpointTable.java
+++ b/core/src/main/java/org/quetzalvane/core/fleet/EndpointTable.java
@@ -32,11 +32,17 @@
      */
     private static final long RETENTION_NANOS = 60_000_000_000L;
 
+    /** Largest number of marks kept: several times the endpoints of a deployment. */
+    private static final int MAX_LEAVING_MARKS = 1_000;
+
     private static final long NOT_LEAVING = Long.MIN_VALUE;
 
     private final Scheduler scheduler;
     private final EndpointBackoff backoff;
     private final Map<String, TrackedEndpoint> tracked = new HashMap<>();
+    /** Instances that said that they leave, by endpoint; kept also while their entries are unknown. */
+    private final Map<String, LeavingMark> leavingMarks = new HashMap<>();
+
     private final List<Consumer<Endpoint>> newInstanceListeners = new ArrayList<>();
 
     public EndpointTable(Scheduler scheduler) {
@@ -49,8 +55,14 @@
         newInstanceListeners.add(listener);
     }
 
-    /** Applies the newest entry of an endpoint; a ready entry of an instance that has drained is ignored. */
-    public void apply(Endpoint e) {
+    /**
+     * Applies the newest entry of an endpoint; a ready entry of an instance that has drained, or said that it leaves,
+     * does not make it ready.
+     */
+    public void apply(Endpoint entry) {
+        LeavingMark mark = leavingMarks.get(entry.id());
+        boolean leaves = mark != null && mark.bornMs == entry.bornMs() && !hasExpired(mark);
+        Endpoint e = leaves ? entry.withState(Endpoint.State.DRAINING) : entry;
         TrackedEndpoint known = tracked.get(e.id());
         boolean newInstance = known == null || !known.endpoint.sameInstance(e);
         if (known != null && !newInstance && !known.endpoint.ready() && e.ready()) {
@@ -67,17 +79,38 @@
     }
 
     /**
-     * Marks an instance as draining because it says so itself, before its entry does; returns whether this is news.
+     * Marks an instance as draining because it says so itself, before its entry does; returns whether this is news. The
+     * mark of an instance that is not listed yet applies to its entry when that arrives.
      */
     public boolean markDraining(String id, long bornMs) {
         TrackedEndpoint known = tracked.get(id);
-        if (known == null || known.endpoint.bornMs() != bornMs || !known.endpoint.ready()) {
+        LeavingMark mark = leavingMarks.get(id);
+        boolean outdated = known != null
+                && (bornMs < known.endpoint.bornMs() || bornMs == known.endpoint.bornMs() && !known.endpoint.ready());
+        if (outdated || mark != null && bornMs <= mark.bornMs && !hasExpired(mark)) {
+            return false;
+        }
+        leavingMarks.values().removeIf(this::hasExpired);
+        if (leavingMarks.size() >= MAX_LEAVING_MARKS) {
             return false;
         }
-        apply(known.endpoint.withState(Endpoint.State.DRAINING));
+        leavingMarks.put(id, new LeavingMark(bornMs, scheduler.nanoTime()));
+        if (known != null && known.endpoint.bornMs() == bornMs) {
+            apply(known.endpoint);
+        }
         return true;
     }
 
+    /** Start, in milliseconds since the epoch, of each instance that said lately that it leaves, by endpoint. */
+    public Map<String, Long> leavingMarks() {
+        leavingMarks.values().removeIf(this::hasExpired);
+        return leavingMarks.entrySet().stream().collect(Collectors.toMap(Map.Entry::getKey, m -> m.getValue().bornMs));
+    }
+
+    private boolean hasExpired(LeavingMark mark) {
+        return scheduler.nanoTime() - mark.atNanos > RETENTION_NANOS;
+    }
+
     /** Sends nothing to an endpoint for the given time, ms, as it has asked. */
     public void backOff(Endpoint e, long ms) {
         backoff.add(e, ms);
@@ -173,6 +206,9 @@
                 && scheduler.nanoTime() - known.leavingSinceNanos > LAST_RESORT_MS * 1_000_000;
     }
 
+    /** Start of the instance that said that it leaves, and the time at which this was heard. */
+    private record LeavingMark(long bornMs, long atNanos) {}
+
     /** An endpoint and the time since which it is leaving, or {@link #NOT_LEAVING}. */
     private record TrackedEndpoint(Endpoint endpoint, long leavingSinceNanos) {}
 }
--- a/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
@@ -133,6 +133,13 @@
      */
     record EndpointLeaving(String from, String endpoint, long bornMs) implements PeerMessage {}
 
+    /**
+     * Requests an {@link EndpointLeaving} for each endpoint that leaves; sent by a node that connects to another one.
+     *
+     * @param from address of the sender for peers, IP:PORT
+     */
+    record EndpointLeavingRequest(String from) implements PeerMessage {}
+
     /**
      * Software versions that have begun streams, sent to all hubs.
      *
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -143,7 +143,8 @@
                 new StatusExchange.Components(
                         peerTable, endpointLoads, adapterUsage, residency, lease, assignedEngines, loadTimes, log),
                 localNode(),
-                new PeerService.RecordAccess(platform::records, platform.followers()),
+                new PeerService.RecordAccess(
+                        platform::records, platform.followers(), platform.endpoints()::leavingMarks),
                 relay,
                 m -> notices.markDraining(m.endpoint(), m.bornMs(), m.from()));
         platform.exchange(relay, peerService::relayRecords);
--- a/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
@@ -44,7 +44,8 @@
             PeerMessage.EndpointLimits.class,
             PeerMessage.PermitRequest.class,
             PeerMessage.PermitReply.class,
-            PeerMessage.PermitReturn.class);
+            PeerMessage.PermitReturn.class,
+            PeerMessage.EndpointLeavingRequest.class);
 
     private final ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
 
--- a/entry/src/main/java/org/quetzalvane/entry/PeerService.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerService.java
@@ -63,8 +63,12 @@
      *
      * @param known known records by topic name, for peers that do not read the store
      * @param followers follower of each topic, by its name in the messages between nodes
+     * @param leaving start of each instance that said that it leaves, by endpoint
      */
-    record RecordAccess(Supplier<Map<String, PeerRecords>> known, Map<String, RecordFollower> followers) {}
+    record RecordAccess(
+            Supplier<Map<String, PeerRecords>> known,
+            Map<String, RecordFollower> followers,
+            Supplier<Map<String, Long>> leaving) {}
 
     /**
      * Creates the service.
@@ -235,6 +239,8 @@
             if (endpointLeaving.test(l)) {
                 sendToMembers(l);
             }
+        } else if (m instanceof PeerMessage.EndpointLeavingRequest r) {
+            sendLeaving(r.from());
         } else if (m instanceof PeerMessage.StreamOrigins o) {
             streamOrigins.onOrigins(o);
         } else if (m instanceof PeerMessage.StreamOriginRequest r) {
@@ -254,6 +260,8 @@
     /** Called when the connection to a peer is made or lost. Status, loads and usage of a lost peer are dropped. */
     void connectionChanged(String peer, boolean connected) {
         if (connected) {
+            sendLeaving(peer);
+            send(peer, new PeerMessage.EndpointLeavingRequest(address));
             quarantine.peerConnected(peer);
             permits.peerConnected(peer);
         } else {
@@ -263,7 +271,15 @@
         }
     }
 
+    /** The store's entries of endpoints that said that they leave may still be ready. */
+    private void sendLeaving(String peer) {
+        records.leaving()
+                .get()
+                .forEach((endpoint, born) -> send(peer, new PeerMessage.EndpointLeaving(address, endpoint, born)));
+    }
+
     private void sendRecords(String peer) {
+        sendLeaving(peer);
         records.known()
                 .get()
                 .forEach((topic, known) ->
--- a/entry/src/test/java/org/quetzalvane/entry/EndpointNoticesTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EndpointNoticesTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalvane.platform.BootSettings;
 import org.quetzalvane.platform.standin.CallerClient;
 import org.quetzalvane.platform.standin.EndpointStandIn;
@@ -55,6 +56,27 @@
         assertThat(other.ranRequests()).hasSize(ranByOther + 2 * REQUESTS);
     }
 
+    /** The store's entry of the endpoint still says ready when another node starts. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void leavingEndpointReceivesNothingFromANodeThatStartsLater(boolean storeAway) throws Exception {
+        EndpointStandIn leaving = endpoint(
+                "plain-1", "plain", (self, x) -> self.respondComplete(x, "ok", EndpointStandIn.LEAVING_HEADER, "1"));
+        endpoint("plain-2", "plain", (self, x) -> self.respondComplete(x, "ok"));
+        startNodes();
+        for (int i = 0; i < MAX_TRIES && leaving.ranRequests().isEmpty(); i++) {
+            send(first, "first-" + i);
+        }
+        int ran = leaving.ranRequests().size();
+        store.down(storeAway);
+        BootSettings third = cluster.startNode();
+        cluster.awaitNodesKnowEachOther();
+        for (int i = 0; i < REQUESTS; i++) {
+            assertThat(send(third, "c-" + i)).startsWith("HTTP/1.1 200");
+        }
+        assertThat(leaving.ranRequests()).hasSize(ran);
+    }
+
     /** Bad values change nothing: the endpoint is used again and again. */
     @ParameterizedTest
     @CsvSource({"Retry-After, 30, 1", "Retry-After, soon, 2", EndpointStandIn.LEAVING_HEADER + ", yes, 2"})
