Let the assignment lease expire while the machine is suspended

The age of the last confirmation was measured on the monotonic clock, which stands still while the machine is suspended. Where engines do not check fencing tokens, a node could send orders after it resumed although its lease had expired and another node owned the partition. Stopwatch takes the longer of the monotonic and the wall clock time.

--- a/core/src/main/java/org/quetzalvane/core/team/AssignmentLease.java
+++ b/core/src/main/java/org/quetzalvane/core/team/AssignmentLease.java
@@ -7,6 +7,7 @@
 
 import net.openhft.hashing.LongHashFunction;
 import org.quetzalvane.core.time.Scheduler;
+import org.quetzalvane.core.time.Stopwatch;
 
 /**
  * The partitions assigned to this node, as last confirmed by the assignment group of the platform's store.
@@ -47,7 +48,9 @@
     private final Map<Integer, Long> lastOrderNanos = new HashMap<>();
     private long generation;
     private long rejectedToken = -1;
-    private long confirmedNanos;
+    /** Runs since the last confirmed request to the group was sent. */
+    private Stopwatch sinceConfirmed;
+
     private long firstConfirmedNanos;
     private boolean everConfirmed;
 
@@ -86,10 +89,12 @@
     }
 
     /**
-     * Applies the group's response to a request sent at {@code sentNanos}; returns whether the partitions or the
-     * generation changed. A response of an older generation is ignored.
+     * Applies the group's response to a request; returns whether the partitions or the generation changed. A response
+     * of an older generation is ignored.
+     *
+     * @param sinceSent runs since the request was sent
      */
-    public boolean update(long newGeneration, Set<Integer> assigned, long sentNanos) {
+    public boolean update(long newGeneration, Set<Integer> assigned, Stopwatch sinceSent) {
         if (newGeneration < generation) {
             return false;
         }
@@ -99,7 +104,7 @@
             firstConfirmedNanos = scheduler.nanoTime();
         }
         generation = newGeneration;
-        confirmedNanos = sentNanos;
+        sinceConfirmed = sinceSent;
         acquiredNanos.keySet().retainAll(assigned);
         orderingStarted.retainAll(assigned);
         assigned.forEach(p -> acquiredNanos.putIfAbsent(p, scheduler.nanoTime()));
@@ -168,7 +173,7 @@
             }
             orderingStarted.add(partition);
         }
-        boolean valid = fencingEnforced || scheduler.nanoTime() - confirmedNanos < leaseNanos * SAFE_LEASE_FRACTION;
+        boolean valid = fencingEnforced || sinceConfirmed.elapsedMs() * 1_000_000 < leaseNanos * SAFE_LEASE_FRACTION;
         return owns(partition) && valid && generation > rejectedToken ? generation : -1;
     }
 }
--- a/core/src/test/java/org/quetzalvane/core/team/StatusExchangeTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/StatusExchangeTest.java
@@ -18,6 +18,7 @@
 import org.quetzalvane.core.residency.LoadTimeEstimator;
 import org.quetzalvane.core.residency.ResidencyTable;
 import org.quetzalvane.core.time.ManualScheduler;
+import org.quetzalvane.core.time.Stopwatch;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -123,7 +124,7 @@
                 .filter(n -> n.zone.equals(frozen.zone) && n != frozen && n.exchange.isHub())
                 .max(Comparator.comparing(n -> n.becameOwnerNanos))
                 .get();
-        standIn.lease.update(1, Set.of(3), clock.nanoTime());
+        standIn.lease.update(1, Set.of(3), Stopwatch.start(clock));
         frozen.silent = false;
         while (standIn.owner) {
             standIn.lease.recordOrder(3);
--- a/entry/src/main/java/org/quetzalvane/entry/AssignmentMember.java
+++ b/entry/src/main/java/org/quetzalvane/entry/AssignmentMember.java
@@ -8,6 +8,7 @@
 import org.quetzalvane.core.team.AssignmentLease;
 import org.quetzalvane.core.team.PeerTable;
 import org.quetzalvane.core.time.Scheduler;
+import org.quetzalvane.core.time.Stopwatch;
 
 /**
  * Keeps this node a member of the store's group that assigns the partitions of engines to the nodes. Confined to the
@@ -106,12 +107,12 @@
         if (leaving || current != membership) {
             return;
         }
-        long sentNanos = scheduler.nanoTime();
+        Stopwatch sinceSent = Stopwatch.start(scheduler);
         group.join(self, ttlMs, lease.generation(), assignment -> {
             if (leaving || current != membership) {
                 return;
             }
-            if (assignment != null && lease.update(assignment.generation(), assignment.partitions(), sentNanos)) {
+            if (assignment != null && lease.update(assignment.generation(), assignment.partitions(), sinceSent)) {
                 log.log(
                         EventCode.DUTIES_CHANGED,
                         self,
--- a/entry/src/test/java/org/quetzalvane/entry/PeerServiceTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/PeerServiceTest.java
@@ -27,6 +27,7 @@
 import org.quetzalvane.core.team.RecordRelay;
 import org.quetzalvane.core.team.StatusExchange;
 import org.quetzalvane.core.time.ManualScheduler;
+import org.quetzalvane.core.time.Stopwatch;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -64,7 +65,7 @@
                 new PeerService.RecordAccess(() -> Map.of(), Map.of(), () -> Map.of()),
                 new RecordRelay(clock, topic -> -1L),
                 m -> false);
-        lease.update(1, Set.of(0), clock.nanoTime());
+        lease.update(1, Set.of(0), Stopwatch.start(clock));
         clock.advance(Duration.ofSeconds(1));
         assignedEngines.reconcile(List.of(ENGINE));
         requestLoad(service, RESIDENT);
