Include suspensions in the age of the store's records

After the machine had been suspended, a node relied on the last view of its hub, and stated the age of its records, as if no time had passed.

RecordRelayTest.storeIsReadAfterTheMachineWasSuspended and RecordFollowerTest.ageOfTheRecordsIncludesTheTimeForWhichTheMachineWasSuspended failed with the monotonic clock alone.

--- a/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
+++ b/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
@@ -12,6 +12,7 @@
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.time.Scheduler;
+import org.quetzalvane.core.time.Stopwatch;
 
 /**
  * Follows a topic: keeps the newest record of each key and passes each newer one to a listener.
@@ -49,8 +50,9 @@
     private long peerEndOffset;
     private boolean initialized;
     private boolean reachable = true;
-    private boolean heard;
-    private long lastResponseNanos;
+    /** Runs since the last response of the store; null before the first. */
+    private Stopwatch sinceResponse;
+
     /** Whether the store came back from a copy and what it lost may still be written again. */
     private boolean rewriting;
 
@@ -121,7 +123,7 @@
 
     /** Whether the store has answered. */
     public boolean heard() {
-        return heard;
+        return sinceResponse != null;
     }
 
     /** Greatest offset of the records applied, or -1. */
@@ -131,7 +133,7 @@
 
     /** Time since the last response of the store, milliseconds; {@link #NEVER_MS} before the first response. */
     public long msSinceLastResponse() {
-        return !heard ? NEVER_MS : (scheduler.nanoTime() - lastResponseNanos) / 1_000_000;
+        return sinceResponse == null ? NEVER_MS : sinceResponse.elapsedMs();
     }
 
     private void readNewest() {
@@ -244,8 +246,7 @@
     }
 
     private void onResponse() {
-        heard = true;
-        lastResponseNanos = scheduler.nanoTime();
+        sinceResponse = Stopwatch.start(scheduler);
         if (!reachable) {
             reachable = true;
             log.log(EventCode.STORE_BACK, topic.name(), "offset", offset);
--- a/core/src/main/java/org/quetzalvane/core/team/RecordRelay.java
+++ b/core/src/main/java/org/quetzalvane/core/team/RecordRelay.java
@@ -7,6 +7,7 @@
 import java.util.function.Function;
 
 import org.quetzalvane.core.time.Scheduler;
+import org.quetzalvane.core.time.Stopwatch;
 
 /**
  * Decides whether a node that reports to a hub gets the store's records through it or has to read the store itself.
@@ -30,7 +31,9 @@
     private final Set<String> received = new HashSet<>();
     private Map<String, PeerMessage.TopicPosition> hubPositions = Map.of();
     private String hub;
-    private long viewNanos;
+    /** Runs since the last view; null before the first. */
+    private Stopwatch sinceView;
+
     private boolean storeHeard;
     private boolean complete;
 
@@ -51,7 +54,7 @@
             received.clear();
             requestedNanos.clear();
         }
-        viewNanos = scheduler.nanoTime();
+        sinceView = Stopwatch.start(scheduler);
         hubPositions = Map.copyOf(positions);
         storeHeard = positions.values().stream().anyMatch(p -> p.ageMs() <= MAX_STORE_AGE_MS);
         complete = received.containsAll(positions.keySet())
@@ -87,13 +90,13 @@
     }
 
     private boolean viewIsRecent() {
-        return scheduler.nanoTime() - viewNanos < MAX_VIEW_AGE_MS * 1_000_000;
+        return sinceView != null && sinceView.elapsedMs() < MAX_VIEW_AGE_MS;
     }
 
     /** Time since the hub last heard from the store on a topic, milliseconds; 0 for a topic it has not named. */
     public long storeAgeMs(String topic) {
         PeerMessage.TopicPosition p = hubPositions.get(topic);
-        return p == null ? 0 : p.ageMs() + (scheduler.nanoTime() - viewNanos) / 1_000_000;
+        return p == null ? 0 : p.ageMs() + sinceView.elapsedMs();
     }
 
     /** At most one request per view timeout, so that a slow link is not filled with lists of records. */
--- a/core/src/test/java/org/quetzalvane/core/store/RecordFollowerTest.java
+++ b/core/src/test/java/org/quetzalvane/core/store/RecordFollowerTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.quetzalvane.core.time.ManualScheduler;
+import org.quetzalvane.core.time.SuspendableMachine;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -137,6 +138,18 @@
         assertThat(fresh.msSinceLastResponse()).isGreaterThan(3_600_000);
     }
 
+    /** The time for which the machine was suspended was left out of the age of the records. */
+    @Test
+    void ageOfTheRecordsIncludesTheTimeForWhichTheMachineWasSuspended() {
+        SuspendableMachine machine = new SuspendableMachine(clock);
+        FakeTopic other = new FakeTopic();
+        RecordFollower f = new RecordFollower(machine, other, (c, s, x) -> {}, 1_000, 100, r -> {});
+        f.start();
+        other.respond(KeyedTopic.ReadResult.ok(List.of(), 0));
+        machine.suspend(60_000);
+        assertThat(f.msSinceLastResponse()).isEqualTo(60_000);
+    }
+
     @Test
     void storeIsNotReadWhileAnotherNodePassesTheRecordsOn() {
         boolean[] passedOn = {true};
--- a/core/src/test/java/org/quetzalvane/core/team/RecordRelayTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/RecordRelayTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.quetzalvane.core.time.ManualScheduler;
+import org.quetzalvane.core.time.SuspendableMachine;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -65,6 +66,21 @@
         assertThat(relay.reliesOnHub()).isTrue();
     }
 
+    /** After a suspension the hub's records, and the age stated for them, looked as recent as before it. */
+    @Test
+    void storeIsReadAfterTheMachineWasSuspended() {
+        SuspendableMachine machine = new SuspendableMachine(clock);
+        RecordRelay suspended = new RecordRelay(machine, topic -> 5L);
+        Map<String, PeerMessage.TopicPosition> positions = Map.of(TOPIC, new PeerMessage.TopicPosition(5, 10));
+        suspended.onView("h1", positions);
+        suspended.onRecords("h1", TOPIC);
+        suspended.onView("h1", positions);
+        assertThat(suspended.reliesOnHub()).isTrue();
+        machine.suspend(60_000);
+        assertThat(suspended.reliesOnHub()).isFalse();
+        assertThat(suspended.storeAgeMs(TOPIC)).isEqualTo(60_010);
+    }
+
     @Test
     void ageOfTheRecordsIsThatOfTheHub() {
         synchronize("h1");
