Move the budget mechanism of endpoint permits into BudgetExchange

Allowances of accounts are to use the same holder selection, buckets, numbered requests and node counts as the limits that endpoints name. PermitBucket learns amounts, extra, a set capacity and a balance below zero; the queue of single permits is unchanged.

--- a/core/src/main/java/org/quetzalvane/core/limit/PermitBucket.java
+++ b/core/src/main/java/org/quetzalvane/core/limit/PermitBucket.java
@@ -8,11 +8,12 @@
 import org.quetzalvane.core.time.Scheduler;
 
 /**
- * Grants the permits of one endpoint instance: a token bucket with a queue.
+ * Grants the permits of one endpoint instance, or the units of one allowance: a token bucket with a queue.
  *
- * <p>The bucket starts empty, so that a holder that takes over from another one does not add a burst. Requests wait in
- * order of rank, then of arrival; one that would wait too long is denied at once, also when a more urgent one arrives
- * later. Confined to the event loop.
+ * <p>The bucket starts empty, so that a holder that takes over from another one does not add a burst. Permits of one
+ * token are asked for and may wait, in order of rank, then of arrival; one that would wait too long is denied at once,
+ * also when a more urgent one arrives later. Amounts are taken at once or not at all; the balance may become negative.
+ * Confined to the event loop.
  */
 public final class PermitBucket {
     /** Smallest capacity: two requests, so that a permit is not lost while the next request is on its way. */
@@ -23,12 +24,19 @@
     static final double MIN_PER_SECOND = 0.1;
     /** Tolerance of the longest wait, ns; waits are rounded up to milliseconds. */
     private static final long ROUNDING_NANOS = 2_000_000;
+    /** Part of the content that is granted in advance at most, so that a scarce budget is granted as it is needed. */
+    private static final double ADVANCE_PART = 1 / 8.0;
+    /** Tolerance of a comparison with the content, which is a sum of rounded fractions. */
+    private static final double ROUNDING = 1e-6;
     /** Largest number of requests that wait. */
     static final int MAX_WAITING = 256;
 
     private final Scheduler scheduler;
     private final List<Waiter> waiters = new ArrayList<>();
     private double perSecond = MIN_PER_SECOND;
+    /** Capacity that was set, or negative if it follows from the rate. */
+    private double fixedCapacity = -1;
+
     private double tokens;
     private long refilledNanos;
     private Scheduler.Timer timer;
@@ -36,8 +44,17 @@
     private record Waiter(int rank, long untilNanos, Consumer<Permit> done) {}
 
     public PermitBucket(Scheduler scheduler) {
+        this(scheduler, scheduler.nanoTime());
+    }
+
+    /**
+     * Creates a bucket that is empty at a given time.
+     *
+     * @param emptyNanos time from which on it fills, before or after now
+     */
+    public PermitBucket(Scheduler scheduler, long emptyNanos) {
         this.scheduler = scheduler;
-        this.refilledNanos = scheduler.nanoTime();
+        this.refilledNanos = emptyNanos;
     }
 
     /** Time between two permits of an endpoint with this limit, ms. */
@@ -53,6 +70,53 @@
         serve();
     }
 
+    /** Sets rate, units per second, and capacity, units; what the bucket contains beyond the capacity is lost. */
+    public void setLimit(double rate, double capacity) {
+        refill();
+        perSecond = rate;
+        fixedCapacity = capacity;
+        tokens = Math.min(tokens, capacity);
+    }
+
+    /**
+     * Takes units if the bucket contains enough of them. An amount beyond the capacity is taken from a full bucket.
+     *
+     * @param amount what is needed
+     * @param least what is taken at least; otherwise nothing is taken
+     * @param extra what is taken in advance, as far as the bucket is well filled
+     * @return units taken, 0 if there are fewer than {@code least}
+     */
+    public long take(long amount, long least, long extra) {
+        refill();
+        if (tokens + ROUNDING < Math.min(least, capacity())) {
+            return 0;
+        }
+        long taken = Math.max(least, Math.min(amount, (long) (tokens + ROUNDING)));
+        if (taken >= amount) {
+            taken += (long) Math.min(extra, Math.max(0, tokens - taken) * ADVANCE_PART);
+        }
+        tokens -= taken;
+        return taken;
+    }
+
+    /** Takes units whether or not the bucket contains them. */
+    public void charge(long amount) {
+        refill();
+        tokens -= amount;
+    }
+
+    /** Adds units that were taken and not used. */
+    public void giveBack(long amount) {
+        refill();
+        tokens = Math.min(capacity(), tokens + amount);
+    }
+
+    /** Units that the bucket contains; negative while it is in debt. */
+    public long content() {
+        refill();
+        return (long) Math.floor(tokens + ROUNDING);
+    }
+
     /**
      * Asks for a permit.
      *
@@ -129,12 +193,14 @@
     }
 
     private double capacity() {
-        return MIN_CAPACITY + perSecond * CAPACITY_S;
+        return fixedCapacity >= 0 ? fixedCapacity : MIN_CAPACITY + perSecond * CAPACITY_S;
     }
 
     private void refill() {
         long now = scheduler.nanoTime();
-        tokens = Math.min(capacity(), tokens + (now - refilledNanos) / 1e9 * perSecond);
-        refilledNanos = now;
+        if (now - refilledNanos > 0) {
+            tokens = Math.min(capacity(), tokens + (now - refilledNanos) / 1e9 * perSecond);
+            refilledNanos = now;
+        }
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/team/PermitExchange.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PermitExchange.java
@@ -3,14 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 
-import org.quetzalvane.core.cluster.RendezvousHash;
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.Endpoint;
@@ -31,31 +29,20 @@
 public final class PermitExchange implements EndpointPermits {
     /** Time for which changes of limits are collected before they are shared, ms. */
     static final long SHARE_DELAY_MS = 50;
-    /** Time beyond the longest wait after which a holder counts as silent, ms: many times the network delay. */
-    static final long REPLY_TIMEOUT_MS = 100;
     /** Time for which an endpoint whose holder is silent is sent nothing, ms: one status interval. */
     static final long HOLDER_RETRY_MS = PeerTable.STATUS_INTERVAL_MS;
-    /** Time for which the most nodes seen are remembered, ms. */
-    static final long MOST_NODES_MS = 60_000;
-    /** Interval at which the nodes are counted, ms. */
-    private static final long COUNT_INTERVAL_MS = 500;
     /** Rate at which those that wait are granted their permits when the limit has ended. */
     private static final double UNLIMITED_PER_SECOND = 1e6;
-    /** Largest number of buckets and waits kept, and of elements of a message that are processed. */
+    /** Largest number of waits kept, and of elements of a message that are processed. */
     private static final int MAX_ELEMENTS = 1_000;
 
     private final Scheduler scheduler;
     private final StructuredLog log;
     private final HubLinks peers;
-    private final IntSupplier nodes;
     private final LimitTable limits;
-    private final Map<Instance, PermitBucket> buckets = new LinkedHashMap<>();
+    private final BudgetExchange<Instance, Permit> budgets;
     private final Map<Instance, Long> waitUntilNanos = new HashMap<>();
-    private final Map<Long, Pending> pending = new HashMap<>();
     private final Map<Instance, Long> changed = new HashMap<>();
-    private long lastNumber;
-    private int mostNodes;
-    private long mostNodesNanos;
     private long granted;
     private long denied;
 
@@ -69,8 +56,6 @@
         }
     }
 
-    private record Pending(Instance instance, Consumer<Permit> done) {}
-
     /**
      * Creates the exchange of a node that knows no limits yet.
      *
@@ -80,14 +65,13 @@
         this.scheduler = scheduler;
         this.log = log;
         this.peers = peers;
-        this.nodes = nodes;
         this.limits = new LimitTable(scheduler);
+        this.budgets = new BudgetExchange<>(scheduler, peers, nodes, Instance::key);
     }
 
     /** Starts to count the nodes at intervals. */
     public void start() {
-        countNodes();
-        scheduler.repeat(Duration.ofMillis(COUNT_INTERVAL_MS), this::countNodes);
+        budgets.start();
     }
 
     /** Number of endpoints with a limit. */
@@ -128,9 +112,7 @@
      */
     public void removeGone(Predicate<String> isListed) {
         limits.removeGone(isListed);
-        buckets.entrySet()
-                .removeIf(
-                        b -> b.getValue().isIdle() && !isListed.test(b.getKey().endpoint()));
+        budgets.removeIf((i, bucket) -> bucket.isIdle() && !isListed.test(i.endpoint()));
         waitUntilNanos.keySet().removeIf(i -> !isListed.test(i.endpoint()));
     }
 
@@ -152,19 +134,18 @@
             return;
         }
         Instance i = Instance.of(e);
-        String holder = holder(i);
+        String holder = budgets.holder(i);
         double perSecond = limits.perSecond(e.id(), e.bornMs());
-        if (peers.self().equals(holder)) {
+        if (budgets.isSelf(holder)) {
             bucket(i, perSecond).ask(rank, maxWaitMs, p -> complete(i, p, done));
             return;
         }
-        long n = ++lastNumber;
-        PeerMessage.PermitRequest m =
-                new PeerMessage.PermitRequest(peers.self(), n, e.id(), e.bornMs(), perSecond, rank, maxWaitMs);
-        boolean sent = holder != null && peers.send(holder, m);
-        pending.put(n, new Pending(i, done));
-        long timeoutMs = sent ? maxWaitMs + REPLY_TIMEOUT_MS : 0;
-        scheduler.schedule(Duration.ofMillis(timeoutMs), () -> complete(n, Permit.denied(HOLDER_RETRY_MS)));
+        budgets.ask(
+                holder,
+                n -> new PeerMessage.PermitRequest(peers.self(), n, e.id(), e.bornMs(), perSecond, rank, maxWaitMs),
+                maxWaitMs,
+                p -> complete(i, p, done),
+                Permit.denied(HOLDER_RETRY_MS));
     }
 
     @Override
@@ -173,9 +154,9 @@
             return;
         }
         Instance i = Instance.of(e);
-        String holder = holder(i);
-        PermitBucket own = buckets.get(i);
-        if (peers.self().equals(holder) && own != null) {
+        String holder = budgets.holder(i);
+        PermitBucket own = budgets.find(i);
+        if (budgets.isSelf(holder) && own != null) {
             own.giveBack();
         } else if (holder != null) {
             peers.send(holder, new PeerMessage.PermitReturn(peers.self(), i.endpoint(), i.bornMs()));
@@ -189,12 +170,12 @@
         } else if (m instanceof PeerMessage.PermitRequest r) {
             grant(r);
         } else if (m instanceof PeerMessage.PermitReply r) {
-            boolean late = !complete(r.number(), new Permit(r.granted(), r.waitMs()));
+            boolean late = !budgets.complete(r.number(), new Permit(r.granted(), r.waitMs()));
             if (late && r.granted()) {
                 peers.send(r.from(), new PeerMessage.PermitReturn(peers.self(), r.endpoint(), r.bornMs()));
             }
         } else if (m instanceof PeerMessage.PermitReturn r) {
-            PermitBucket b = buckets.get(new Instance(r.endpoint(), r.bornMs()));
+            PermitBucket b = budgets.find(new Instance(r.endpoint(), r.bornMs()));
             if (b != null) {
                 b.giveBack();
             }
@@ -228,7 +209,7 @@
     private void limitChanged(Instance i, double perSecond, String source) {
         log.log(EventCode.ENDPOINT_LIMIT, i.endpoint(), "per_second", perSecond, "born", i.bornMs(), "source", source);
         boolean ended = perSecond == EndpointLimit.NONE;
-        PermitBucket b = ended ? buckets.remove(i) : buckets.get(i);
+        PermitBucket b = ended ? budgets.remove(i) : budgets.find(i);
         if (ended) {
             waitUntilNanos.remove(i);
         }
@@ -258,14 +239,7 @@
     }
 
     private PermitBucket bucket(Instance i, double perSecond) {
-        PermitBucket b = buckets.get(i);
-        if (b == null) {
-            if (buckets.size() >= MAX_ELEMENTS) {
-                buckets.remove(buckets.keySet().iterator().next());
-            }
-            b = new PermitBucket(scheduler);
-            buckets.put(i, b);
-        }
+        PermitBucket b = budgets.findOrCreate(i, () -> new PermitBucket(scheduler));
         b.setRate(perSecond * share());
         return b;
     }
@@ -275,34 +249,9 @@
      * lately, so that the sides of a cut do not add up to much more than the limit.
      */
     private double share() {
-        int seen = countNodes();
-        return 2 * seen > mostNodes ? 1 : seen / (2.0 * mostNodes);
-    }
-
-    /** Remembers the most nodes seen; returns the number that is seen now. */
-    private int countNodes() {
-        long now = scheduler.nanoTime();
-        int seen = nodes.getAsInt();
-        if (seen >= mostNodes || now - mostNodesNanos > MOST_NODES_MS * 1_000_000) {
-            mostNodes = seen;
-            mostNodesNanos = now;
-        }
-        return seen;
-    }
-
-    private String holder(Instance i) {
-        return RendezvousHash.rank(i.key(), peers.hubsWithSelf(), h -> h).stream()
-                .findFirst()
-                .orElse(null);
-    }
-
-    /** Completes the request with this number; returns false if it is complete already. */
-    private boolean complete(long number, Permit permit) {
-        Pending p = pending.remove(number);
-        if (p != null) {
-            complete(p.instance(), permit, p.done());
-        }
-        return p != null;
+        int seen = budgets.countNodes();
+        int most = budgets.mostNodes();
+        return 2 * seen > most ? 1 : seen / (2.0 * most);
     }
 
     private void complete(Instance i, Permit permit, Consumer<Permit> done) {
