Share the allowances of client accounts between the nodes

AllowanceExchange implements AccountAllowances: leases at the nodes (AccountLease), budgets at the holders (AccountBudgets), over BudgetExchange. PeerService creates it with the settings quota_window_s, quota_overshoot and quota_slack, all optional. Two message types are appended to the peer codec, so that older nodes ignore them. A rate of 0 means no limit, whatever the burst.

--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -58,6 +58,10 @@
     ENDPOINT_BACKOFF(4012, "An endpoint asked this node to send it nothing for a time."),
     CRASH_EVIDENCE(4013, "Connections of an endpoint instance broke while responses were in their beginning."),
     ENDPOINT_LIMIT(4014, "An endpoint named a limit of its requests per second, changed it or named none any more."),
+    ALLOWANCE_SHARE(
+            4015,
+            "The holder of an account's budget does not answer, so that the node uses its local share, or it answers"
+                    + " again."),
 
     LOAD_REFUSED(4010, "A load request was refused: the adapter did not become resident on the engine in time."),
     UNLOAD_WAITS(4011, "An unload waits for running requests of the adapter; the slot stays occupied meanwhile."),
--- a/core/src/main/java/org/quetzalvane/core/limit/PermitBucket.java
+++ b/core/src/main/java/org/quetzalvane/core/limit/PermitBucket.java
@@ -44,17 +44,22 @@
     private record Waiter(int rank, long untilNanos, Consumer<Permit> done) {}
 
     public PermitBucket(Scheduler scheduler) {
-        this(scheduler, scheduler.nanoTime());
+        this.scheduler = scheduler;
+        this.refilledNanos = scheduler.nanoTime();
     }
 
     /**
-     * Creates a bucket that is empty at a given time.
+     * Creates a bucket of a set capacity that is empty at a given time.
      *
      * @param emptyNanos time from which on it fills, before or after now
+     * @param rate units per second
+     * @param capacity units
      */
-    public PermitBucket(Scheduler scheduler, long emptyNanos) {
+    public PermitBucket(Scheduler scheduler, long emptyNanos, double rate, double capacity) {
         this.scheduler = scheduler;
         this.refilledNanos = emptyNanos;
+        this.perSecond = rate;
+        this.fixedCapacity = capacity;
     }
 
     /** Time between two permits of an endpoint with this limit, ms. */
--- a/core/src/main/java/org/quetzalvane/core/routes/Allowance.java
+++ b/core/src/main/java/org/quetzalvane/core/routes/Allowance.java
@@ -4,8 +4,8 @@
  * What a client account may use over all nodes together. Immutable.
  *
  * @param unit what is counted
- * @param perSecond units per second; 0 for no limit
- * @param burst units beyond the rate; 0 for none
+ * @param perSecond units per second; 0 for no limit, whatever the burst
+ * @param burst units beyond the rate; 0 for none, so that a request is granted once the one before is paid for
  * @param defaultCost units of a request that does not state its tokens, if tokens are counted
  */
 public record Allowance(Unit unit, double perSecond, double burst, long defaultCost) {
@@ -20,7 +20,7 @@
 
     /** Whether the account's use is limited. */
     public boolean isLimited() {
-        return perSecond > 0 || burst > 0;
+        return perSecond > 0;
     }
 
     /**
--- a/core/src/main/java/org/quetzalvane/core/team/BudgetExchange.java
+++ b/core/src/main/java/org/quetzalvane/core/team/BudgetExchange.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiPredicate;
@@ -163,9 +162,4 @@
     int mostNodes() {
         return mostNodes;
     }
-
-    /** Names of the hubs as of the last {@link #updateHubs}. */
-    List<String> lastHubs() {
-        return List.copyOf(hubs);
-    }
 }
--- a/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
@@ -243,4 +243,46 @@
      * @param bornMs start of the instance, milliseconds since the epoch
      */
     record PermitReturn(String from, String endpoint, long bornMs) implements PeerMessage {}
+
+    /**
+     * Asks the holder of an account's budget for units of its allowance, or only corrects what was taken.
+     *
+     * @param from address of the sender for peers, IP:PORT
+     * @param number number of the request, repeated in the reply; 0 for a correction, which has no reply
+     * @param account name of the account
+     * @param version version of the configuration that the allowance is from
+     * @param perSecond rate of the allowance, units per second
+     * @param burst capacity of the allowance, units
+     * @param amount units that the waiting requests need together
+     * @param least units that the cheapest of them needs
+     * @param extra units that the sender expects to use within the lease time
+     * @param correction units charged since the last message, less those that are returned
+     */
+    record BudgetRequest(
+            String from,
+            long number,
+            String account,
+            long version,
+            double perSecond,
+            double burst,
+            long amount,
+            long least,
+            long extra,
+            long correction)
+            implements PeerMessage {}
+
+    /**
+     * Reply to the {@link BudgetRequest} of the same number.
+     *
+     * @param from address of the sender for peers, IP:PORT
+     * @param number number of the request
+     * @param holding whether the sender grants anything; otherwise the receiver uses its local share
+     * @param granted units granted
+     * @param left units that the budget still contains, negative while it is in debt
+     * @param perSecond units per second that are granted now
+     * @param usePerSecond units per second that all nodes together use
+     */
+    record BudgetReply(
+            String from, long number, boolean holding, long granted, long left, double perSecond, long usePerSecond)
+            implements PeerMessage {}
 }
--- a/core/src/test/java/org/quetzalvane/core/team/FreezableScheduler.java
+++ b/core/src/test/java/org/quetzalvane/core/team/FreezableScheduler.java
@@ -6,11 +6,17 @@
 
 import org.quetzalvane.core.time.Scheduler;
 
-/** Scheduler of one node of a test: while the node is frozen, due tasks wait. */
+/**
+ * Scheduler of one node of a test: while the node is frozen, due tasks wait. While its machine is suspended, its
+ * monotonic clock stands still as well.
+ */
 final class FreezableScheduler implements Scheduler {
     private final Scheduler clock;
     private final List<Runnable> waiting = new ArrayList<>();
     private boolean frozen;
+    private boolean suspended;
+    private long suspendedAt;
+    private long stoodStillNanos;
 
     FreezableScheduler(Scheduler clock) {
         this.clock = clock;
@@ -25,6 +31,17 @@
         }
     }
 
+    /** Freezes the node and may stop its monotonic clock, or ends both. */
+    void setPaused(boolean on, boolean clockStops) {
+        if (on && clockStops) {
+            suspendedAt = nanoTime();
+        } else if (suspended) {
+            stoodStillNanos = clock.nanoTime() - suspendedAt;
+        }
+        suspended = on && clockStops;
+        setFrozen(on);
+    }
+
     boolean isFrozen() {
         return frozen;
     }
@@ -40,7 +57,7 @@
 
     @Override
     public long nanoTime() {
-        return clock.nanoTime();
+        return suspended ? suspendedAt : clock.nanoTime() - stoodStillNanos;
     }
 
     @Override
--- a/core/src/test/java/org/quetzalvane/core/team/PermitNetwork.java
+++ b/core/src/test/java/org/quetzalvane/core/team/PermitNetwork.java
@@ -8,15 +8,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.limit.AccountUse;
 import org.quetzalvane.core.limit.EndpointLimit;
+import org.quetzalvane.core.limit.QuotaBounds;
+import org.quetzalvane.core.routes.ClientAccount;
 import org.quetzalvane.core.time.ManualScheduler;
 
 /**
- * Nodes that send requests to limited endpoints and share the limits over a fake network with delay, on a manual clock.
- * A request whose endpoint has no permit at once goes elsewhere and is not followed.
+ * Nodes that share the limits of endpoints and the allowances of accounts over a fake network with delay, on a manual
+ * clock. They send requests to limited endpoints; a request whose endpoint has no permit at once goes elsewhere and is
+ * not followed. {@link AccountTraffic} sends the requests of accounts.
  */
 final class PermitNetwork {
     /** Nodes up to which all are hubs, and number of hubs beyond. */
@@ -38,14 +44,26 @@
 
     private final Set<Node> cutOff = new HashSet<>();
     private final Set<Node> unseen = new HashSet<>();
+    private final Set<Node> killed = new HashSet<>();
+    /** Nodes whose messages do not reach the others, which have not noticed it yet. */
+    private final Set<Node> unreachable = new HashSet<>();
+
+    final QuotaBounds bounds;
     int messages;
+    /** Receives each message that is sent. */
+    Consumer<PeerMessage> onMessage = m -> {};
 
     PermitNetwork(int size, UniformRandomProvider random) {
+        this(size, random, QuotaBounds.DEFAULT);
+    }
+
+    PermitNetwork(int size, UniformRandomProvider random, QuotaBounds bounds) {
         this.random = random;
+        this.bounds = bounds;
         for (int i = 0; i < size; i++) {
             nodes.add(new Node("n" + i, i));
         }
-        nodes.forEach(n -> n.exchange.start());
+        nodes.forEach(Node::start);
     }
 
     /** One node of the network. */
@@ -54,25 +72,42 @@
         final int index;
         final FreezableScheduler scheduler = new FreezableScheduler(clock);
         PermitExchange exchange;
+        AllowanceExchange allowances;
+        /** Time until which a node that was started has not heard of the others. */
+        private long unawareUntilNanos;
 
         Node(String name, int index) {
             this.name = name;
             this.index = index;
-            exchange = create();
+            create();
         }
 
         /** Begins without any knowledge, as a new process. */
         void restart() {
-            exchange = create();
+            create();
+            start();
+        }
+
+        /** Begins as a new process that hears of the others after some time. */
+        void restartUnaware(long ms) {
+            unawareUntilNanos = clock.nanoTime() + ms * 1_000_000;
+            restart();
+        }
+
+        private void create() {
+            HubLinks links = new HubLinks(name, this::isHub, this::hubs, this::members, this::send);
+            StructuredLog log = (code, subject, fields) -> {};
+            exchange = new PermitExchange(scheduler, log, links, () -> seen().size() + 1);
+            allowances = new AllowanceExchange(scheduler, log, links, () -> seen().size() + 1, bounds);
+        }
+
+        private void start() {
             exchange.start();
+            allowances.start();
         }
 
-        private PermitExchange create() {
-            return new PermitExchange(
-                    scheduler,
-                    (code, subject, fields) -> {},
-                    new HubLinks(name, this::isHub, this::hubs, this::members, this::send),
-                    () -> seen().size() + 1);
+        boolean isKilled() {
+            return killed.contains(this);
         }
 
         private boolean isHub() {
@@ -80,6 +115,9 @@
         }
 
         private List<Node> seen() {
+            if (clock.nanoTime() < unawareUntilNanos) {
+                return List.of();
+            }
             return nodes.stream()
                     .filter(n -> n != this && cutOff.contains(n) == cutOff.contains(this) && !unseen.contains(n))
                     .toList();
@@ -100,15 +138,26 @@
 
         private boolean send(String to, PeerMessage m) {
             Node receiver = nodes.get(Integer.parseInt(to.substring(1)));
+            if (receiver.isKilled()) {
+                return false;
+            }
             messages++;
+            onMessage.accept(m);
             clock.schedule(delay(), () -> {
-                if (cutOff.contains(this) == cutOff.contains(receiver)) {
-                    receiver.scheduler.run(() -> receiver.exchange.receive(m));
+                if (cutOff.contains(this) == cutOff.contains(receiver)
+                        && unreachable.contains(this) == unreachable.contains(receiver)) {
+                    receiver.scheduler.run(() -> receiver.receive(m));
                 }
             });
             return true;
         }
 
+        private void receive(PeerMessage m) {
+            if (!exchange.receive(m)) {
+                allowances.receive(m);
+            }
+        }
+
         /** A request arrives for an endpoint; it is sent there if there is a permit for it now. */
         void request(Endpoint e, int rank) {
             if (exchange.waitMs(e) == 0) {
@@ -130,7 +179,7 @@
         }
     }
 
-    private Duration delay() {
+    Duration delay() {
         return Duration.ofNanos(500_000 + random.nextLong(MAX_DELAY_NANOS - 500_000));
     }
 
@@ -143,19 +192,54 @@
         cutOff.addAll(side);
     }
 
+    /** Cuts nodes off from the others; until both sides notice, they see each other. */
+    void partition(Collection<Node> side) {
+        unreachable.addAll(side);
+        clock.schedule(Duration.ofMillis(UP_TIMEOUT_MS), () -> cutOff.addAll(unreachable));
+    }
+
     void heal() {
+        unreachable.clear();
         cutOff.clear();
     }
 
+    /** Ends a node for good; its connections end at once, and the others no longer see it after the usual time. */
+    void kill(Node n) {
+        killed.add(n);
+        freeze(n);
+    }
+
+    /** The node that all nodes hold for the holder of an account's budget. */
+    Node holder(ClientAccount a) {
+        AccountUse use = nodes.stream()
+                .filter(n -> !n.isKilled())
+                .flatMap(n -> n.allowances.uses().stream())
+                .filter(u -> u.account().equals(a.name()))
+                .findFirst()
+                .orElseThrow();
+        return nodes.get(Integer.parseInt(use.holder().substring(1)));
+    }
+
     /** Freezes a node; the others no longer see it after the usual time. */
     void freeze(Node n) {
         n.scheduler.setFrozen(true);
         clock.schedule(Duration.ofMillis(UP_TIMEOUT_MS), () -> unseen.add(n));
     }
 
+    /** Freezes a node and stops its monotonic clock. */
+    void suspend(Node n) {
+        n.scheduler.setPaused(true, true);
+        clock.schedule(Duration.ofMillis(UP_TIMEOUT_MS), () -> unseen.add(n));
+    }
+
     void thaw(Node n) {
         unseen.remove(n);
-        n.scheduler.setFrozen(false);
+        n.scheduler.setPaused(false, false);
+    }
+
+    /** Thaws all nodes that were frozen or suspended, not those that were killed. */
+    void thawAll() {
+        nodes.stream().filter(n -> !n.isKilled()).forEach(this::thaw);
     }
 
     /** Plays requests for endpoints, with exponential pauses, at random nodes and ranks. */
--- a/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
+++ b/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import org.quetzalvane.core.choice.EndpointLoads;
+import org.quetzalvane.core.limit.QuotaBounds;
 import org.quetzalvane.core.residency.EngineResidency;
 import org.quetzalvane.core.residency.LoadRequest;
 import org.quetzalvane.core.routes.AdapterRef;
@@ -58,7 +59,8 @@
                 0.2,
                 50,
                 10_000,
-                5);
+                5,
+                QuotaBounds.DEFAULT);
         EntryNode node = new EntryNode(settings);
         node.start();
         exercisePeerCodec();
@@ -104,7 +106,9 @@
                 new PeerMessage.StreamOrigins("p", Map.of("v", List.of(1L))),
                 new PeerMessage.StreamOriginRequest("p", 1, 1),
                 new PeerMessage.StreamOriginReply("p", 1, "v"),
-                new PeerMessage.EndpointLeaving("p", "e", 1));
+                new PeerMessage.EndpointLeaving("p", "e", 1),
+                new PeerMessage.BudgetRequest("p", 1, "a", 1, 1, 1, 1, 1, 1, 1),
+                new PeerMessage.BudgetReply("p", 1, true, 1, 1, 1, 1));
         for (PeerMessage m : all) {
             codec.decode(codec.encode(m));
         }
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -147,7 +147,8 @@
                 localNode(),
                 new PeerService.RecordAccess(platform::records, platform::applyFromPeer),
                 relay,
-                m -> notices.markDraining(m.endpoint(), m.bornMs(), m.from()));
+                m -> notices.markDraining(m.endpoint(), m.bornMs(), m.from()),
+                settings.quota());
         platform.exchange(relay, peerService::relayRecords);
         assignmentMember = new AssignmentMember(
                 loop,
@@ -384,6 +385,7 @@
         metrics.gauge("endpoints_limited", () -> peerService.permits().limitedEndpoints());
         metrics.gauge("permits_granted", () -> peerService.permits().granted());
         metrics.gauge("permits_denied", () -> peerService.permits().denied());
+        metrics.gauge("budgets_held", () -> peerService.allowances().held());
         metrics.gauge("members", () -> peerTable.members().size());
         metrics.gauge("duties_held", () -> lease.owned().size());
         metrics.gauge("duty_generation", lease::generation);
--- a/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
@@ -44,7 +44,9 @@
             PeerMessage.EndpointLimits.class,
             PeerMessage.PermitRequest.class,
             PeerMessage.PermitReply.class,
-            PeerMessage.PermitReturn.class);
+            PeerMessage.PermitReturn.class,
+            PeerMessage.BudgetRequest.class,
+            PeerMessage.BudgetReply.class);
 
     private final ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
 
--- a/entry/src/main/java/org/quetzalvane/entry/PeerService.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerService.java
@@ -7,18 +7,21 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.limit.QuotaBounds;
 import org.quetzalvane.core.quarantine.PromptQuarantine;
 import org.quetzalvane.core.residency.AdapterLoader;
 import org.quetzalvane.core.residency.EngineController;
 import org.quetzalvane.core.residency.EngineResidency;
 import org.quetzalvane.core.residency.LoadRequest;
 import org.quetzalvane.core.store.StoreRecord;
+import org.quetzalvane.core.team.AllowanceExchange;
 import org.quetzalvane.core.team.HubLinks;
 import org.quetzalvane.core.team.NodeInfo;
 import org.quetzalvane.core.team.PeerMessage;
@@ -48,6 +51,7 @@
     private final StreamOriginTable streamOrigins;
     private final QuarantineExchange quarantine;
     private final PermitExchange permits;
+    private final AllowanceExchange allowances;
     private final Predicate<PeerMessage.EndpointLeaving> endpointLeaving;
     private final PeerCodec codec = new PeerCodec();
     private final Map<Long, Consumer<Outcome>> pendingLoads = new HashMap<>();
@@ -66,6 +70,7 @@
      * Creates the service.
      *
      * @param endpointLeaving marks an endpoint as leaving; returns whether this is news
+     * @param quota bound of the allowances of accounts
      */
     PeerService(
             Scheduler scheduler,
@@ -73,7 +78,8 @@
             StatusExchange.LocalNode local,
             RecordAccess records,
             RecordRelay relay,
-            Predicate<PeerMessage.EndpointLeaving> endpointLeaving) {
+            Predicate<PeerMessage.EndpointLeaving> endpointLeaving,
+            QuotaBounds quota) {
         this.endpointLeaving = endpointLeaving;
         this.scheduler = scheduler;
         this.components = components;
@@ -86,8 +92,9 @@
         HubLinks links =
                 new HubLinks(address, this::isHub, components.peers()::knownHubs, this::memberAddresses, this::send);
         this.quarantine = new QuarantineExchange(scheduler, log, links);
-        this.permits = new PermitExchange(
-                scheduler, log, links, () -> components.peers().nodes().size() + 1);
+        IntSupplier nodes = () -> components.peers().nodes().size() + 1;
+        this.permits = new PermitExchange(scheduler, log, links, nodes);
+        this.allowances = new AllowanceExchange(scheduler, log, links, nodes, quota);
     }
 
     void start(PeerTransport peerTransport) {
@@ -95,6 +102,7 @@
         exchange.start();
         quarantine.start();
         permits.start();
+        allowances.start();
     }
 
     /** This node as its peers know it. */
@@ -117,6 +125,11 @@
         return permits;
     }
 
+    /** Allowances of client accounts, shared with the peers. */
+    AllowanceExchange allowances() {
+        return allowances;
+    }
+
     /** Whether this node is a hub. */
     boolean isHub() {
         return exchange.isHub();
@@ -235,8 +248,8 @@
             if (r.complete()) {
                 relay.onRecords(r.from(), r.topic());
             }
-        } else if (m != null && !quarantine.receive(m)) {
-            permits.receive(m);
+        } else if (m != null && !quarantine.receive(m) && !permits.receive(m)) {
+            allowances.receive(m);
         }
     }
 
--- a/entry/src/test/java/org/quetzalvane/entry/PeerServiceTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/PeerServiceTest.java
@@ -11,6 +11,7 @@
 import org.quetzalvane.core.choice.EndpointLoads;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.limit.QuotaBounds;
 import org.quetzalvane.core.residency.AdapterLoader;
 import org.quetzalvane.core.residency.AdapterUsage;
 import org.quetzalvane.core.residency.EngineController;
@@ -63,7 +64,8 @@
                         "n1:1", "n1:2", "a", 100, () -> true, () -> false, () -> Map.of(), owner -> {}),
                 new PeerService.RecordAccess(() -> Map.of(), r -> {}),
                 new RecordRelay(clock, topic -> -1L),
-                m -> false);
+                m -> false,
+                QuotaBounds.DEFAULT);
         lease.update(1, Set.of(0), clock.nanoTime());
         clock.advance(Duration.ofSeconds(1));
         assignedEngines.reconcile(List.of(ENGINE));
--- a/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
+++ b/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 
+import org.quetzalvane.core.limit.QuotaBounds;
 import org.quetzalvane.platform.BootSettings;
 
 /** Settings of nodes on loopback. Stateless. */
@@ -38,6 +39,7 @@
                 ratio,
                 extra,
                 10_000,
-                5);
+                5,
+                QuotaBounds.DEFAULT);
     }
 }
