--- a/core/src/main/java/org/quetzalvane/core/team/AllowanceExchange.java
+++ b/core/src/main/java/org/quetzalvane/core/team/AllowanceExchange.java
@@ -131,6 +131,11 @@
         return held.size();
     }
 
+    /** Whether this node holds the budget of an account. */
+    boolean holds(String account) {
+        return budgets.find(account) != null;
+    }
+
     /** Processes a message of a peer; returns false if it does not concern allowances. */
     public boolean receive(PeerMessage m) {
         if (m instanceof PeerMessage.BudgetRequest r) {
--- a/core/src/main/java/org/quetzalvane/core/team/BudgetExchange.java
+++ b/core/src/main/java/org/quetzalvane/core/team/BudgetExchange.java
@@ -115,11 +115,6 @@
         buckets.entrySet().removeIf(e -> condition.test(e.getKey(), e.getValue()));
     }
 
-    /** Keys of the buckets that this node holds. */
-    Set<K> heldKeys() {
-        return buckets.keySet();
-    }
-
     /**
      * Sends a numbered request to a holder.
      *
--- a/core/src/test/java/org/quetzalvane/core/team/PermitNetwork.java
+++ b/core/src/test/java/org/quetzalvane/core/team/PermitNetwork.java
@@ -8,12 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.Endpoint;
-import org.quetzalvane.core.limit.AccountUse;
 import org.quetzalvane.core.limit.EndpointLimit;
 import org.quetzalvane.core.limit.QuotaBounds;
 import org.quetzalvane.core.routes.ClientAccount;
@@ -50,8 +48,6 @@
 
     final QuotaBounds bounds;
     int messages;
-    /** Receives each message that is sent. */
-    Consumer<PeerMessage> onMessage = m -> {};
 
     PermitNetwork(int size, UniformRandomProvider random) {
         this(size, random, QuotaBounds.DEFAULT);
@@ -142,7 +138,6 @@
                 return false;
             }
             messages++;
-            onMessage.accept(m);
             clock.schedule(delay(), () -> {
                 if (cutOff.contains(this) == cutOff.contains(receiver)
                         && unreachable.contains(this) == unreachable.contains(receiver)) {
@@ -209,15 +204,12 @@
         freeze(n);
     }
 
-    /** The node that all nodes hold for the holder of an account's budget. */
-    Node holder(ClientAccount a) {
-        AccountUse use = nodes.stream()
-                .filter(n -> !n.isKilled())
-                .flatMap(n -> n.allowances.uses().stream())
-                .filter(u -> u.account().equals(a.name()))
+    /** The node that holds the budget of an account. */
+    Node holderOf(ClientAccount a) {
+        return nodes.stream()
+                .filter(n -> n.allowances.holds(a.name()))
                 .findFirst()
                 .orElseThrow();
-        return nodes.get(Integer.parseInt(use.holder().substring(1)));
     }
 
     /** Freezes a node; the others no longer see it after the usual time. */
