--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -19,7 +19,6 @@
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.Endpoint;
-import org.quetzalvane.core.limit.AccountAllowances;
 import org.quetzalvane.core.limit.EndpointPermits;
 import org.quetzalvane.core.residency.AdapterUsage;
 import org.quetzalvane.core.residency.EngineController;
@@ -147,7 +146,8 @@
                 new PeerService.RecordAccess(
                         platform::records, platform.followers(), platform.endpoints()::leavingMarks),
                 relay,
-                m -> notices.markDraining(m.endpoint(), m.bornMs(), m.from()));
+                m -> notices.markDraining(m.endpoint(), m.bornMs(), m.from()),
+                settings.quota());
         platform.exchange(relay, peerService::relayRecords);
         assignmentMember = new AssignmentMember(
                 loop,
@@ -257,7 +257,7 @@
                 new EngineSelector(inputs, settings.zone(), peerService::hasOwner),
                 new ServiceEndpointSelector(endpointLoads, outliers, permits, settings.zone()),
                 permits,
-                new CountedAllowances(AccountAllowances.UNLIMITED, metrics),
+                new CountedAllowances(peerService.allowances(), metrics),
                 this::keysVerifiable,
                 new Admission(),
                 retries,
--- a/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerCodec.java
@@ -45,7 +45,9 @@
             PeerMessage.PermitRequest.class,
             PeerMessage.PermitReply.class,
             PeerMessage.PermitReturn.class,
-            PeerMessage.EndpointLeavingRequest.class);
+            PeerMessage.EndpointLeavingRequest.class,
+            PeerMessage.BudgetRequest.class,
+            PeerMessage.BudgetReply.class);
 
     private final ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
 
--- a/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
+++ b/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 
+import org.quetzalvane.core.limit.QuotaBounds;
 import org.quetzalvane.platform.BootSettings;
 
 /** Settings of nodes on loopback. Stateless. */
@@ -63,6 +64,7 @@
                 extra,
                 10_000,
                 5,
-                BootSettings.Revocation.LENIENT);
+                BootSettings.Revocation.LENIENT,
+                QuotaBounds.DEFAULT);
     }
 }
