Select engines at random by the capacity left, not by the least known cost

Nodes know the load of an engine 300 to 600 ms late and all selected the same one until the next report. Among the resident engines whose wait fits the objective, the hash of the request id now decides, weighted by the smaller of the prefill time and the request slots that are left. An adapter that is resident nowhere is loaded on the first engine in its rendezvous order that can take a load, found in one pass instead of a sort.

--- a/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
@@ -1,57 +1,54 @@
 package org.quetzalvane.core.choice;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
 
-import org.quetzalvane.core.cluster.RendezvousHash;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.limit.EndpointPermits;
 import org.quetzalvane.core.residency.AdapterUsage;
+import org.quetzalvane.core.residency.EngineResidency;
 import org.quetzalvane.core.residency.ResidencyTable;
 import org.quetzalvane.core.routes.AdapterRef;
 
 /**
  * Selects the engine for a request for an adapter.
  *
- * <p>An engine on which the adapter is resident is preferred, so that its prefix cache is used, until its expected wait
- * exceeds another engine's by {@link #COPY_BACKLOG_MS}; then a copy is loaded on the other engine, which spreads the
- * requests of popular adapters. Where that wait is for a permit, because the engine named a limit, the request goes to
- * the copy instead. An adapter that is not resident goes to an engine on which it was resident before,
- * because that engine most likely still has it in memory, else to the first in its rendezvous order, unless backlog,
- * missing idle adapters or a missing owner make another engine cheaper. Confined to the event loop.
+ * <p>Among the engines on which the adapter is resident and whose wait fits the objective, the hash of the request
+ * decides in proportion to the capacity that is left ({@link WeightedChoice}). Once they wait for half of the
+ * objective, a copy is loaded; where a limit that an engine named makes them wait, they go to the copy instead. An
+ * adapter that is not resident goes to an engine on which it was resident before, because that engine most likely
+ * still has it in memory, else to the first in its rendezvous order that can take it ({@link LoadTargets}). Confined
+ * to the event loop.
  */
 public final class EngineSelector {
     /**
-     * Excess of the expected wait over that of the best load target from which a copy is loaded, ms: one load from the
-     * weight store (265 ms) and a margin.
+     * Excess of the expected wait over that of the best load target from which a copy is loaded whatever the demand,
+     * as a fraction of the objective: the load takes a part of the objective, and requests that wait no longer are
+     * on time.
      */
-    static final double COPY_BACKLOG_MS = 400;
+    private static final double COPY_BACKLOG_OBJECTIVE_FACTOR = 0.5;
+    /** Longest expected wait of a load target, as a fraction of the objective; the rest is for load and prefill. */
+    private static final double LOAD_TARGET_WAIT_OBJECTIVE_FACTOR = 0.25;
     /**
-     * Added to the expected wait of an engine in another data centre, ms; responses that cross data centres are charged
-     * for.
+     * Longest expected wait of a load target that most likely has the adapter in memory, as a fraction of the
+     * objective; such a load is short. With 0.25, few engines took 0.0704 instead of 0.0638 loads from the weight
+     * store per request.
      */
-    private static final double REMOTE_DATA_CENTRE_COST_MS = 25;
+    private static final double MEMORY_TARGET_WAIT_OBJECTIVE_FACTOR = 0.5;
     /**
-     * Added to the expected wait for each position in rendezvous order, ms, if the adapter was not resident on the
-     * engine before: weighs the price of a load from the weight store against that of a late first token.
+     * Weight of an engine in the node's own data centre relative to one in another; responses that cross data centres
+     * are charged for.
      */
-    private static final double RENDEZVOUS_POSITION_COST_MS = 200;
+    private static final double OWN_DATA_CENTRE_WEIGHT = 1.5;
+    /** Smallest part of the capacity of an engine within the objective that counts as left. */
+    private static final double MIN_LEFT = 0.02;
 
-    /**
-     * Number of idle resident adapters below which each missing one adds {@link #MISSING_IDLE_COST_MS}; the platform
-     * allows as many loads in flight to one engine.
-     */
-    private static final int MIN_IDLE_ADAPTERS = 4;
-    /**
-     * Added to the expected wait for each idle adapter that is missing to {@link #MIN_IDLE_ADAPTERS}, ms: with runs of
-     * 2 s on 17 adapter slots, one slot becomes free every 120 ms.
-     */
-    private static final double MISSING_IDLE_COST_MS = 120;
-    /** Cost of an engine all of whose request slots are taken, compared with an idle one, ms: 1 ms for each of 64. */
-    private static final double FULL_ENGINE_COST_MS = 64;
-    /** Requests for an adapter within the window of {@link AdapterDemand} from which a copy is loaded. */
+    /** Number of idle resident adapters that a load target should have: one for each load that its owner starts. */
+    private static final int MIN_IDLE_ADAPTERS = 2;
+    /** Requests for an adapter within the window of {@link AdapterDemand} from which a backlog is worth a copy. */
     private static final int MIN_COPY_REQUESTS = 3;
 
     private final EndpointLoads loads;
@@ -112,49 +109,69 @@
      */
     public record Selection(Endpoint engine, double waitMs, boolean resident, Endpoint copyTarget) {}
 
+    /**
+     * What a request needs of an engine. Immutable.
+     *
+     * @param id id of the request
+     * @param adapter requested adapter
+     * @param version required version, or {@link org.quetzalvane.core.routes.RequiredVersions#ANY_VERSION}
+     * @param objectiveMs latency objective, in milliseconds
+     * @param promptTokens tokens of the prompt
+     */
+    public record Need(String id, AdapterRef adapter, int version, long objectiveMs, long promptTokens) {}
+
     /**
      * Selects one of the candidates, a suspended one only if no other can serve the adapter. Returns null if no
      * candidate has the adapter resident and none has its base model resident.
      *
      * @param candidates usable engines
-     * @param ref requested adapter
-     * @param version required version, or {@link org.quetzalvane.core.routes.RequiredVersions#ANY_VERSION}
      * @param excluded ids of engines that are not selected
      */
-    public Selection select(List<Endpoint> candidates, AdapterRef ref, int version, Set<String> excluded) {
-        List<Endpoint> remaining =
-                candidates.stream().filter(e -> !excluded.contains(e.id())).toList();
+    public Selection select(List<Endpoint> candidates, Need need, Set<String> excluded) {
+        List<Endpoint> remaining = excluded.isEmpty()
+                ? candidates
+                : candidates.stream().filter(e -> !excluded.contains(e.id())).toList();
         List<Endpoint> healthy = outliers.healthy(remaining, Endpoint::id);
-        Selection selection = select(healthy, ref, version);
+        Selection selection = selectHealthy(healthy, need);
         boolean someSuspended = healthy.size() < remaining.size();
-        return selection == null && someSuspended ? select(remaining, ref, version) : selection;
+        return selection == null && someSuspended ? selectHealthy(remaining, need) : selection;
     }
 
-    private Selection select(List<Endpoint> healthy, AdapterRef ref, int version) {
-        Endpoint resident = bestResident(healthy.stream()
-                .filter(e -> residency.residencyOf(e).serves(ref, version))
-                .toList());
-        if (ref.adapter().isEmpty()) {
-            return resident == null ? null : new Selection(resident, waitMs(resident), true, null);
-        }
-        boolean limited = resident != null && permits.waitMs(resident) > COPY_BACKLOG_MS;
-        if (resident != null && !limited && (waitMs(resident) <= COPY_BACKLOG_MS || !inDemand(ref))) {
-            return new Selection(resident, waitMs(resident), true, null);
+    private Selection selectHealthy(List<Endpoint> engines, Need need) {
+        List<Endpoint> residents = new ArrayList<>();
+        List<Endpoint> others = new ArrayList<>();
+        for (Endpoint e : engines) {
+            EngineResidency r = residency.residencyOf(e);
+            if (r.serves(need.adapter(), need.version())) {
+                residents.add(e);
+            } else if (r.held().containsKey(need.adapter().model())) {
+                others.add(e);
+            }
         }
-        Endpoint target = loadTarget(
-                healthy.stream()
-                        .filter(e -> residency.residencyOf(e).held().containsKey(ref.model()))
-                        .filter(e -> !residency.residencyOf(e).serves(ref, version))
-                        .toList(),
-                ref);
+        Endpoint resident = bestResident(residents, need);
         if (resident == null) {
+            Endpoint target = need.adapter().adapter().isEmpty() ? null : loadTarget(others, need, 0);
             return target == null ? null : new Selection(target, waitMs(target), false, null);
         }
-        boolean copyWorthwhile = target != null && waitMs(resident) > waitMs(target) + COPY_BACKLOG_MS;
+        double residentWaitMs = waitMs(resident);
+        if (need.adapter().adapter().isEmpty() || others.isEmpty()) {
+            return new Selection(resident, residentWaitMs, true, null);
+        }
+        return withCopyForBacklog(resident, residentWaitMs, others, need);
+    }
+
+    private Selection withCopyForBacklog(Endpoint resident, double waitMs, List<Endpoint> others, Need need) {
+        double backlogMs = need.objectiveMs() * COPY_BACKLOG_OBJECTIVE_FACTOR;
+        boolean limited = permits.waitMs(resident) > backlogMs;
+        if (!limited && (waitMs <= backlogMs || !inDemand(need.adapter()))) {
+            return new Selection(resident, waitMs, true, null);
+        }
+        Endpoint target = loadTarget(others, need, 0);
+        boolean copyWorthwhile = target != null && waitMs > waitMs(target) + backlogMs;
         if (limited && copyWorthwhile) {
             return new Selection(target, waitMs(target), false, null);
         }
-        return new Selection(resident, waitMs(resident), true, copyWorthwhile ? target : null);
+        return new Selection(resident, waitMs, true, copyWorthwhile ? target : null);
     }
 
     /**
@@ -169,44 +186,67 @@
                 + queued * prefill.slotIntervalMs(e.requestSlots());
     }
 
-    /**
-     * Added to the expected wait of an engine without an owner, ms: the time to assign its partition to another node.
-     */
-    private static final double NO_OWNER_COST_MS = 3_000;
+    /** An engine by {@link WeightedChoice} whose wait fits the objective, else the one with the shortest wait. */
+    private Endpoint bestResident(List<Endpoint> residents, Need need) {
+        if (residents.size() < 2) {
+            return residents.isEmpty() ? null : residents.get(0);
+        }
+        Endpoint chosen = WeightedChoice.select(residents, need.id(), e -> weight(e, need.objectiveMs()));
+        return chosen != null
+                ? chosen
+                : residents.stream()
+                        .min(Comparator.comparingDouble(this::waitMs).thenComparing(Endpoint::id))
+                        .orElse(null);
+    }
 
-    private Endpoint bestResident(List<Endpoint> residents) {
-        return residents.stream()
-                .min(Comparator.comparingDouble(this::residentCostMs).thenComparing(Endpoint::id))
-                .orElse(null);
+    /** Capacity of an engine that is left within the objective: the smaller of prefill and request slots. */
+    private double weight(Endpoint e, long objectiveMs) {
+        double waitLeft = 1 - waitMs(e) / Math.max(1, objectiveMs);
+        if (waitLeft <= 0) {
+            return 0;
+        }
+        double slots = Math.max(1, e.requestSlots());
+        double slotsLeft = 1 - loads.total(e.id()).requests() / slots;
+        double left = Math.max(MIN_LEFT, Math.min(waitLeft, slotsLeft));
+        return left * slots * (e.zone().equals(dataCentre) ? OWN_DATA_CENTRE_WEIGHT : 1);
     }
 
-    private Endpoint loadTarget(List<Endpoint> candidates, AdapterRef ref) {
-        List<Endpoint> ranked = RendezvousHash.rank(ref.toString(), candidates, Endpoint::id);
-        Endpoint best = null;
-        double minCost = Double.MAX_VALUE;
-        for (int i = 0; i < ranked.size(); i++) {
-            Endpoint e = ranked.get(i);
-            double position = residency.wasResident(e, ref) ? 0 : 1 + i;
-            double cost = waitMs(e)
-                    + permits.intervalMs(e)
-                    + position * RENDEZVOUS_POSITION_COST_MS
-                    + missingIdleCostMs(e)
-                    + (hasOwner.test(e) ? 0 : NO_OWNER_COST_MS);
-            if (cost < minCost) {
-                minCost = cost;
-                best = e;
-            }
+    /** A load target that can take a load at once if there is one, else the one with the shortest wait and an owner. */
+    private Endpoint loadTarget(List<Endpoint> candidates, Need need, int position) {
+        String key = need.adapter().toString();
+        double limitMs = need.objectiveMs() * LOAD_TARGET_WAIT_OBJECTIVE_FACTOR;
+        double memoryLimitMs = need.objectiveMs() * MEMORY_TARGET_WAIT_OBJECTIVE_FACTOR;
+        Endpoint target = LoadTargets.inOrder(
+                key,
+                candidates,
+                e -> residency.wasResident(e, need.adapter()) && canTakeLoad(e, memoryLimitMs),
+                position);
+        if (target == null || position > 0) {
+            target = LoadTargets.inOrder(key, candidates, e -> canTakeLoad(e, limitMs), position);
         }
-        return best;
+        return target != null
+                ? target
+                : candidates.stream()
+                        .min(Comparator.comparing((Endpoint e) -> !hasOwner.test(e))
+                                .thenComparingInt(this::missingIdle)
+                                .thenComparingDouble(this::waitMs)
+                                .thenComparing(Endpoint::id))
+                        .orElse(null);
+    }
+
+    private boolean canTakeLoad(Endpoint e, double longestWaitMs) {
+        return missingIdle(e) == 0 && waitMs(e) + permits.intervalMs(e) <= longestWaitMs && hasOwner.test(e);
     }
 
     /**
-     * Cost of the idle resident adapters that are missing to {@link #MIN_IDLE_ADAPTERS}, ms; free adapter slots are not
+     * Number of idle resident adapters that are missing to {@link #MIN_IDLE_ADAPTERS}; free adapter slots are not
      * known here, and requests to the base model count as one adapter in use.
      */
-    private double missingIdleCostMs(Endpoint e) {
-        int idle = residency.residencyOf(e).adapterCount() - adapterUsage.inUseCount(e.id());
-        return Math.max(0, MIN_IDLE_ADAPTERS - idle) * MISSING_IDLE_COST_MS;
+    private int missingIdle(Endpoint e) {
+        int inUse = adapterUsage.inUseCount(e.id());
+        return inUse == 0
+                ? 0
+                : Math.max(0, MIN_IDLE_ADAPTERS - (residency.residencyOf(e).adapterCount() - inUse));
     }
 
     /**
@@ -216,13 +256,4 @@
     private boolean inDemand(AdapterRef ref) {
         return demand.recentRequests(ref) >= MIN_COPY_REQUESTS || adapterUsage.isPopular(ref);
     }
-
-    /**
-     * Cost of an engine on which the adapter is resident, ms; the part of its request slots that is taken decides
-     * between engines with equal wait.
-     */
-    private double residentCostMs(Endpoint e) {
-        double taken = (double) loads.total(e.id()).requests() / Math.max(1, e.requestSlots());
-        return waitMs(e) + taken * FULL_ENGINE_COST_MS + (e.zone().equals(dataCentre) ? 0 : REMOTE_DATA_CENTRE_COST_MS);
-    }
 }
--- a/core/src/main/java/org/quetzalvane/core/serve/EngineAcquisition.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EngineAcquisition.java
@@ -118,7 +118,13 @@
      */
     void tryNext(List<Endpoint> usable, Set<String> tried) {
         int version = context.requiredVersions().required(request.adapter());
-        EngineSelector.Selection selection = context.engineSelector().select(usable, request.adapter(), version, tried);
+        EngineSelector.Need need = new EngineSelector.Need(
+                request.id(),
+                request.adapter(),
+                version,
+                route.objectiveMs(),
+                request.tokenCounts().prompt());
+        EngineSelector.Selection selection = context.engineSelector().select(usable, need, tried);
         if (selection == null) {
             String cause = "engines=" + usable.size() + " tried=" + tried.size();
             if (loadRequests > 0) {
--- a/core/src/test/java/org/quetzalvane/core/choice/EngineSelectorTest.java
+++ b/core/src/test/java/org/quetzalvane/core/choice/EngineSelectorTest.java
@@ -42,8 +42,12 @@
                 "e" + n, "s", "127.0.0.1", n, "a", "v1", Endpoint.State.READY, 64, 1, Map.of("m", resident));
     }
 
+    private static EngineSelector.Need need(AdapterRef ref, int version) {
+        return new EngineSelector.Need("r1", ref, version, 800, 1_000);
+    }
+
     private EngineSelector.Selection select(List<Endpoint> engines, AdapterRef ref) {
-        return selector.select(engines, ref, 0, Set.of());
+        return selector.select(engines, need(ref, 0), Set.of());
     }
 
     @Test
@@ -130,7 +134,8 @@
 
     @Test
     void olderVersionIsNotSelectedAsResident() {
-        EngineSelector.Selection s = selector.select(List.of(engine(1, Map.of("a1", 1))), adapter(1), 2, Set.of());
+        EngineSelector.Selection s =
+                selector.select(List.of(engine(1, Map.of("a1", 1))), need(adapter(1), 2), Set.of());
         assertThat(s.resident()).isFalse();
     }
 
--- a/core/src/test/java/org/quetzalvane/core/choice/LimitedEndpointSelectionTest.java
+++ b/core/src/test/java/org/quetzalvane/core/choice/LimitedEndpointSelectionTest.java
@@ -22,7 +22,7 @@
 
 /** Selection among endpoints of which some named a limit. */
 class LimitedEndpointSelectionTest {
-    private static final AdapterRef ADAPTER = new AdapterRef("m", "a1");
+    private static final EngineSelector.Need NEED = need(new AdapterRef("m", "a1"));
 
     private final ManualScheduler clock = new ManualScheduler();
     private final EndpointLoads loads = new EndpointLoads();
@@ -41,13 +41,17 @@
             e -> true);
     private final ServiceEndpointSelector services = new ServiceEndpointSelector(loads, outliers, permits, "a");
 
+    private static EngineSelector.Need need(AdapterRef ref) {
+        return new EngineSelector.Need("r1", ref, 0, 800, 1_000);
+    }
+
     /** A rare adapter is brought to another engine when its only engine takes no request in time. */
     @ParameterizedTest
     @CsvSource({"0, e1, true", "300, e1, true", "3000, e2, false"})
     void adapterGoesElsewhereWhenItsEngineHasNoPermitInTime(long waitMs, String engine, boolean resident) {
         permits.waits.put("e1", waitMs);
         EngineSelector.Selection s =
-                engines.select(List.of(engine(1, Map.of("a1", 1)), engine(2, Map.of("a2", 1))), ADAPTER, 0, Set.of());
+                engines.select(List.of(engine(1, Map.of("a1", 1)), engine(2, Map.of("a2", 1))), NEED, Set.of());
         assertThat(s.engine().id()).isEqualTo(engine);
         assertThat(s.resident()).isEqualTo(resident);
     }
@@ -55,7 +59,7 @@
     @Test
     void lastEngineOfAModelIsSelectedWithItsWait() {
         permits.waits.put("e1", 3_000L);
-        EngineSelector.Selection s = engines.select(List.of(engine(1, Map.of("a1", 1))), ADAPTER, 0, Set.of());
+        EngineSelector.Selection s = engines.select(List.of(engine(1, Map.of("a1", 1))), NEED, Set.of());
         assertThat(s.engine().id()).isEqualTo("e1");
         assertThat(s.waitMs()).isGreaterThanOrEqualTo(3_000);
     }
@@ -66,7 +70,7 @@
         for (int i = 0; i < 20; i++) {
             AdapterRef missing = new AdapterRef("m", "x" + i);
             EngineSelector.Selection s = engines.select(
-                    List.of(engine(1, Map.of("a1", 1)), engine(2, Map.of("a2", 1))), missing, 0, Set.of());
+                    List.of(engine(1, Map.of("a1", 1)), engine(2, Map.of("a2", 1))), need(missing), Set.of());
             assertThat(s.engine().id()).isEqualTo("e2");
         }
     }
--- a/core/src/test/java/org/quetzalvane/core/choice/LoadReplay.java
+++ b/core/src/test/java/org/quetzalvane/core/choice/LoadReplay.java
@@ -176,7 +176,7 @@
                 if (n != this && n.isHub()) {
                     updateLater(n, members());
                     clock.schedule(HOP, () -> fresh.forEach(n.residency::update));
-                } else if (n.number % deployment.hubs() == number) {
+                } else if (n != this && n.number % deployment.hubs() == number) {
                     Map<String, EndpointLoads.Load> all = loads.allExcept(n.id);
                     Map<String, Integer> counts = usage.inUseCounts();
                     List<AdapterRef> popular = usage.popular();
