Use the allowances that the nodes share in requests

Change: the node hands the allowances of its peers to the requests and applies each version of the configuration to them; tests follow changed signatures.

--- a/core/src/main/java/org/quetzalvane/core/team/AllowanceExchange.java
+++ b/core/src/main/java/org/quetzalvane/core/team/AllowanceExchange.java
@@ -73,7 +73,7 @@
      * that this node holds.
      */
     public void configure(long version, Collection<ClientAccount> accounts) {
-        if (version < configuredVersion) {
+        if (version <= configuredVersion) {
             return;
         }
         configuredVersion = version;
--- a/core/src/test/java/org/quetzalvane/core/team/StatusExchangeTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/StatusExchangeTest.java
@@ -169,7 +169,7 @@
     void membersThatMissedAViewKnowItsChangesTwoIntervalsLater() {
         startNodes(95);
         clock.advance(Duration.ofSeconds(20));
-        nodes.get(hubsUp().iterator().next()).lease.update(1, Set.of(3), clock.nanoTime());
+        nodes.get(hubsUp().iterator().next()).lease.update(1, Set.of(3), Stopwatch.start(clock));
         // The views of the round in which every hub has heard of the new owner.
         clock.advance(Duration.ofMillis(PeerTable.STATUS_INTERVAL_MS));
         viewsAreLost = true;
@@ -190,7 +190,7 @@
                 .findFirst()
                 .get();
         hub.silent = true;
-        owner.lease.update(1, Set.of(3), clock.nanoTime());
+        owner.lease.update(1, Set.of(3), Stopwatch.start(clock));
         while (hub.address.equals(member.exchange.reportsTo())) {
             clock.advance(Duration.ofMillis(10));
         }
@@ -209,7 +209,7 @@
         startNodes(95);
         clock.advance(Duration.ofSeconds(20));
         Node owner = nodes.get(hubsUp().iterator().next());
-        owner.lease.update(1, Set.of(3), clock.nanoTime());
+        owner.lease.update(1, Set.of(3), Stopwatch.start(clock));
         nodes.values().forEach(n -> n.loads.requestStarted(ENDPOINT, 10));
         clock.advance(Duration.ofMillis(3 * PeerTable.STATUS_INTERVAL_MS + 10));
         assertThat(nodes.values()).allSatisfy(n -> {
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -332,6 +332,7 @@
     }
 
     private void reconcile() {
+        platform.config().current().ifPresent(peerService::configureAllowances);
         peerService.permits().removeGone(id -> platform.endpoints().find(id) != null);
         assignedEngines.reconcile(platform.endpoints().ready());
     }
--- a/entry/src/main/java/org/quetzalvane/entry/PeerService.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerService.java
@@ -21,6 +21,9 @@
 import org.quetzalvane.core.residency.EngineController;
 import org.quetzalvane.core.residency.EngineResidency;
 import org.quetzalvane.core.residency.LoadRequest;
+import org.quetzalvane.core.routes.AccountTable;
+import org.quetzalvane.core.routes.ClientAccount;
+import org.quetzalvane.core.routes.ServingConfig;
 import org.quetzalvane.core.store.PeerRecords;
 import org.quetzalvane.core.store.RecordFollower;
 import org.quetzalvane.core.store.StoreRecord;
@@ -142,6 +145,13 @@
         return allowances;
     }
 
+    /** Applies the allowances of the configuration in force. */
+    void configureAllowances(ServingConfig config) {
+        List<ClientAccount> accounts =
+                config.accounts().map(AccountTable::accounts).orElse(List.of());
+        allowances.configure(config.version(), accounts);
+    }
+
     /** Whether this node is a hub. */
     boolean isHub() {
         return exchange.isHub();
--- a/entry/src/test/java/org/quetzalvane/entry/NodeCostMain.java
+++ b/entry/src/test/java/org/quetzalvane/entry/NodeCostMain.java
@@ -15,6 +15,7 @@
 import org.quetzalvane.core.fleet.EndpointTable;
 import org.quetzalvane.core.limit.EndpointPermits;
 import org.quetzalvane.core.routes.AdapterRef;
+import org.quetzalvane.core.routes.RequiredVersions;
 import org.quetzalvane.core.store.StoreRecord;
 import org.quetzalvane.core.team.PeerMessage;
 import org.quetzalvane.platform.StoreClient;
@@ -105,8 +106,9 @@
             usable.begin();
             List<Endpoint> candidates = table.usable("engines", null);
             usable.end();
+            EngineSelector.Need need = new EngineSelector.Need("r" + i, ref, RequiredVersions.ANY_VERSION, 800, 1_460);
             select.begin();
-            selector.select(candidates, ref, -1, Set.of());
+            selector.select(candidates, need, Set.of());
             select.end();
         }
         System.out.println(usable.row("EndpointTable.usable per request" + label, REQUESTS));
--- a/entry/src/test/java/org/quetzalvane/entry/SimulatedNodes.java
+++ b/entry/src/test/java/org/quetzalvane/entry/SimulatedNodes.java
@@ -30,6 +30,7 @@
 import org.quetzalvane.core.team.PeerTable;
 import org.quetzalvane.core.team.StatusExchange;
 import org.quetzalvane.core.time.ManualScheduler;
+import org.quetzalvane.core.time.Stopwatch;
 
 /**
  * Nodes of three data centres that exchange encoded status messages on a paused clock, with requests in progress on all
@@ -100,7 +101,7 @@
             for (int p = h; p < PARTITIONS; p += hubs.size()) {
                 duties.add(p);
             }
-            hubs.get(h).lease.update(1, duties, clock.nanoTime());
+            hubs.get(h).lease.update(1, duties, Stopwatch.start(clock));
             hubs.get(h).assigned.reconcile(engines);
         }
         clock.advance(Duration.ofSeconds(4));
--- a/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
+++ b/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
@@ -35,7 +35,8 @@
                 s.retryExtra(),
                 s.retryWindowMs(),
                 s.maxDirectoryTtlS(),
-                revocation);
+                revocation,
+                s.quota());
     }
 
     /** The same with the given part of the requests, and number beyond it, that all nodes may retry in a window. */
