Return permits that were granted before a pause

A node that stood still reads a holder's reply before the timer of its timeout runs, and sent the request under a permit that had been granted seconds before, in addition to those granted to others since.

--- a/core/src/main/java/org/quetzalvane/core/team/PermitExchange.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PermitExchange.java
@@ -20,6 +20,7 @@
 import org.quetzalvane.core.limit.Permit;
 import org.quetzalvane.core.limit.PermitBucket;
 import org.quetzalvane.core.time.Scheduler;
+import org.quetzalvane.core.time.Stopwatch;
 
 /**
  * Shares the limits that endpoints name between the nodes, and obtains the permits to send requests to these endpoints.
@@ -69,7 +70,12 @@
         }
     }
 
-    private record Pending(Instance instance, Consumer<Permit> done) {}
+    /** A request to a holder; a grant that arrives later than the timeout, as after a pause, is not used. */
+    private record Pending(Instance instance, Consumer<Permit> done, Stopwatch sinceAsked, long timeoutMs) {
+        boolean isLate() {
+            return sinceAsked.elapsedMs() > timeoutMs;
+        }
+    }
 
     /**
      * Creates the exchange of a node that knows no limits yet.
@@ -162,8 +168,8 @@
         PeerMessage.PermitRequest m =
                 new PeerMessage.PermitRequest(peers.self(), n, e.id(), e.bornMs(), perSecond, rank, maxWaitMs);
         boolean sent = holder != null && peers.send(holder, m);
-        pending.put(n, new Pending(i, done));
         long timeoutMs = sent ? maxWaitMs + REPLY_TIMEOUT_MS : 0;
+        pending.put(n, new Pending(i, done, Stopwatch.start(scheduler), timeoutMs));
         scheduler.schedule(Duration.ofMillis(timeoutMs), () -> complete(n, Permit.denied(HOLDER_RETRY_MS)));
     }
 
@@ -189,7 +195,9 @@
         } else if (m instanceof PeerMessage.PermitRequest r) {
             grant(r);
         } else if (m instanceof PeerMessage.PermitReply r) {
-            boolean late = !complete(r.number(), new Permit(r.granted(), r.waitMs()));
+            Pending p = pending.get(r.number());
+            boolean late = p == null || p.isLate();
+            complete(r.number(), late ? Permit.denied(HOLDER_RETRY_MS) : new Permit(r.granted(), r.waitMs()));
             if (late && r.granted()) {
                 peers.send(r.from(), new PeerMessage.PermitReturn(peers.self(), r.endpoint(), r.bornMs()));
             }
@@ -296,13 +304,12 @@
                 .orElse(null);
     }
 
-    /** Completes the request with this number; returns false if it is complete already. */
-    private boolean complete(long number, Permit permit) {
+    /** Completes the request with this number unless it is complete already. */
+    private void complete(long number, Permit permit) {
         Pending p = pending.remove(number);
         if (p != null) {
             complete(p.instance(), permit, p.done());
         }
-        return p != null;
     }
 
     private void complete(Instance i, Permit permit, Consumer<Permit> done) {
