--- a/core/src/main/java/org/quetzalvane/core/team/BudgetExchange.java
+++ b/core/src/main/java/org/quetzalvane/core/team/BudgetExchange.java
@@ -17,6 +17,7 @@
 import org.quetzalvane.core.cluster.RendezvousHash;
 import org.quetzalvane.core.limit.PermitBucket;
 import org.quetzalvane.core.time.Scheduler;
+import org.quetzalvane.core.time.Stopwatch;
 
 /**
  * Budgets that all nodes share, each held as a token bucket by one hub: selects the holder of a key, keeps the buckets
@@ -43,12 +44,19 @@
     private final IntSupplier nodes;
     private final Function<K, String> name;
     private final Map<K, PermitBucket> buckets = new LinkedHashMap<>();
-    private final Map<Long, Consumer<R>> pending = new HashMap<>();
+    private final Map<Long, Pending<R>> pending = new HashMap<>();
     private Set<String> hubs = Set.of();
     private long lastNumber;
     private int mostNodes;
     private long mostNodesNanos;
 
+    /** A request to a holder; a grant that arrives later than the timeout, as after a pause, is not used. */
+    private record Pending<R>(Consumer<R> done, R ifSilent, Stopwatch sinceAsked, long timeoutMs) {
+        boolean isLate() {
+            return sinceAsked.elapsedMs() > timeoutMs;
+        }
+    }
+
     /**
      * Creates an exchange that holds nothing yet.
      *
@@ -127,19 +135,21 @@
     long ask(String holder, LongFunction<PeerMessage> message, long maxWaitMs, Consumer<R> done, R ifSilent) {
         long n = ++lastNumber;
         boolean sent = holder != null && peers.send(holder, message.apply(n));
-        pending.put(n, done);
         long timeoutMs = sent ? maxWaitMs + REPLY_TIMEOUT_MS : 0;
+        pending.put(n, new Pending<>(done, ifSilent, Stopwatch.start(scheduler), timeoutMs));
         scheduler.schedule(Duration.ofMillis(timeoutMs), () -> complete(n, ifSilent));
         return n;
     }
 
-    /** Completes the request with this number; returns false if it is complete already, so that the reply is late. */
+    /** Completes the request with this number; returns false if it is complete already or the reply is late. */
     boolean complete(long number, R reply) {
-        Consumer<R> done = pending.remove(number);
-        if (done != null) {
-            done.accept(reply);
+        Pending<R> p = pending.remove(number);
+        if (p == null) {
+            return false;
         }
-        return done != null;
+        boolean late = p.isLate();
+        p.done().accept(late ? p.ifSilent() : reply);
+        return !late;
     }
 
     /** Remembers the most nodes seen; returns the number that is seen now. */
