Keep what follows from the peers' messages until the next message

PeerTable derived the nodes, the statuses of peers that are up and the owner of each partition anew in each call, several times per round and once per engine and request.

--- a/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -50,6 +49,8 @@
     private List<NodeInfo> viewNodes = List.of();
     private Map<Integer, String> viewOwners = Map.of();
     private long viewNanos;
+    /** Results of {@link #up}, {@link #nodes} and {@link #ownerOf}, or null if a message has changed them. */
+    private Cached cached;
 
     public PeerTable(Scheduler scheduler, String self, Set<String> seeds) {
         this.scheduler = scheduler;
@@ -59,6 +60,7 @@
 
     /** Stores the status of a peer. */
     public void updatePeer(PeerMessage.Status s) {
+        cached = null;
         statuses.put(s.from(), new ReceivedStatus(s, scheduler.nanoTime()));
         suspectedUntilNanos.remove(s.from());
         addKnown(s.from());
@@ -69,8 +71,13 @@
 
     /** Stores what a hub knows; a view without nodes or owners leaves the known ones as they are. */
     public void updateView(PeerMessage.View v) {
+        boolean expired = !viewIsFresh();
         viewNanos = scheduler.nanoTime();
-        suspectedUntilNanos.remove(v.from());
+        if (expired
+                || suspectedUntilNanos.remove(v.from()) != null
+                || !v.nodes().isEmpty()) {
+            cached = null;
+        }
         if (v.owners() != null) {
             viewOwners = Map.copyOf(v.owners());
         }
@@ -87,6 +94,7 @@
 
     /** Records that the connection to a peer has ended. */
     public void disconnected(String peer) {
+        cached = null;
         statuses.remove(peer);
     }
 
@@ -96,12 +104,16 @@
                 .filter(r -> !isFresh(r))
                 .map(r -> r.status.from())
                 .toList();
-        silent.forEach(statuses::remove);
+        if (!silent.isEmpty()) {
+            cached = null;
+            silent.forEach(statuses::remove);
+        }
         return silent;
     }
 
     /** Records that a node does not answer, so that it is not selected as a hub until it sends a message. */
     public void suspect(String peer) {
+        cached = null;
         suspectedUntilNanos.put(peer, scheduler.nanoTime() + SUSPICION_MS * 1_000_000);
     }
 
@@ -122,28 +134,60 @@
 
     /** All other nodes that are up and not suspected: those that report here, their members, those of the view. */
     public Collection<NodeInfo> nodes() {
+        return cached().nodes;
+    }
+
+    /** Status of each peer that is up and sends its status to this node. */
+    public List<PeerMessage.Status> up() {
+        return cached().up;
+    }
+
+    /** The state derived from the messages, derived again after a message or when the age of one matters. */
+    private Cached cached() {
         long now = scheduler.nanoTime();
-        suspectedUntilNanos.values().removeIf(until -> until <= now);
+        if (cached == null || now >= cached.untilNanos) {
+            suspectedUntilNanos.values().removeIf(until -> until <= now);
+            List<PeerMessage.Status> up = new ArrayList<>(statuses.size());
+            long until = now + UP_TIMEOUT_MS * 1_000_000;
+            for (ReceivedStatus r : statuses.values()) {
+                if (isFresh(r)) {
+                    up.add(r.status);
+                    until = Math.min(until, r.receivedNanos + UP_TIMEOUT_MS * 1_000_000);
+                }
+            }
+            if (viewIsFresh()) {
+                until = Math.min(until, viewNanos + VIEW_RETENTION_MS * 1_000_000);
+            }
+            for (long end : suspectedUntilNanos.values()) {
+                until = Math.min(until, end);
+            }
+            cached = new Cached(until, List.copyOf(up), List.copyOf(nodesOf(up)), ownersOf(up));
+        }
+        return cached;
+    }
+
+    private Collection<NodeInfo> nodesOf(List<PeerMessage.Status> up) {
         Map<String, NodeInfo> all = new HashMap<>();
-        if (now - viewNanos < VIEW_RETENTION_MS * 1_000_000) {
+        if (viewIsFresh()) {
             viewNodes.forEach(n -> all.put(n.address(), n));
         }
-        up().forEach(s -> s.members().forEach(n -> all.put(n.address(), n)));
-        up().forEach(s -> all.put(s.from(), s.node()));
+        up.forEach(s -> s.members().forEach(n -> all.put(n.address(), n)));
+        up.forEach(s -> all.put(s.from(), s.node()));
         all.remove(self);
         all.keySet().removeAll(suspectedUntilNanos.keySet());
         return all.values();
     }
 
-    /** Status of each peer that is up and sends its status to this node. */
-    public List<PeerMessage.Status> up() {
-        List<PeerMessage.Status> up = new ArrayList<>(statuses.size());
-        for (ReceivedStatus r : statuses.values()) {
-            if (isFresh(r)) {
-                up.add(r.status);
+    private static Map<Integer, String> ownersOf(List<PeerMessage.Status> up) {
+        Map<Integer, PeerMessage.Status> newest = new HashMap<>();
+        for (PeerMessage.Status s : up) {
+            if (!s.node().leaving()) {
+                s.duties().forEach(p -> newest.merge(p, s, (a, b) -> b.generation() > a.generation() ? b : a));
             }
         }
-        return up;
+        Map<Integer, String> owners = new HashMap<>();
+        newest.forEach((p, s) -> owners.put(p, s.from()));
+        return owners;
     }
 
     /** The nodes that report to this node as their hub. */
@@ -171,24 +215,13 @@
 
     /** The peer that owns a partition, or null if no peer that is up reports the partition. */
     public String ownerOf(int partition) {
-        PeerMessage.Status owner = null;
-        for (PeerMessage.Status s : up()) {
-            boolean owns = !s.node().leaving() && s.duties().contains(partition);
-            if (owns && (owner == null || s.generation() > owner.generation())) {
-                owner = s;
-            }
-        }
-        return owner == null ? viewOwners.get(partition) : owner.from();
+        String owner = cached().owners.get(partition);
+        return owner == null ? viewOwners.get(partition) : owner;
     }
 
     /** Owner of each partition as the peers that are up report it. */
     public Map<Integer, String> owners() {
-        Map<Integer, String> owners = new HashMap<>();
-        up().stream()
-                .filter(s -> !s.node().leaving())
-                .sorted(Comparator.comparingLong(PeerMessage.Status::generation))
-                .forEach(s -> s.duties().forEach(p -> owners.put(p, s.from())));
-        return owners;
+        return new HashMap<>(cached().owners);
     }
 
     /**
@@ -217,9 +250,17 @@
         return n == 0 ? 0 : (int) n + (knownPeers.containsKey(self) ? 0 : 1);
     }
 
+    private boolean viewIsFresh() {
+        return scheduler.nanoTime() - viewNanos < VIEW_RETENTION_MS * 1_000_000;
+    }
+
     private boolean isFresh(ReceivedStatus r) {
         return scheduler.nanoTime() - r.receivedNanos < UP_TIMEOUT_MS * 1_000_000;
     }
 
+    /** What follows from the messages received so far, until {@code untilNanos}. */
+    private record Cached(
+            long untilNanos, List<PeerMessage.Status> up, List<NodeInfo> nodes, Map<Integer, String> owners) {}
+
     private record ReceivedStatus(PeerMessage.Status status, long receivedNanos) {}
 }
--- a/core/src/test/java/org/quetzalvane/core/team/PeerTableTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/PeerTableTest.java
@@ -59,4 +59,49 @@
         peers.updatePeer(status("n2:1", false, GENERATION - 1, List.of(), List.of()));
         assertThat(peers.mayStillOrder(PARTITION, GENERATION)).isFalse();
     }
+
+    /** Results are kept between messages, and must follow each message and the age of each at once. */
+    @Test
+    void derivedStateFollowsMessagesDisconnectionsSuspicionsAndSilence() {
+        peers.updatePeer(status("n2:1", false, 1, List.of(PARTITION), List.of()));
+        clock.advance(Duration.ofMillis(700));
+        peers.updatePeer(status("n3:1", false, 2, List.of(PARTITION), List.of()));
+        assertThat(peers.ownerOf(PARTITION)).isEqualTo("n3:1");
+        assertThat(addresses()).containsExactlyInAnyOrder("n2:1", "n3:1");
+        clock.advance(Duration.ofMillis(600));
+        assertThat(addresses()).containsExactly("n3:1");
+        peers.disconnected("n3:1");
+        assertThat(addresses()).isEmpty();
+        assertThat(peers.ownerOf(PARTITION)).isNull();
+        peers.updatePeer(status("n3:1", false, 2, List.of(), List.of()));
+        peers.suspect("n3:1");
+        assertThat(addresses()).isEmpty();
+        peers.updatePeer(status("n3:1", false, 2, List.of(), List.of()));
+        assertThat(addresses()).containsExactly("n3:1");
+    }
+
+    @Test
+    void nodesOfAViewAreKnownUntilItIsThreeSecondsOldAlsoIfItsSuccessorsLeaveThemOut() {
+        NodeInfo other = new NodeInfo("n5:1", "n5:1", "a", 100, false, true, false);
+        peers.updateView(view(List.of(other), Map.of(PARTITION, "n4:1")));
+        clock.advance(Duration.ofMillis(2_900));
+        peers.updateView(view(List.of(), null));
+        clock.advance(Duration.ofMillis(2_900));
+        assertThat(addresses()).containsExactly("n5:1");
+        assertThat(peers.ownerOf(PARTITION)).isEqualTo("n4:1");
+        clock.advance(Duration.ofMillis(200));
+        assertThat(addresses()).isEmpty();
+        peers.updateView(view(List.of(), Map.of()));
+        assertThat(addresses()).containsExactly("n5:1");
+        assertThat(peers.ownerOf(PARTITION)).isNull();
+    }
+
+    private List<String> addresses() {
+        return peers.nodes().stream().map(NodeInfo::address).toList();
+    }
+
+    private static PeerMessage.View view(List<NodeInfo> nodes, Map<Integer, String> owners) {
+        return new PeerMessage.View(
+                "n4:1", nodes, owners, Map.of(), Map.of(), List.of(), Map.of(), Map.of(), Map.of(), 1, false);
+    }
 }
