Update adapters in use and residency only where a report changes them

Most of a status repeats the previous one. The last use of an adapter in use is derived from the time of the report instead of being stored for each request and report.

--- a/core/src/main/java/org/quetzalvane/core/residency/AdapterUsage.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/AdapterUsage.java
@@ -23,7 +23,7 @@
 
     private final Scheduler scheduler;
     private final Map<String, Map<AdapterRef, Integer>> ownCounts = new HashMap<>();
-    private final Map<String, Map<String, List<AdapterRef>>> usageByPeer = new HashMap<>();
+    private final Map<String, PeerUsage> usageByPeer = new HashMap<>();
     /** Requests of peers for each adapter, by engine; sums of {@link #usageByPeer}. */
     private final Map<String, Map<AdapterRef, Integer>> peerCounts = new HashMap<>();
     /** Requests for each adapter on all engines, of this node and of its peers. */
@@ -32,6 +32,7 @@
     private Set<AdapterRef> reportedPopular = Set.of();
 
     private Map<String, Integer> reportedCounts = Map.of();
+    /** Last use by a request of this node, or by one of a peer that has ended. */
     private final Map<String, Map<AdapterRef, Long>> lastUsed = new HashMap<>();
 
     public AdapterUsage(Scheduler scheduler) {
@@ -63,26 +64,46 @@
 
     /** Replaces the adapters in use, by engine and once for each request, that a peer last reported. */
     public void updatePeer(String peer, Map<String, List<AdapterRef>> inUse) {
-        removePeer(peer);
-        usageByPeer.put(peer, inUse);
-        inUse.forEach((engine, refs) -> refs.forEach(r -> {
-            peerCounts.computeIfAbsent(engine, e -> new HashMap<>()).merge(r, 1, Integer::sum);
-            totals.merge(r, 1, Integer::sum);
-            markUsed(engine, r);
-        }));
+        PeerUsage known = usageByPeer.getOrDefault(peer, PeerUsage.NONE);
+        usageByPeer.put(peer, new PeerUsage(inUse, scheduler.nanoTime()));
+        inUse.forEach((engine, refs) -> {
+            List<AdapterRef> knownRefs = known.refs(engine);
+            if (!refs.equals(knownRefs)) {
+                remove(engine, knownRefs, known.reportedNanos);
+                add(engine, refs);
+            }
+        });
+        known.inUse.forEach((engine, refs) -> {
+            if (!inUse.containsKey(engine)) {
+                remove(engine, refs, known.reportedNanos);
+            }
+        });
     }
 
     /** Removes a peer that is no longer up. */
     public void removePeer(String peer) {
-        Map<String, List<AdapterRef>> before = usageByPeer.remove(peer);
-        if (before != null) {
-            before.forEach((engine, refs) -> refs.forEach(r -> {
-                removeOne(peerCounts.get(engine), r);
-                removeOne(totals, r);
-            }));
+        PeerUsage known = usageByPeer.remove(peer);
+        if (known != null) {
+            known.inUse.forEach((engine, refs) -> remove(engine, refs, known.reportedNanos));
         }
     }
 
+    private void add(String engine, List<AdapterRef> refs) {
+        Map<AdapterRef, Integer> counts = peerCounts.computeIfAbsent(engine, e -> new HashMap<>());
+        refs.forEach(r -> {
+            counts.merge(r, 1, Integer::sum);
+            totals.merge(r, 1, Integer::sum);
+        });
+    }
+
+    private void remove(String engine, List<AdapterRef> refs, long usedNanos) {
+        refs.forEach(r -> {
+            lastUsed.computeIfAbsent(engine, e -> new HashMap<>()).merge(r, usedNanos, Math::max);
+            removeOne(peerCounts.get(engine), r);
+            removeOne(totals, r);
+        });
+    }
+
     private static void removeOne(Map<AdapterRef, Integer> counts, AdapterRef ref) {
         counts.computeIfPresent(ref, (r, n) -> n == 1 ? null : n - 1);
     }
@@ -125,9 +146,10 @@
     /** Number of distinct adapters in use on an engine; requests to the base model count as one adapter. */
     public int inUseCount(String engine) {
         Map<AdapterRef, Integer> byPeers = peerCounts.getOrDefault(engine, Map.of());
-        int ownOnly = (int) ownCounts.getOrDefault(engine, Map.of()).keySet().stream()
-                .filter(r -> !byPeers.containsKey(r))
-                .count();
+        int ownOnly = 0;
+        for (AdapterRef r : ownCounts.getOrDefault(engine, Map.of()).keySet()) {
+            ownOnly += byPeers.containsKey(r) ? 0 : 1;
+        }
         return Math.max(byPeers.size() + ownOnly, reportedCounts.getOrDefault(engine, 0));
     }
 
@@ -144,7 +166,13 @@
      * When a request last used the adapter on the engine, on the scheduler's clock; {@link Long#MIN_VALUE} if never.
      */
     public long lastUsedNanos(String engine, AdapterRef ref) {
-        return lastUsed.getOrDefault(engine, Map.of()).getOrDefault(ref, Long.MIN_VALUE);
+        long used = lastUsed.getOrDefault(engine, Map.of()).getOrDefault(ref, Long.MIN_VALUE);
+        if (peerCounts.getOrDefault(engine, Map.of()).containsKey(ref)) {
+            for (PeerUsage u : usageByPeer.values()) {
+                used = u.reportedNanos > used && u.refs(engine).contains(ref) ? u.reportedNanos : used;
+            }
+        }
+        return used;
     }
 
     /** Adapters that this node's own requests and those of some peers use, by engine and once for each request. */
@@ -153,7 +181,7 @@
         ownCounts.forEach((engine, m) -> m.forEach(
                 (ref, n) -> all.computeIfAbsent(engine, e -> new ArrayList<>()).addAll(Collections.nCopies(n, ref))));
         for (String peer : peers) {
-            usageByPeer.getOrDefault(peer, Map.of()).forEach((engine, refs) -> all.computeIfAbsent(
+            usageByPeer.getOrDefault(peer, PeerUsage.NONE).inUse.forEach((engine, refs) -> all.computeIfAbsent(
                             engine, e -> new ArrayList<>())
                     .addAll(refs));
         }
@@ -164,4 +192,13 @@
     public void markUsed(String engine, AdapterRef ref) {
         lastUsed.computeIfAbsent(engine, e -> new HashMap<>()).put(ref, scheduler.nanoTime());
     }
+
+    /** Adapters in use by engine, as a peer reported them at {@code reportedNanos}. */
+    private record PeerUsage(Map<String, List<AdapterRef>> inUse, long reportedNanos) {
+        static final PeerUsage NONE = new PeerUsage(Map.of(), Long.MIN_VALUE);
+
+        List<AdapterRef> refs(String engine) {
+            return inUse.getOrDefault(engine, List.of());
+        }
+    }
 }
--- a/core/src/main/java/org/quetzalvane/core/residency/ResidencyTable.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/ResidencyTable.java
@@ -40,7 +40,9 @@
                                 && residency.orders() < before.residency.orders());
         if (!older) {
             reported.put(engine, new ReportedResidency(residency, scheduler.nanoTime()));
-            addToHistory(engine, residency);
+            if (before == null || !residency.equals(before.residency)) {
+                addToHistory(engine, residency);
+            }
         }
     }
 
