Look up the residency of an engine once per choice

EngineSelector looked it up four times for each engine, through streams, and RendezvousHash sorted with a chain of comparators.

--- a/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
@@ -1,5 +1,6 @@
 package org.quetzalvane.core.choice;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
@@ -9,6 +10,7 @@
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.limit.EndpointPermits;
 import org.quetzalvane.core.residency.AdapterUsage;
+import org.quetzalvane.core.residency.EngineResidency;
 import org.quetzalvane.core.residency.ResidencyTable;
 import org.quetzalvane.core.routes.AdapterRef;
 
@@ -131,9 +133,17 @@
     }
 
     private Selection select(List<Endpoint> healthy, AdapterRef ref, int version) {
-        Endpoint resident = bestResident(healthy.stream()
-                .filter(e -> residency.residencyOf(e).serves(ref, version))
-                .toList());
+        List<Endpoint> residents = new ArrayList<>();
+        List<Endpoint> loadable = new ArrayList<>();
+        for (Endpoint e : healthy) {
+            EngineResidency r = residency.residencyOf(e);
+            if (r.serves(ref, version)) {
+                residents.add(e);
+            } else if (r.held().containsKey(ref.model())) {
+                loadable.add(e);
+            }
+        }
+        Endpoint resident = bestResident(residents);
         if (ref.adapter().isEmpty()) {
             return resident == null ? null : new Selection(resident, waitMs(resident), true, null);
         }
@@ -141,12 +151,7 @@
         if (resident != null && !limited && (waitMs(resident) <= COPY_BACKLOG_MS || !inDemand(ref))) {
             return new Selection(resident, waitMs(resident), true, null);
         }
-        Endpoint target = loadTarget(
-                healthy.stream()
-                        .filter(e -> residency.residencyOf(e).held().containsKey(ref.model()))
-                        .filter(e -> !residency.residencyOf(e).serves(ref, version))
-                        .toList(),
-                ref);
+        Endpoint target = loadTarget(loadable, ref);
         if (resident == null) {
             return target == null ? null : new Selection(target, waitMs(target), false, null);
         }
--- a/core/src/main/java/org/quetzalvane/core/cluster/RendezvousHash.java
+++ b/core/src/main/java/org/quetzalvane/core/cluster/RendezvousHash.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
+import java.util.Collections;
 import java.util.List;
 import java.util.function.Function;
 
@@ -29,15 +29,20 @@
             String n = name.apply(c);
             scored.add(new Scored<>(c, n, score(keyHash, hash(n))));
         }
-        scored.sort(
-                Comparator.<Scored<T>>comparingLong(Scored::score).reversed().thenComparing(Scored::name));
+        Collections.sort(scored);
         List<T> ranked = new ArrayList<>(scored.size());
         scored.forEach(s -> ranked.add(s.candidate));
         return ranked;
     }
 
     /** A candidate with its score, which is computed once and not in each comparison. */
-    private record Scored<T>(T candidate, String name, long score) {}
+    private record Scored<T>(T candidate, String name, long score) implements Comparable<Scored<T>> {
+        @Override
+        public int compareTo(Scored<T> other) {
+            int byScore = Long.compare(other.score, score);
+            return byScore != 0 ? byScore : name.compareTo(other.name);
+        }
+    }
 
     /** The score of a candidate for a key. */
     public static long score(String key, String candidate) {
