Load copies of an adapter by its demand at all nodes

Hubs list a popular adapter once for each three requests in progress, so that members know the demand; the form of the message is unchanged. Copies are loaded on the first engines in the adapter's rendezvous order.

--- a/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 
+import org.quetzalvane.core.cluster.RendezvousHash;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.limit.EndpointPermits;
 import org.quetzalvane.core.residency.AdapterUsage;
@@ -17,11 +18,11 @@
  * Selects the engine for a request for an adapter.
  *
  * <p>Among the engines on which the adapter is resident and whose wait fits the objective, the hash of the request
- * decides in proportion to the capacity that is left ({@link WeightedChoice}). Once they wait for half of the
- * objective, a copy is loaded; where a limit that an engine named makes them wait, they go to the copy instead. An
- * adapter that is not resident goes to an engine on which it was resident before, because that engine most likely
- * still has it in memory, else to the first in its rendezvous order that can take it ({@link LoadTargets}). Confined
- * to the event loop.
+ * decides in proportion to the capacity that is left ({@link WeightedChoice}). The number of engines that hold an
+ * adapter follows its demand at all nodes ({@link CopyCount}); where a limit that an engine named makes requests
+ * wait, they go to the copy instead. An adapter that is not resident goes to an engine on which it was resident
+ * before, because that engine most likely still has it in memory, else to the first in its rendezvous order that can
+ * take it ({@link LoadTargets}). Confined to the event loop.
  */
 public final class EngineSelector {
     /**
@@ -157,9 +158,21 @@
         if (need.adapter().adapter().isEmpty() || others.isEmpty()) {
             return new Selection(resident, residentWaitMs, true, null);
         }
+        int missing = wantedCopies(resident, need) - residents.size();
+        if (missing > 0) {
+            int position = (int) Long.remainderUnsigned(RendezvousHash.hash(need.id()), missing);
+            return new Selection(resident, residentWaitMs, true, loadTarget(others, need, position));
+        }
         return withCopyForBacklog(resident, residentWaitMs, others, need);
     }
 
+    /** Number of engines that should hold the adapter, from its requests in progress at all nodes. */
+    private int wantedCopies(Endpoint resident, Need need) {
+        int requests = adapterUsage.requestsInProgress(need.adapter());
+        return CopyCount.wanted(
+                requests, prefill.waitMs(need.promptTokens()), prefill.runMs(), resident.requestSlots());
+    }
+
     private Selection withCopyForBacklog(Endpoint resident, double waitMs, List<Endpoint> others, Need need) {
         double backlogMs = need.objectiveMs() * COPY_BACKLOG_OBJECTIVE_FACTOR;
         boolean limited = permits.waitMs(resident) > backlogMs;
--- a/core/src/main/java/org/quetzalvane/core/choice/PrefillEstimator.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/PrefillEstimator.java
@@ -43,6 +43,11 @@
         runMs += EWMA_WEIGHT * (ms - runMs);
     }
 
+    /** Mean time from the first token to the end of a run, in milliseconds. */
+    double runMs() {
+        return runMs;
+    }
+
     /** Expected time between two runs that end on a busy engine, in milliseconds. */
     public double slotIntervalMs(int requestSlots) {
         return runMs / Math.max(1, requestSlots);
--- a/core/src/main/java/org/quetzalvane/core/residency/AdapterUsage.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/AdapterUsage.java
@@ -29,7 +29,8 @@
     /** Requests for each adapter on all engines, of this node and of its peers. */
     private final Map<AdapterRef, Integer> totals = new HashMap<>();
 
-    private Set<AdapterRef> reportedPopular = Set.of();
+    /** Requests for each popular adapter on all engines, as a hub reported. */
+    private Map<AdapterRef, Integer> reportedRequests = Map.of();
 
     private Map<String, Integer> reportedCounts = Map.of();
     private final Map<String, Map<AdapterRef, Long>> lastUsed = new HashMap<>();
@@ -91,24 +92,35 @@
      * Replaces what a hub reported instead of the adapters in use themselves.
      *
      * @param counts number of adapters in use by engine
-     * @param popular {@link #popular} adapters
+     * @param popular {@link #popular} adapters, once for each {@link #POPULAR_REQUESTS} requests
      */
     public void updateReported(Map<String, Integer> counts, Collection<AdapterRef> popular) {
         reportedCounts = Map.copyOf(counts);
-        reportedPopular = Set.copyOf(popular);
+        Map<AdapterRef, Integer> requests = new HashMap<>();
+        popular.forEach(r -> requests.merge(r, POPULAR_REQUESTS, Integer::sum));
+        reportedRequests = requests;
+    }
+
+    /**
+     * Requests of all nodes together that use the adapter; from a hub's report a multiple of {@link #POPULAR_REQUESTS}.
+     */
+    public int requestsInProgress(AdapterRef ref) {
+        return Math.max(totals.getOrDefault(ref, 0), reportedRequests.getOrDefault(ref, 0));
     }
 
     /** Whether at least {@link #POPULAR_REQUESTS} requests of all nodes together use the adapter. */
     public boolean isPopular(AdapterRef ref) {
-        return totals.getOrDefault(ref, 0) >= POPULAR_REQUESTS || reportedPopular.contains(ref);
+        return requestsInProgress(ref) >= POPULAR_REQUESTS;
     }
 
-    /** Adapters that many requests of all nodes together use at this moment, on whatever engines. */
+    /**
+     * Adapters that many requests of all nodes together use at this moment, on whatever engines; listed once for each
+     * {@link #POPULAR_REQUESTS} requests, so that nodes that report to this hub know the demand.
+     */
     public List<AdapterRef> popular() {
-        return totals.entrySet().stream()
-                .filter(e -> e.getValue() >= POPULAR_REQUESTS)
-                .map(Map.Entry::getKey)
-                .toList();
+        List<AdapterRef> popular = new ArrayList<>();
+        totals.forEach((ref, n) -> popular.addAll(Collections.nCopies(n / POPULAR_REQUESTS, ref)));
+        return popular;
     }
 
     /** Removes the last-use times of an engine. */
