Select the better of two weighted random engines

With one random engine the requests of a popular adapter spread by chance only; of two, the one with more capacity left is known well enough to be better.

--- a/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
@@ -204,7 +204,7 @@
         if (residents.size() < 2) {
             return residents.isEmpty() ? null : residents.get(0);
         }
-        Endpoint chosen = WeightedChoice.select(residents, need.id(), e -> weight(e, need.objectiveMs()));
+        Endpoint chosen = WeightedChoice.betterOfTwo(residents, need.id(), e -> weight(e, need.objectiveMs()));
         return chosen != null
                 ? chosen
                 : residents.stream()
--- a/core/src/main/java/org/quetzalvane/core/choice/WeightedChoice.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/WeightedChoice.java
@@ -15,8 +15,21 @@
  * engine while the weights are equal. Stateless and thread-safe.
  */
 final class WeightedChoice {
+    /** Appended to the id of a request for its second candidate. */
+    private static final String SECOND = "/2";
+
     private WeightedChoice() {}
 
+    /**
+     * The one with more capacity left of two engines that {@link #select} finds, or null if no weight is positive. On
+     * few engines, whose loads are known sooner, one random engine costs more than the least known cost does.
+     */
+    static Endpoint betterOfTwo(List<Endpoint> engines, String request, ToDoubleFunction<Endpoint> weight) {
+        Endpoint first = select(engines, request, weight);
+        Endpoint second = first == null ? null : select(engines, request + SECOND, weight);
+        return first == null || weight.applyAsDouble(first) >= weight.applyAsDouble(second) ? first : second;
+    }
+
     /**
      * Selects one of the engines with a positive weight, or null if there is none.
      *
