Test that account names and keys beyond ASCII survive the wire

Cause: a header has one character per byte, so that a name that is not encoded would arrive changed or fail the request. Change: ClientAccountTest.accountNameBeyondAsciiArrivesInUtf8. Result: 27 cases of ClientAccountTest pass.

--- a/entry/src/test/java/org/quetzalvane/entry/ClientAccountTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/ClientAccountTest.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.entry;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -71,6 +72,22 @@
         assertThat(plain.arrivals().get(0).authorization()).isEmpty();
     }
 
+    /** Guards against a request that fails, or arrives under another name, because of the letters of its account. */
+    @Test
+    void accountNameBeyondAsciiArrivesInUtf8() throws Exception {
+        String name = "zażółć À 20%";
+        cluster.store().writeConfig(SampleConfig.withAccounts(2, new Account(name, List.of("schlüssel"), 0)));
+        // The client sends one byte for each character.
+        String key = new String("schlüssel".getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
+        String response = "";
+        for (int i = 0; !response.startsWith("HTTP/1.1 200"); i++) {
+            response = CallerClient.sendWith(
+                    node.callerAddress(), "/again/x", "id-" + i, null, "Authorization: Bearer " + key + "\r\n");
+        }
+        String received = plain.arrivals().get(0).accounts().get(0);
+        assertThat(received.getBytes(StandardCharsets.ISO_8859_1)).isEqualTo(name.getBytes(StandardCharsets.UTF_8));
+    }
+
     /** Guards against requests without a valid key that reach an endpoint. */
     @ParameterizedTest
     @ValueSource(strings = {"", "Authorization: Bearer k3\r\n", K1 + K1, "Authorization: Bearer\r\n"})
