Send no order once the lease has ended after its check

The fencing token was read again after the check whether orders may be sent. If the lease ended in between, the order carried the token -1, which an engine that does not check tokens carries out.

EngineControllerTest.orderIsNotSentIfTheLeaseEndsAfterItsCheck failed: the order was sent with token -1.

--- a/core/src/main/java/org/quetzalvane/core/residency/EngineController.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/EngineController.java
@@ -398,8 +398,12 @@
 
     private void sendOrder(
             EngineOrders.Action action, AdapterRef ref, int version, Consumer<EngineOrders.Answer> then) {
-        orderInFlight = true;
         long token = fencingTokens.current();
+        if (token < 0) {
+            // The lease has ended since it was checked; a later check decides again.
+            return;
+        }
+        orderInFlight = true;
         fencingTokens.orderSent();
         long sentNanos = scheduler.nanoTime();
         orderPort.order(engine, new EngineOrders.Order(action, ref, version, acceptedOrders, token), answer -> {
--- a/core/src/test/java/org/quetzalvane/core/residency/EngineControllerTest.java
+++ b/core/src/test/java/org/quetzalvane/core/residency/EngineControllerTest.java
@@ -30,6 +30,9 @@
     private final FakeEngine engine = new FakeEngine();
     private final List<String> outcomes = new ArrayList<>();
     private long token = 5;
+    /** Checks of the token that still find a lease. */
+    private int leaseEndsAfterChecks = Integer.MAX_VALUE;
+
     private EngineController controller;
 
     private static AdapterRef adapter(int n) {
@@ -41,7 +44,11 @@
         Endpoint e = new Endpoint("e1", "s", "127.0.0.1", 1, "a", "v1", Endpoint.State.READY, 4, 1, Map.of());
         EngineController.Context context = new EngineController.Context(
                 clock, engine, (c, s, f) -> {}, usage, new LoadTimeEstimator(clock, () -> 0, () -> 6));
-        controller = new EngineController(context, () -> token, SPEC, e);
+        controller = new EngineController(context, this::currentToken, SPEC, e);
+    }
+
+    private long currentToken() {
+        return leaseEndsAfterChecks-- > 0 ? token : -1;
     }
 
     private void requestAdapter(int n) {
@@ -52,6 +59,19 @@
         clock.advance(Duration.ofMillis(ms));
     }
 
+    /** The lease can end between its check and the order, which was then sent with a token of -1. */
+    @Test
+    void orderIsNotSentIfTheLeaseEndsAfterItsCheck() {
+        token = 5;
+        requestAdapter(9);
+        leaseEndsAfterChecks = 1;
+        advance(1_000);
+        assertThat(engine.log).isEmpty();
+        leaseEndsAfterChecks = Integer.MAX_VALUE;
+        advance(500);
+        assertThat(engine.log).containsExactly("LOAD a9 expect 0 token 5");
+    }
+
     @Test
     void requestsForOneRareAdapterWaitForOneLoad() {
         for (int i = 0; i < 5; i++) {
