Send nothing on a connection that took longer than the request is valid

After a pause of the process, a new connection is processed before the timers. An order was then sent seconds after its timeout, under a lease that may have ended, and the owner had already treated it as unanswered; a request was sent with an outdated remaining time and under a permit granted before the pause.

--- a/transport/src/main/java/org/quetzalvane/transport/HttpClient.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpClient.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -49,6 +50,21 @@
      * @param maxIdleMs longest idle time, ms, of a pooled connection that may carry the request
      */
     public Call send(InetSocketAddress to, FullHttpRequest request, long maxIdleMs, HttpResponseListener listener) {
+        return send(to, request, maxIdleMs, () -> true, listener);
+    }
+
+    /**
+     * The same for a request that may expire while the connection is made, which after a pause of the process can be
+     * much longer than the timeout.
+     *
+     * @param valid asked when a new connection is ready; if false, nothing is sent and the call fails as not sent
+     */
+    public Call send(
+            InetSocketAddress to,
+            FullHttpRequest request,
+            long maxIdleMs,
+            BooleanSupplier valid,
+            HttpResponseListener listener) {
         PendingCall call = new PendingCall(request, listener);
         ClientConnection idleConnection = takeIdle(to, maxIdleMs);
         if (idleConnection != null) {
@@ -68,7 +84,10 @@
         call.connecting = f.channel();
         f.addListener(done -> {
             call.connecting = null;
-            if (done.isSuccess()) {
+            if (done.isSuccess() && !call.cancelled && !valid.getAsBoolean()) {
+                opened.returnUnused();
+                call.connectFailed("expired before the connection was made");
+            } else if (done.isSuccess()) {
                 call.sendOn(opened);
             } else {
                 call.connectFailed(String.valueOf(done.cause()));
