Spread the retry times of requests that get no engine, and measure them

A request without an adapter slot was told to retry after 3,000 ms whatever the runs that hold the slots last, so that refused callers returned together. The time is now the measured duration of a run; this and the retry times of requests refused for overload or for a missing owner are spread by request id.

RequestFlowTest.requestWithoutAnAdapterSlotIsRefusedAsNotRun wants the exact time, where it wanted at least 1 s; the earlier code does not fit (3,000).

--- a/core/src/main/java/org/quetzalvane/core/choice/PrefillEstimator.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/PrefillEstimator.java
@@ -44,7 +44,7 @@
     }
 
     /** Mean time from the first token to the end of a run, in milliseconds. */
-    double runMs() {
+    public double runMs() {
         return runMs;
     }
 
--- a/core/src/main/java/org/quetzalvane/core/serve/EngineAcquisition.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EngineAcquisition.java
@@ -40,11 +40,6 @@
     private static final long MIN_LOAD_WAIT_MS = 265;
     /** Shortest remaining wait for which a load is asked for again, ms. */
     private static final long MIN_REPEATED_LOAD_WAIT_MS = 60;
-    /**
-     * Retry time sent to the caller when all adapter slots are taken, ms: the requests that occupy the slots run for 2
-     * to 3 s.
-     */
-    private static final long SLOTS_TAKEN_RETRY_AFTER_MS = 3_000;
     /**
      * Time since the last known use of an adapter after which its residency is confirmed with the engine's owner before
      * a request is sent, ms.
@@ -128,7 +123,7 @@
         if (selection == null) {
             String cause = "engines=" + usable.size() + " tried=" + tried.size();
             if (loadRequests > 0) {
-                handler.giveUp(ResultCode.LOAD_FAILED, SLOTS_TAKEN_RETRY_AFTER_MS, cause);
+                refuse(ResultCode.LOAD_FAILED, slotsTakenMs(), cause);
             } else {
                 handler.giveUp(ResultCode.NO_ENGINE, RequestFlow.DEFAULT_RETRY_AFTER_MS, cause);
             }
@@ -143,8 +138,7 @@
         }
         long waitMs = remainingLoadWaitMs();
         if (++loadRequests > MAX_LOAD_REQUESTS || waitMs < MIN_LOAD_WAIT_MS) {
-            handler.giveUp(
-                    ResultCode.LOAD_FAILED, SLOTS_TAKEN_RETRY_AFTER_MS, "asks=" + loadRequests + " wait_ms=" + waitMs);
+            refuse(ResultCode.LOAD_FAILED, slotsTakenMs(), "asks=" + loadRequests + " wait_ms=" + waitMs);
             return;
         }
         context.adapterLoader()
@@ -231,8 +225,7 @@
     /** Selects an engine again after an interval, because no node owns the selected one; gives up beyond a limit. */
     private void awaitOwner() {
         if (elapsedMs() > route.objectiveMs() * NO_OWNER_WAIT_OBJECTIVE_FACTOR) {
-            handler.giveUp(
-                    ResultCode.LOAD_FAILED, NO_OWNER_RETRY_AFTER_MS, "no reachable owner of the selected engine");
+            refuse(ResultCode.LOAD_FAILED, NO_OWNER_RETRY_AFTER_MS, "no reachable owner of the selected engine");
             return;
         }
         selectNextAfter(NO_OWNER_RETRY_INTERVAL_MS);
@@ -241,7 +234,7 @@
     private boolean admit(EngineSelector.Selection selection) {
         long retryAfterMs = context.admission().retryAfterMs(route.priority(), route.objectiveMs(), selection.waitMs());
         if (retryAfterMs >= 0) {
-            handler.giveUp(
+            refuse(
                     ResultCode.OVERLOADED,
                     retryAfterMs,
                     "engine=" + selection.engine().id() + " wait_ms=" + Math.round(selection.waitMs()));
@@ -277,6 +270,16 @@
         });
     }
 
+    /** Gives up with a retry time that differs between requests, so that refused callers do not return together. */
+    private void refuse(ResultCode code, long waitMs, String cause) {
+        handler.giveUp(code, RetryAfter.spread(waitMs, request.id()), cause);
+    }
+
+    /** Time within which adapter slots that are all taken become free, ms: the measured duration of a run. */
+    private long slotsTakenMs() {
+        return Math.round(context.prefillEstimator().runMs());
+    }
+
     /** Time since the acquisition began or was reset, ms. */
     private long elapsedMs() {
         return (context.scheduler().nanoTime() - startNanos) / 1_000_000;
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
@@ -145,6 +145,7 @@
         assertThat(loader.engines.get(2)).isNotEqualTo(engine);
     }
 
+    /** A fixed retry time made callers return together, after 3 s whatever the runs that hold the slots last. */
     @Test
     void requestWithoutAnAdapterSlotIsRefusedAsNotRun() {
         start(RouteKind.STREAMING, MISSING_ADAPTER);
@@ -152,7 +153,8 @@
             loader.complete(AdapterLoader.Outcome.REFUSED);
         }
         assertThat(response.errorCode.provesNotRun()).isTrue();
-        assertThat(response.retryAfterMs).isGreaterThanOrEqualTo(1_000);
+        long spread = RetryAfter.spread(2_000, "id");
+        assertThat(response.retryAfterMs).isEqualTo(spread).isBetween(2_000L, 2_500L);
         assertThat(client.sent).isEmpty();
     }
 
