Show the limit, use and holder of an account's budget in metrics and in the subcommand accounts

Cause: an operator could not see who holds a budget. Change: four metrics per account from what the leases know.

--- a/cli/src/main/java/org/quetzalvane/cli/AccountsCommand.java
+++ b/cli/src/main/java/org/quetzalvane/cli/AccountsCommand.java
@@ -18,14 +18,16 @@
 
 /**
  * Shows for each client account how many requests were admitted and refused and what it used, summed over the metrics
- * pages of nodes. Fails when a node is unreachable. Not thread-safe.
+ * pages of nodes, and its limit, its use per second over all nodes and the node that holds its budget. Fails when a
+ * node is unreachable. Not thread-safe.
  */
 @Parameters(commandDescription = "Show what client accounts used and why they were refused, summed over entry nodes")
 final class AccountsCommand extends CommonOptions {
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(3);
-    /** A line of the metrics page: metric, account, result code of a refusal, value. */
-    private static final Pattern LINE = Pattern.compile(
-            "quetzalvane_account_(\\w+)\\{account=\"((?:[^\"\\\\]|\\\\.)*)\"(?:,code=\"(\\d+)\")?\\} (-?\\d+)");
+    /** A line of the metrics page: metric, account, result code of a refusal, address of a holder, value. */
+    private static final Pattern LINE =
+            Pattern.compile("quetzalvane_account_(\\w+)\\{account=\"((?:[^\"\\\\]|\\\\.)*)\""
+                    + "(?:,code=\"(\\d+)\")?(?:,holder=\"([^\"]*)\")?\\} (-?\\d+)");
 
     @Parameter(description = "HOST:PORT... of the metrics pages", required = true)
     private List<String> nodes = new ArrayList<>();
@@ -36,6 +38,9 @@
     private static final class Totals {
         private long admitted;
         private long units;
+        private long limit;
+        private long use;
+        private String holder = "";
         private final Map<String, Long> refusedByCode = new TreeMap<>();
 
         private void add(String metric, String code, long value) {
@@ -45,6 +50,10 @@
                 units += value;
             } else if (metric.equals("refused_total")) {
                 refusedByCode.merge(code, value, Long::sum);
+            } else if (metric.equals("limit_per_second")) {
+                limit = Math.max(limit, value);
+            } else if (metric.equals("use_per_second")) {
+                use = Math.max(use, value);
             }
         }
     }
@@ -82,9 +91,11 @@
             return;
         }
         String account = m.group(2).replaceAll("\\\\(.)", "$1");
-        totalsByAccount
-                .computeIfAbsent(account, a -> new Totals())
-                .add(m.group(1), m.group(3), Long.parseLong(m.group(4)));
+        Totals t = totalsByAccount.computeIfAbsent(account, a -> new Totals());
+        t.add(m.group(1), m.group(3), Long.parseLong(m.group(5)));
+        if (m.group(4) != null && !m.group(4).isEmpty()) {
+            t.holder = m.group(4);
+        }
     }
 
     private void print(String account, Totals t) {
@@ -92,13 +103,20 @@
             ObjectNode n = Json.object()
                     .put("account", account)
                     .put("admitted", t.admitted)
-                    .put("units", t.units);
+                    .put("units", t.units)
+                    .put("limitPerSecond", t.limit)
+                    .put("usePerSecond", t.use)
+                    .put("holder", t.holder);
             ObjectNode refused = n.putObject("refused");
             t.refusedByCode.forEach(refused::put);
             System.out.println(Json.text(n));
             return;
         }
         StringBuilder line = new StringBuilder(account + " admitted=" + t.admitted + " units=" + t.units);
+        if (t.limit > 0) {
+            line.append(" limit_per_s=").append(t.limit).append(" use_per_s=").append(t.use);
+            line.append(" holder=").append(t.holder);
+        }
         t.refusedByCode.forEach((code, count) ->
                 line.append(" refused_").append(code).append('=').append(count));
         System.out.println(line);
--- a/cli/src/test/java/org/quetzalvane/cli/QuetzalvaneMainTest.java
+++ b/cli/src/test/java/org/quetzalvane/cli/QuetzalvaneMainTest.java
@@ -206,6 +206,9 @@
                 quetzalvane_account_admitted_total{account="q\\"b"} 1
                 quetzalvane_account_units{account="a"} 900
                 quetzalvane_account_refused_total{account="a",code="215"} 2
+                quetzalvane_account_limit_per_second{account="a"} 500
+                quetzalvane_account_use_per_second{account="a"} 420
+                quetzalvane_account_holder{account="a",holder="10.0.0.1:7400"} 1
                 quetzalvane_refused_total{code="215"} 7
                 quetzalvane_peers_up 2
                 """;
@@ -214,7 +217,9 @@
             String[] pages = {"127.0.0.1:" + one.port(), "127.0.0.1:" + two.port()};
             assertThat(QuetzalvaneMain.run("accounts", pages[0], pages[1])).isZero();
             assertThat(out.toString(StandardCharsets.UTF_8).lines())
-                    .containsExactly("a admitted=6 units=1800 refused_215=4", "q\"b admitted=2 units=0");
+                    .containsExactly(
+                            "a admitted=6 units=1800 limit_per_s=500 use_per_s=420 holder=10.0.0.1:7400 refused_215=4",
+                            "q\"b admitted=2 units=0");
             out.reset();
             assertThat(QuetzalvaneMain.run("accounts", "--json", pages[0], UNREACHABLE))
                     .isEqualTo(1);
--- a/entry/src/main/java/org/quetzalvane/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryMetrics.java
@@ -1,8 +1,10 @@
 package org.quetzalvane.entry;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
@@ -11,6 +13,7 @@
 import com.codahale.metrics.Snapshot;
 import com.codahale.metrics.UniformReservoir;
 import org.quetzalvane.core.event.EventCode;
+import org.quetzalvane.core.limit.AccountUse;
 
 /**
  * Counters, gauges and duration histograms of a node, updated from the events of its structured log and rendered in the
@@ -24,6 +27,7 @@
 
     private final MetricRegistry registry = new MetricRegistry();
     private final AccountLabels accounts = new AccountLabels();
+    private Supplier<List<AccountUse>> accountUses = List::of;
 
     /**
      * Increments the counter of an event and that of its field {@code code}, if there is one. For {@code REQUEST_DONE},
@@ -76,6 +80,24 @@
         return counter("account_" + name + "{account=\"" + accounts.of(account) + "\"" + moreLabels + "}");
     }
 
+    /** Sets the source of the limits of accounts, read at each scrape. */
+    void accountUses(Supplier<List<AccountUse>> source) {
+        accountUses = source;
+    }
+
+    /** Limit, use over all nodes and holder of each account that has a label of its own. */
+    private void accountLines(StringBuilder out, AccountUse use) {
+        String label = accounts.of(use.account());
+        if (label.equals(AccountLabels.OTHER)) {
+            return;
+        }
+        String labels = "{account=\"" + label + "\"";
+        line(out, PREFIX + "account_limit_per_second" + labels + "}", Math.round(use.limitPerSecond()));
+        line(out, PREFIX + "account_use_per_second" + labels + "}", Math.round(use.allPerSecond()));
+        line(out, PREFIX + "account_local_share" + labels + "}", use.localShare() ? 1 : 0);
+        line(out, PREFIX + "account_holder" + labels + ",holder=\"" + use.holder() + "\"}", 1);
+    }
+
     /** Registers a gauge that is evaluated at each scrape. */
     void gauge(String name, LongSupplier value) {
         registry.register(PREFIX + name, (Gauge<Long>) value::getAsLong);
@@ -86,6 +108,7 @@
         StringBuilder out = new StringBuilder();
         registry.getCounters().forEach((name, c) -> line(out, name, c.getCount()));
         registry.getGauges().forEach((name, g) -> line(out, name, ((Number) g.getValue()).longValue()));
+        accountUses.get().forEach(use -> accountLines(out, use));
         for (Map.Entry<String, Histogram> h : registry.getHistograms().entrySet()) {
             Snapshot s = h.getValue().getSnapshot();
             for (double q : QUANTILES) {
--- a/entry/src/main/java/org/quetzalvane/entry/NodeGauges.java
+++ b/entry/src/main/java/org/quetzalvane/entry/NodeGauges.java
@@ -24,6 +24,7 @@
         metrics.gauge("endpoints_limited", () -> peerService.permits().limitedEndpoints());
         metrics.gauge("permits_granted", () -> peerService.permits().granted());
         metrics.gauge("permits_denied", () -> peerService.permits().denied());
+        metrics.accountUses(() -> peerService.allowances().uses());
         metrics.gauge("budgets_held", () -> peerService.allowances().held());
         metrics.gauge("members", () -> peerTable.members().size());
         metrics.gauge("duties_held", () -> lease.owned().size());
--- a/entry/src/test/java/org/quetzalvane/entry/EntryMetricsTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EntryMetricsTest.java
@@ -1,8 +1,11 @@
 package org.quetzalvane.entry;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.limit.AccountAllowances;
+import org.quetzalvane.core.limit.AccountUse;
 import org.quetzalvane.core.routes.Allowance;
 import org.quetzalvane.core.routes.ClientAccount;
 
@@ -35,6 +38,19 @@
         assertThat(m.text().lines().filter(l -> l.contains("account_refused"))).hasSize(AccountLabels.MAX_ACCOUNTS + 1);
     }
 
+    /** Guards against an operator who cannot see which node holds the budget of an account. */
+    @Test
+    void limitUseAndHolderOfAnAccountAreShown() {
+        EntryMetrics m = new EntryMetrics();
+        m.accountUses(() -> List.of(new AccountUse("a", 2_700, 10, 1_200, 3, true, "10.0.0.1:7400")));
+        assertThat(m.text().lines())
+                .containsExactly(
+                        "quetzalvane_account_limit_per_second{account=\"a\"} 2700",
+                        "quetzalvane_account_use_per_second{account=\"a\"} 1200",
+                        "quetzalvane_account_local_share{account=\"a\"} 1",
+                        "quetzalvane_account_holder{account=\"a\",holder=\"10.0.0.1:7400\"} 1");
+    }
+
     @Test
     void eventsAreCountedAndDurationsRecorded() {
         EntryMetrics m = new EntryMetrics();
