Give the test of long responses an idle timeout that a loaded machine does not reach

With a pause of 300 ms between the requests it fails with the same message. Change: 1 s instead of 200 ms, and responses that take 2.5 s instead of 0.9 s, so that they still take longer than the timeout.

--- a/adapters/src/test/java/org/quetzalvane/adapters/http/LongResponseTest.java
+++ b/adapters/src/test/java/org/quetzalvane/adapters/http/LongResponseTest.java
@@ -17,8 +17,10 @@
 
 /** Responses that take longer than the read timeout, and clients that disconnect while they wait. */
 class LongResponseTest {
-    private static final Duration READ_TIMEOUT = Duration.ofMillis(200);
-    private static final Duration LONGER_THAN_READ_TIMEOUT = Duration.ofMillis(900);
+    /** Also the idle timeout between two requests of a connection, which a test on a loaded machine must not reach. */
+    private static final Duration READ_TIMEOUT = Duration.ofSeconds(1);
+
+    private static final Duration LONGER_THAN_READ_TIMEOUT = Duration.ofMillis(2_500);
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
     private static final byte[] BODY = "{}".getBytes(StandardCharsets.UTF_8);
 
