Return connections to the pool at the end of a response again

Cause: with it, a request that follows at once never finds the connection of the one before, and all 19 cases of TruncatedStreamTest failed, which send their second request on a kept connection; the fault that it was to mend had not been shown by a failing test. Ruled out: a change of framing, the assertion that fails is that of the kept connection. A second response in the same read that echoes no id stays a gap, see Not proved in docs/PROOFS.md.

--- a/transport/src/main/java/org/quetzalvane/transport/ClientConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ClientConnection.java
@@ -25,10 +25,9 @@
 /**
  * One client connection and the call in progress on it.
  *
- * <p>The connection returns to the pool only after a complete response to a request that was written completely, and
- * once all bytes read with the response are processed: a second response among them must not be taken for that to the
- * next request. It is closed when data arrives while no call is in progress. A response that the listener does not
- * match is discarded, up to a bound in bytes. Confined to the event loop.
+ * <p>The connection returns to the pool only after a complete response to a request that was written completely. It is
+ * closed when data arrives while no call is in progress. A response that the listener does not match is discarded, up
+ * to a bound in bytes. Confined to the event loop.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     /** Subtracted from the idle timeout that a server states, ms, to allow for the network delay of a request. */
@@ -50,9 +49,6 @@
     private boolean discarding;
     private long bytesWithoutProgress;
     private boolean keepAlive;
-    /** Whether the connection returns to the pool unless more bytes were read with the complete response. */
-    private boolean returning;
-
     private long idleSince;
     private long idleTimeoutMs;
     private Scheduler.Timer idleTimer;
@@ -68,7 +64,7 @@
     }
 
     boolean isIdle() {
-        return listener == null && !returning && ctx != null && ctx.channel().isActive();
+        return listener == null && ctx != null && ctx.channel().isActive();
     }
 
     long idleMs() {
@@ -130,14 +126,6 @@
         }
     }
 
-    @Override
-    public void channelReadComplete(ChannelHandlerContext c) {
-        if (returning) {
-            returning = false;
-            startIdle();
-        }
-    }
-
     private void handle(HttpObject o) {
         if (o.decoderResult().isFailure()) {
             Throwable cause = o.decoderResult().cause();
@@ -148,7 +136,6 @@
             return;
         }
         if (listener == null) {
-            returning = false;
             close();
             return;
         }
@@ -192,7 +179,7 @@
         listener = null;
         if (keepAlive && written.isSuccess() && ctx.channel().isActive()) {
             ctx.channel().config().setAutoRead(true);
-            returning = true;
+            startIdle();
         } else {
             close();
         }
