Keep streams at their software version after the loss of all nodes

Cause: origins of streams were kept in the nodes' memory only. A node that started after a loss of all nodes took the versions that it saw listed for all that had served, and let a stream of unknown origin go on at the only one, which may be another version than the one that began it. While several versions were listed, all resumed streams were refused.

Change: one node records the served versions in the store, and a node that has followed the endpoints' list for less than 60 s reads them before it lets an unknown stream go on; an outdated list lets none go on.

--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -22,6 +22,8 @@
     CONFIG_MOVED(2009, "A newer configuration of the platform operator is in force."),
     STORE_LOST(2010, "The platform store does not respond."),
     STORE_BACK(2011, "The platform store responds again."),
+    SERVED_VERSIONS(2014, "The software versions that serve each service were recorded in the platform store."),
+    STREAM_ORIGINS_KEPT(2015, "This node began to keep the software versions of streams in the platform store."),
     STORE_RESTORED(2013, "The platform store came back from a copy; its records are read again."),
     BAD_RECORD(2012, "A record of the platform store is invalid and was skipped."),
     LOG_DOWN(2003, "The log service is unreachable."),
--- a/core/src/main/java/org/quetzalvane/core/fleet/EndpointTable.java
+++ b/core/src/main/java/org/quetzalvane/core/fleet/EndpointTable.java
@@ -27,10 +27,12 @@
     public static final long LAST_RESORT_MS = 1_000;
 
     /**
-     * Time for which a leaving endpoint is kept, ns, so that a ready entry that arrives late does not restore a drained
-     * one.
+     * Time for which a leaving endpoint is kept, ms, so that a ready entry that arrives late does not restore a drained
+     * one, and its software version stays known for longer than any stream lasts.
      */
-    private static final long RETENTION_NANOS = 60_000_000_000L;
+    public static final long RETENTION_MS = 60_000;
+
+    private static final long RETENTION_NANOS = RETENTION_MS * 1_000_000;
 
     /** Largest number of marks kept: several times the endpoints of a deployment. */
     private static final int MAX_LEAVING_MARKS = 1_000;
@@ -192,6 +194,13 @@
                 .collect(Collectors.toSet());
     }
 
+    /** Software versions of the endpoints of all services, including those that left within the retention time. */
+    public Set<ServiceVersion> softwareVersions() {
+        return tracked.values().stream()
+                .map(known -> new ServiceVersion(known.endpoint.service(), known.endpoint.softwareVersion()))
+                .collect(Collectors.toSet());
+    }
+
     /** All endpoints that are not leaving. */
     public List<Endpoint> ready() {
         return tracked.values().stream()
--- a/core/src/main/java/org/quetzalvane/core/serve/ServingContext.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ServingContext.java
@@ -44,6 +44,7 @@
  * @param admission refuses requests beyond the engines' capacity
  * @param retryBudget this node's share of the retry budget
  * @param streamOrigins software versions that streams come from
+ * @param servedVersions software versions that may have begun a stream of unknown origin
  * @param quarantine requests that crash endpoints
  * @param endpointClient port for requests to endpoints
  * @param log structured log
@@ -68,6 +69,7 @@
         Admission admission,
         RetryBudgetShare retryBudget,
         StreamOrigins streamOrigins,
+        ServedVersions servedVersions,
         PromptQuarantine quarantine,
         EndpointClient endpointClient,
         StructuredLog log) {}
--- a/core/src/main/java/org/quetzalvane/core/serve/StreamOrigins.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/StreamOrigins.java
@@ -17,4 +17,12 @@
      * @param done called once with the version, or with null if it is unknown; possibly before this method returns
      */
     void find(String requestId, Consumer<String> done);
+
+    /**
+     * Looks up the software version as {@link #find}, in what was kept beyond the loss of all nodes.
+     *
+     * @param requestId id of the request, or null
+     * @param done called once with the version, or with null if it is unknown; possibly before this method returns
+     */
+    void findArchived(String requestId, Consumer<String> done);
 }
--- a/core/src/main/java/org/quetzalvane/core/serve/StreamVersion.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/StreamVersion.java
@@ -32,8 +32,8 @@
     }
 
     /**
-     * Finds out which version a stream that the caller resumes must come from. A stream of unknown origin may go on
-     * only while its service has a single software version.
+     * Finds out which version a stream that the caller resumes must come from. A stream that no node knows may go on if
+     * its service has had a single software version for as long as streams last, or if its origin was archived.
      *
      * @param done called once with whether the request may go on; possibly before this method returns
      */
@@ -43,13 +43,27 @@
             return;
         }
         context.streamOrigins().find(request.resumes(), version -> {
-            Set<String> versions = context.endpoints().softwareVersions(service);
-            boolean single = versions.size() == 1;
-            required = version == null && single ? versions.iterator().next() : version;
-            done.accept(required != null);
+            if (version == null) {
+                context.servedVersions().find(service, versions -> resolveUnknown(versions, done));
+            } else {
+                require(version, done);
+            }
         });
     }
 
+    private void resolveUnknown(Set<String> versions, Consumer<Boolean> done) {
+        if (versions.size() == 1) {
+            require(versions.iterator().next(), done);
+        } else {
+            context.streamOrigins().findArchived(request.resumes(), version -> require(version, done));
+        }
+    }
+
+    private void require(String version, Consumer<Boolean> done) {
+        required = version;
+        done.accept(version != null);
+    }
+
     /** Records that events of an endpoint are sent to the caller. */
     void eventsSentFrom(Endpoint e) {
         if (recorded) {
--- a/core/src/main/java/org/quetzalvane/core/team/StreamOriginTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/StreamOriginTable.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
 import java.util.function.Supplier;
 
 import it.unimi.dsi.fastutil.longs.Long2ObjectLinkedOpenHashMap;
@@ -21,8 +22,8 @@
  * also after the one that began it was lost.
  *
  * <p>Each node sends what it records to all hubs within {@link #BROADCAST_DELAY_MS}; nothing waits for it. A node that
- * does not know a stream asks some hubs. A stream that nobody knows stays unknown. Requests are identified by a 64-bit
- * hash of their id. Confined to the event loop.
+ * does not know a stream asks some hubs; {@link StreamOriginArchive} keeps origins beyond the loss of all nodes.
+ * Requests are identified by a 64-bit hash of their id. Confined to the event loop.
  */
 public final class StreamOriginTable implements StreamOrigins {
     /** Time for which an origin is kept, ms: longer than any deadline of a caller, within which it resumes a stream. */
@@ -45,6 +46,8 @@
     private final Long2ObjectLinkedOpenHashMap<Origin> origins = new Long2ObjectLinkedOpenHashMap<>();
     private final Map<Long, Lookup> lookups = new HashMap<>();
     private Map<String, List<Long>> unsent = new HashMap<>();
+    private ObjLongConsumer<String> addedListener = (softwareVersion, stream) -> {};
+    private StreamOriginArchive archive;
     private long lastNumber;
 
     /**
@@ -77,6 +80,37 @@
         }
     }
 
+    /** Sets the archive that knows streams of nodes that were lost. */
+    public void setArchive(StreamOriginArchive archive) {
+        this.archive = archive;
+    }
+
+    /** Sets the listener for origins that this node or a peer has recorded, with the hash of the request's id. */
+    void onAdded(ObjLongConsumer<String> listener) {
+        addedListener = listener;
+    }
+
+    /** Adds an origin from the archive, unless a node has recorded one for the stream. */
+    void addArchived(long stream, String softwareVersion) {
+        if (!origins.containsKey(stream)) {
+            put(stream, softwareVersion);
+        }
+    }
+
+    /** Known origins: the streams of each software version. */
+    Map<String, List<Long>> all() {
+        removeExpired();
+        Map<String, List<Long>> streams = new HashMap<>();
+        origins.forEach((stream, origin) -> streams.computeIfAbsent(origin.softwareVersion(), v -> new ArrayList<>())
+                .add(stream));
+        return streams;
+    }
+
+    /** The version that sent the events of a request as known to this node, or null. */
+    String known(String requestId) {
+        return requestId == null ? null : get(HASH.hashChars(requestId));
+    }
+
     /** Number of origins known. */
     public int size() {
         removeExpired();
@@ -86,7 +120,7 @@
     @Override
     public void record(String requestId, String softwareVersion) {
         long stream = HASH.hashChars(requestId);
-        put(stream, softwareVersion);
+        add(stream, softwareVersion);
         if (unsent.isEmpty()) {
             scheduler.schedule(Duration.ofMillis(BROADCAST_DELAY_MS), this::broadcast);
         }
@@ -108,9 +142,14 @@
         }
     }
 
+    @Override
+    public void findArchived(String requestId, Consumer<String> done) {
+        archive.find(requestId, done);
+    }
+
     /** Processes the origins that a peer has recorded. */
     public void onOrigins(PeerMessage.StreamOrigins m) {
-        m.streams().forEach((version, streams) -> streams.forEach(s -> put(s, version)));
+        m.streams().forEach((version, streams) -> streams.forEach(s -> add(s, version)));
     }
 
     /** Replies to the lookup of a peer. */
@@ -156,6 +195,11 @@
         hubs.get().forEach(h -> network.test(h, m));
     }
 
+    private void add(long stream, String softwareVersion) {
+        put(stream, softwareVersion);
+        addedListener.accept(softwareVersion, stream);
+    }
+
     private void put(long stream, String softwareVersion) {
         origins.putAndMoveToLast(stream, new Origin(softwareVersion, scheduler.nanoTime()));
         removeExpired();
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -90,6 +90,7 @@
                 new Admission(),
                 retryBudget,
                 origins,
+                (service, done) -> done.accept(endpoints.softwareVersions(service)),
                 quarantine,
                 client,
                 (code, subject, fields) -> logged.add(code));
@@ -354,9 +355,15 @@
     /** Fake that completes each lookup at once, or when the test does. */
     static final class FakeStreamOrigins implements StreamOrigins {
         final Map<String, String> known = new HashMap<>();
+        final Map<String, String> archived = new HashMap<>();
         final List<Runnable> pending = new ArrayList<>();
         boolean held;
 
+        @Override
+        public void findArchived(String requestId, Consumer<String> done) {
+            done.accept(archived.get(requestId));
+        }
+
         @Override
         public void record(String requestId, String softwareVersion) {
             known.put(requestId, softwareVersion);
--- a/core/src/test/java/org/quetzalvane/core/serve/StreamVersionTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/StreamVersionTest.java
@@ -61,6 +61,15 @@
         assertThat(client.sent).containsExactly(engine);
     }
 
+    @ParameterizedTest
+    @CsvSource({"v1, engine-1", "v2, engine-2"})
+    void streamThatNoNodeKnowsGoesOnAtItsArchivedVersion(String version, String engine) {
+        setVersion("engine-2", "v2");
+        origins.archived.put("began", version);
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER, "1", "began");
+        assertThat(client.sent).containsExactly(engine);
+    }
+
     /**
      * The only version at the arrival of the request stays required when another one appears before a retry, which then
      * goes to a leaving engine of that version.
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -35,6 +35,7 @@
 import org.quetzalvane.core.team.PeerTable;
 import org.quetzalvane.core.team.RecordRelay;
 import org.quetzalvane.core.team.StatusExchange;
+import org.quetzalvane.core.team.StreamOriginArchive;
 import org.quetzalvane.platform.BootSettings;
 import org.quetzalvane.platform.EndpointGateway;
 import org.quetzalvane.platform.Ingress;
@@ -80,6 +81,8 @@
      * signal may be cut off when the process ends.
      */
     private static final long ACCEPT_AFTER_STOP_MS = 2_500;
+    /** Partition whose owner records the software versions that serve. */
+    private static final int SERVED_VERSIONS_PARTITION = 0;
     /** One in this many {@code REQUEST_DONE} events is logged, chosen by the hash of the request id. */
     private static final int REQUEST_DONE_EVENTS_PER_LOG_LINE = 16;
 
@@ -101,6 +104,7 @@
     private final AssignmentLease lease;
     private final AssignedEngines assignedEngines;
     private final PeerService peerService;
+    private final StreamOriginArchive originArchive;
     private final AssignmentMember assignmentMember;
     private final EndpointGateway gateway;
     private final ServingContext servingContext;
@@ -116,9 +120,9 @@
         log = this::logEvent;
         loop.onFailure(this::logTaskFailure);
         HttpClient http = new HttpClient(loop, CONNECT_TIMEOUT_MS);
-        StoreClient store =
-                new StoreClient(http, loop, settings.storeAddress(), STORE_TIMEOUT_MS, new StoreEraLog(log));
-        platform = new PlatformState(loop, store, log, this::reconcile);
+        StoreClient store = new StoreClient(
+                http, loop, settings.storeAddress(), STORE_TIMEOUT_MS, new StoreEraLog(log, this::storeRestored));
+        platform = new PlatformState(loop, store, log, this::reconcile, this::recordsServedVersions);
         EndpointNoticeHandler notices = new EndpointNoticeHandler(
                 platform.endpoints(),
                 log,
@@ -148,6 +152,13 @@
                 relay,
                 m -> notices.markDraining(m.endpoint(), m.bornMs(), m.from()),
                 settings.quota());
+        originArchive = new StreamOriginArchive(
+                loop,
+                store.streamOrigins(),
+                peerService.streamOrigins(),
+                () -> recordsServedVersions() && platform.servedVersions().mixed(),
+                log);
+        peerService.streamOrigins().setArchive(originArchive);
         platform.exchange(relay, peerService::relayRecords);
         assignmentMember = new AssignmentMember(
                 loop,
@@ -178,6 +189,7 @@
             platform.start();
             assignmentMember.start();
             peerService.start(transport);
+            originArchive.start();
         });
     }
 
@@ -262,11 +274,21 @@
                 new Admission(),
                 retries,
                 peerService.streamOrigins(),
+                platform.servedVersions(),
                 peerService.quarantine(),
                 gateway,
                 log);
     }
 
+    private boolean recordsServedVersions() {
+        return lease.owns(SERVED_VERSIONS_PARTITION);
+    }
+
+    private void storeRestored() {
+        platform.servedVersions().storeRestored();
+        originArchive.storeRestored();
+    }
+
     private boolean keysVerifiable() {
         BootSettings.Revocation r = settings.revocation();
         return !r.strict() || platform.configAgeMs() <= r.afterMs();
--- a/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
@@ -17,6 +18,7 @@
 import org.quetzalvane.core.store.StoreRecord;
 import org.quetzalvane.core.team.PeerMessage;
 import org.quetzalvane.core.team.RecordRelay;
+import org.quetzalvane.core.team.ServedVersionTable;
 import org.quetzalvane.core.time.Scheduler;
 import org.quetzalvane.platform.RecordDecoder;
 import org.quetzalvane.platform.StoreClient;
@@ -39,6 +41,9 @@
      */
     static final long ENTRIES_INTERVAL_MS = 700;
 
+    /** Age of the endpoints' entries up to which they are up to date, ms: two reads and the intervals after them. */
+    private static final long MAX_ENTRIES_AGE_MS = 2 * (ENTRIES_WAIT_MS + ENTRIES_INTERVAL_MS);
+
     // Names of the topics in the messages between nodes; the store has names of its own.
     private static final String PEER_TOPIC_OPERATOR = "operator";
     private static final String PEER_TOPIC_ENDPOINTS = "endpoints";
@@ -48,6 +53,7 @@
     private final EndpointTable endpoints;
     private final RecordFollower operatorRecords;
     private final RecordFollower entries;
+    private final ServedVersionTable servedVersions;
     private final StructuredLog log;
     private final Runnable changed;
     /** Whether the batch of records in progress changed the configuration or an endpoint. */
@@ -59,8 +65,14 @@
      * Creates the state of a node that has read nothing yet.
      *
      * @param changed runs after a batch of records in which the configuration or an endpoint changed
+     * @param recordsVersions whether this node records in the store which software versions serve
      */
-    PlatformState(Scheduler scheduler, StoreClient store, StructuredLog log, Runnable changed) {
+    PlatformState(
+            Scheduler scheduler,
+            StoreClient store,
+            StructuredLog log,
+            Runnable changed,
+            BooleanSupplier recordsVersions) {
         this.log = log;
         this.changed = changed;
         endpoints = new EndpointTable(scheduler);
@@ -73,6 +85,8 @@
                 ENTRIES_WAIT_MS,
                 ENTRIES_INTERVAL_MS,
                 this::applyEndpointRecord);
+        servedVersions = new ServedVersionTable(
+                scheduler, store.servedVersions(), endpoints, this::entriesCurrent, recordsVersions, log);
         operatorRecords.onBatchApplied(this::batchApplied);
         entries.onBatchApplied(this::batchApplied);
     }
@@ -80,6 +94,7 @@
     void start() {
         operatorRecords.start();
         entries.start();
+        servedVersions.start();
     }
 
     CurrentConfig config() {
@@ -94,6 +109,15 @@
         return endpoints;
     }
 
+    /** Software versions that serve each service, also before this node started. */
+    ServedVersionTable servedVersions() {
+        return servedVersions;
+    }
+
+    private boolean entriesCurrent() {
+        return entries.initialized() && entriesAgeMs() <= MAX_ENTRIES_AGE_MS;
+    }
+
     /** Whether the configuration and the endpoints are known, as serving requires. */
     boolean complete() {
         return config.current().isPresent() && entries.initialized();
--- a/entry/src/main/java/org/quetzalvane/entry/StoreEraLog.java
+++ b/entry/src/main/java/org/quetzalvane/entry/StoreEraLog.java
@@ -8,12 +8,14 @@
  * Logs the changes of the store's era and its answers that exceed their bound.
  *
  * @param log structured log
+ * @param storeRestored runs when the store has come back from a copy
  */
-record StoreEraLog(StructuredLog log) implements StoreClient.EraListener {
+record StoreEraLog(StructuredLog log, Runnable storeRestored) implements StoreClient.EraListener {
 
     @Override
     public void restored(long before, long after) {
         log.log(EventCode.STORE_RESTORED, "store", "era_before", before, "era", after);
+        storeRestored.run();
     }
 
     @Override
--- a/entry/src/test/java/org/quetzalvane/entry/LoopbackCluster.java
+++ b/entry/src/test/java/org/quetzalvane/entry/LoopbackCluster.java
@@ -67,6 +67,13 @@
         return nodes.get(index);
     }
 
+    /** Closes all nodes at once; nodes that are started later know none of them. */
+    void closeNodes() {
+        nodes.forEach(EntryNode::close);
+        nodes.clear();
+        settings.clear();
+    }
+
     @Override
     public void afterEach(ExtensionContext context) throws Exception {
         for (AutoCloseable e : endpoints) {
--- a/entry/src/test/java/org/quetzalvane/entry/MixedVersionStreamTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/MixedVersionStreamTest.java
@@ -30,6 +30,9 @@
 class MixedVersionStreamTest {
     private static final int STREAMS = 8;
     private static final int MAX_TRIES = 100;
+    /** Time after which the origin of a stream is in the store, ms: three intervals of writes. */
+    private static final long ARCHIVED_AFTER_MS = 1_500;
+
     private static final Pattern EVENT_VERSION = Pattern.compile("event: (v\\d)\n");
 
     @RegisterExtension
@@ -111,11 +114,56 @@
         assertThat(engines.get(1).ranRequests()).isEmpty();
     }
 
+    /** The origins of all streams are lost with the nodes, and the version that began a stream may have left. */
+    @ParameterizedTest
+    @CsvSource({"v2, 503", "v1, 200"})
+    void streamBrokenByTheLossOfAllNodesGoesOnOnlyAtTheVersionThatBeganIt(String versionAfterwards, int status)
+            throws Exception {
+        startEngines("v1", "v1");
+        startNodes();
+        assertThat(versions(begin("broken"))).containsExactly("v1");
+        awaitRecorded("v1");
+        cluster.closeNodes();
+        store.removeEndpoint("engine-1");
+        store.removeEndpoint("engine-2");
+        startEngine("engine-3", versionAfterwards);
+        startNodes();
+        for (BootSettings node : List.of(first, second)) {
+            String response = requestResume(node, "broken", "again-" + node.nodeName());
+            assertThat(response).startsWith("HTTP/1.1 " + status);
+            assertThat(ran("again-" + node.nodeName())).isEqualTo(status == 200);
+        }
+    }
+
+    @Test
+    void streamsBrokenByTheLossOfAllNodesGoOnAtTheirVersionsWhileBothServe() throws Exception {
+        startEngines("v1", "v2");
+        startNodes();
+        awaitRecorded("v2");
+        List<Set<String>> began = new ArrayList<>();
+        for (int i = 0; i < STREAMS; i++) {
+            began.add(versions(begin("broken-" + i)));
+        }
+        TimeUnit.MILLISECONDS.sleep(ARCHIVED_AFTER_MS);
+        cluster.closeNodes();
+        startNodes();
+        for (int i = 0; i < STREAMS; i++) {
+            assertThat(versions(resume(second, "broken-" + i, "again-" + i))).isEqualTo(began.get(i));
+        }
+    }
+
     /** Sends a request whose stream breaks off after its third event, at every attempt. */
     private String begin(String id) throws IOException {
         return CallerClient.send(first.callerAddress(), "POST", "/events/x", id, "m/a1");
     }
 
+    /** Waits until the store holds a software version that served. */
+    private void awaitRecorded(String version) throws InterruptedException {
+        for (int i = 0; i < MAX_TRIES && !store.servedVersions().contains(version); i++) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
     /** Waits until both nodes begin new streams at a software version. */
     private void awaitNewStreamsAt(String version) throws IOException, InterruptedException {
         for (BootSettings node : List.of(first, second)) {
--- a/entry/src/test/java/org/quetzalvane/entry/NodeCostMain.java
+++ b/entry/src/test/java/org/quetzalvane/entry/NodeCostMain.java
@@ -122,12 +122,17 @@
                 new SimulatedNodes(1, engines.size()).nodes.values().iterator().next();
         PlatformState[] state = new PlatformState[1];
         StoreClient store = new StoreClient(
-                new HttpClient(loop, 100), loop, "127.0.0.1:9", 100, new StoreEraLog((code, subject, fields) -> {}));
+                new HttpClient(loop, 100),
+                loop,
+                "127.0.0.1:9",
+                100,
+                new StoreEraLog((code, subject, fields) -> {}, () -> {}));
         state[0] = new PlatformState(
                 loop,
                 store,
                 (code, subject, fields) -> {},
-                () -> node.assigned.reconcile(state[0].endpoints().ready()));
+                () -> node.assigned.reconcile(state[0].endpoints().ready()),
+                () -> false);
         PeerCodec codec = new PeerCodec();
         CostMeter encode = new CostMeter();
         CostMeter decode = new CostMeter();
