Let owners of engines resume at once after a restart

Load pattern: all nodes are killed and start again; requests wait for loads, and no node may order any.

A node looks for peers for 0.6 s before it joins the group, the group moves partitions only when their former owners join (every 650 ms), and a new owner waits 700 ms for the peers' statuses.

Change: a node that the group still lists joins at its start; where engines check fencing tokens it waits only until it has heard from each other owner listed. After a change of the assignment nodes join every 150 ms until three joins brought none, and send their status at once. Memberships last for 3 s instead of 2, so that most restarts fall within. A status is sent to a peer that connects.

Also not kept: settling the role of a node at its first status, which makes more hubs than wanted (StatusExchangeTest).

--- a/core/src/main/java/org/quetzalvane/core/team/AssignmentLease.java
+++ b/core/src/main/java/org/quetzalvane/core/team/AssignmentLease.java
@@ -26,7 +26,8 @@
     /**
      * Time from the first confirmed assignment until orders may start, ms, so that the status of each peer arrives
      * first: two status intervals (600) and 100 for the network. The group may assign all partitions to the first node
-     * that joins when all nodes start at once.
+     * that joins when all nodes start at once. Where engines check fencing tokens, a node that resumes its
+     * assignment of an earlier run waits no longer once it has heard from each other owner.
      */
     private static final long PEER_DISCOVERY_MS = 700;
 
@@ -64,6 +65,14 @@
          * @param generation generation that the previous owner must have seen
          */
         boolean mayStillOrder(int partition, long generation);
+
+        /**
+         * Whether this node resumes its assignment of an earlier run of its process, and has the status of each other
+         * owner that the group listed then.
+         */
+        default boolean allOwnersHeard() {
+            return false;
+        }
     }
 
     /**
@@ -136,14 +145,16 @@
     }
 
     /**
-     * Whether orders under a partition may start: false within {@link #PEER_DISCOVERY_MS}; then true if no previous
+     * Whether orders under a partition may start: false until the peers are known; then true if no previous
      * owner may still send orders, or if one lease has passed since a previous owner that reaches the store must have
      * stopped. One that does not reach it may go on for as long as it is cut off.
      */
     private boolean mayStartOrdering(int partition) {
         Long acquired = acquiredNanos.get(partition);
         long now = scheduler.nanoTime();
-        if (acquired == null || now - firstConfirmedNanos < PEER_DISCOVERY_MS * 1_000_000) {
+        boolean peersKnown = now - firstConfirmedNanos >= PEER_DISCOVERY_MS * 1_000_000
+                || fencingEnforced && previousOwner.allOwnersHeard();
+        if (acquired == null || !peersKnown) {
             return false;
         }
         boolean previousStopped = now - acquired >= leaseNanos + HANDOVER_MS * 1_000_000;
--- a/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.quetzalvane.core.time.Scheduler;
 
@@ -14,7 +15,7 @@
  * The nodes known to this node: the latest status of each node that reports to it, and the latest view of its own hub.
  * Confined to the event loop.
  */
-public final class PeerTable {
+public final class PeerTable implements AssignmentLease.PreviousOwner {
     /** Interval between status messages, ms: half of the age that endpoint loads may have. */
     public static final long STATUS_INTERVAL_MS = 300;
     /**
@@ -46,6 +47,9 @@
 
     private final Map<String, Long> knownPeers = new HashMap<>();
     private final Map<String, Long> suspectedUntilNanos = new HashMap<>();
+    /** Other owners of engines when this node resumed its membership of an earlier run, or null if it did not. */
+    private Set<String> otherOwners;
+
     private List<NodeInfo> viewNodes = List.of();
     private Map<Integer, String> viewOwners = Map.of();
     private long viewNanos;
@@ -87,6 +91,24 @@
         viewNodes.forEach(n -> addKnown(n.address()));
     }
 
+    /**
+     * Stores the owners of engines that the store's group lists at the start of this node, which is one of them from an
+     * earlier run of its process.
+     */
+    public void resumeOwner(Set<String> owners) {
+        owners.forEach(this::addKnown);
+        otherOwners = owners.stream().filter(o -> !o.equals(self)).collect(Collectors.toUnmodifiableSet());
+    }
+
+    @Override
+    public boolean allOwnersHeard() {
+        return otherOwners != null
+                && up().stream()
+                        .map(PeerMessage.Status::from)
+                        .collect(Collectors.toSet())
+                        .containsAll(otherOwners);
+    }
+
     /** Adds a peer that is up or is listed by the store. */
     public void addKnown(String peer) {
         knownPeers.put(peer, scheduler.nanoTime());
@@ -228,6 +250,7 @@
      * Whether a peer that is up and not leaving sent orders under a partition within the last lease, or was the last
      * peer to report the partition and reports an older generation.
      */
+    @Override
     public boolean mayStillOrder(int partition, long generation) {
         String lastOwner = lastReporterByPartition.get(partition);
         return up().stream()
--- a/core/src/main/java/org/quetzalvane/core/team/StatusExchange.java
+++ b/core/src/main/java/org/quetzalvane/core/team/StatusExchange.java
@@ -132,6 +132,23 @@
         run();
     }
 
+    /**
+     * Makes this node a hub before it knows others, because it was one in an earlier run of its process and still owns
+     * engines; it stays one for as long as a hub that is no longer selected.
+     */
+    public void resumeHub() {
+        if (!local.leaving().getAsBoolean()) {
+            becomeHub(scheduler.nanoTime());
+        }
+    }
+
+    /** Sends the status of this node to a peer that has just connected, if it reports to that peer. */
+    public void onConnect(String peer) {
+        if (statusReceivers().contains(peer)) {
+            network.send(peer, status());
+        }
+    }
+
     /** Whether this node is a hub. */
     public boolean isHub() {
         return hub;
--- a/core/src/test/java/org/quetzalvane/core/team/StatusExchangeTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/StatusExchangeTest.java
@@ -201,7 +201,9 @@
         assertThat(member.loads.total(ENDPOINT)).isEqualTo(new EndpointLoads.Load(94, 940));
     }
 
-    /** During an upgrade, hubs and members of the version without numbers of statuses and views run beside newer ones. */
+    /**
+     * During an upgrade, hubs and members of the version without numbers of statuses and views run beside newer ones.
+     */
     @ParameterizedTest
     @ValueSource(ints = {0, 1})
     void nodesOfAnOlderVersionAndNewerOnesKnowTheSame(int remainder) {
@@ -263,7 +265,7 @@
             this.address = address;
             this.zone = zone;
             peers = new PeerTable(clock, address, Set.of("10.0.0.0:1", "10.0.0.1:1"));
-            lease = new AssignmentLease(clock, true, 3_000, 24, peers::mayStillOrder);
+            lease = new AssignmentLease(clock, true, 3_000, 24, peers);
             StatusExchange.Components components = new StatusExchange.Components(
                     peers,
                     loads,
--- a/entry/src/main/java/org/quetzalvane/entry/AssignmentMember.java
+++ b/entry/src/main/java/org/quetzalvane/entry/AssignmentMember.java
@@ -17,6 +17,13 @@
 final class AssignmentMember {
     /** Interval between joins, ms: a third of the group's TTL, so that two lost responses do not end the membership. */
     private static final long JOIN_INTERVAL_MS = 650;
+    /**
+     * Interval between joins after a change of the assignment, ms: the group moves a partition only when its former
+     * owner joins under the new generation.
+     */
+    private static final long JOIN_INTERVAL_AFTER_CHANGE_MS = 150;
+    /** Number of joins without a change after which the usual interval applies again. */
+    private static final int UNCHANGED_JOINS = 3;
     /** Delay before a join without a response is retried, ms. */
     private static final long JOIN_RETRY_MS = 300;
     /**
@@ -34,18 +41,19 @@
     private final StructuredLog log;
     private final String self;
     private final long ttlMs;
-    private final Runnable changed;
+    private final Listeners listeners;
     private boolean leaving;
     /** Whether this node takes part in the group; only hubs do. */
     private boolean active;
     /** Number of the current membership; a response to a join of an earlier one is ignored. */
     private int membership;
 
+    private int unchangedJoins;
+
     /**
-     * Creates the member; {@link #start} joins the group.
+     * Creates the member; {@link #setActive} joins the group.
      *
      * @param membership name in the group and TTL of the membership
-     * @param changed runs when the assigned partitions or the generation changed
      */
     AssignmentMember(
             Scheduler scheduler,
@@ -54,7 +62,7 @@
             PeerTable peers,
             StructuredLog log,
             Membership membership,
-            Runnable changed) {
+            Listeners listeners) {
         this.scheduler = scheduler;
         this.group = group;
         this.lease = lease;
@@ -62,9 +70,17 @@
         this.log = log;
         this.self = membership.address();
         this.ttlMs = membership.ttlMs();
-        this.changed = changed;
+        this.listeners = listeners;
     }
 
+    /**
+     * What the member tells its node. Immutable.
+     *
+     * @param changed runs when the assigned partitions or the generation changed
+     * @param stillListed runs when the group lists this node at its start, from an earlier run of its process
+     */
+    record Listeners(Runnable changed, Runnable stillListed) {}
+
     /**
      * Membership of this node in the group. Immutable.
      *
@@ -73,8 +89,17 @@
      */
     record Membership(String address, long ttlMs) {}
 
-    /** Looks for first peers among the group's members if no seed answers. */
+    /**
+     * Takes part again at once if the group still lists this node, before its partitions are assigned to others; looks
+     * for first peers among the group's members if no seed answers.
+     */
     void start() {
+        group.members(addresses -> {
+            if (addresses != null && addresses.contains(self) && !leaving) {
+                peers.resumeOwner(addresses);
+                listeners.stillListed().run();
+            }
+        });
         scheduler.schedule(Duration.ofMillis(FIRST_LIST_DELAY_MS), this::findFirstPeers);
     }
 
@@ -91,7 +116,7 @@
         } else {
             group.leave(self);
             lease.release();
-            changed.run();
+            listeners.changed().run();
         }
     }
 
@@ -112,7 +137,10 @@
             if (leaving || current != membership) {
                 return;
             }
-            if (assignment != null && lease.update(assignment.generation(), assignment.partitions(), sinceSent)) {
+            boolean moved =
+                    assignment != null && lease.update(assignment.generation(), assignment.partitions(), sinceSent);
+            unchangedJoins = moved ? 0 : unchangedJoins + 1;
+            if (moved) {
                 log.log(
                         EventCode.DUTIES_CHANGED,
                         self,
@@ -120,13 +148,19 @@
                         assignment.generation(),
                         "duties",
                         assignment.partitions().size());
-                changed.run();
+                listeners.changed().run();
             }
-            scheduler.schedule(
-                    Duration.ofMillis(assignment == null ? JOIN_RETRY_MS : JOIN_INTERVAL_MS), () -> join(current));
+            scheduler.schedule(Duration.ofMillis(nextJoinMs(assignment != null)), () -> join(current));
         });
     }
 
+    private long nextJoinMs(boolean answered) {
+        if (!answered) {
+            return JOIN_RETRY_MS;
+        }
+        return unchangedJoins < UNCHANGED_JOINS ? JOIN_INTERVAL_AFTER_CHANGE_MS : JOIN_INTERVAL_MS;
+    }
+
     /** Reads the members once, and at an interval while this node is one, so that separated groups of nodes meet. */
     private void listMembers(int current) {
         if (leaving || current != membership) {
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -66,10 +66,10 @@
      */
     private static final long STORE_TIMEOUT_MS = 1_000;
     /**
-     * Time without a join after which the group assigns a node's partitions to others, ms: twice the platform's
-     * minimum.
+     * Time without a join after which the group assigns a node's partitions to others, ms: a process that was killed is
+     * usually back earlier and resumes its partitions.
      */
-    private static final long ASSIGNMENT_TTL_MS = 2_000;
+    private static final long ASSIGNMENT_TTL_MS = 3_000;
     /** Timeout of an order to an engine and of a read of its report, ms; the network delay is 1 ms. */
     private static final long ENGINE_CALL_TIMEOUT_MS = 150;
     /** Longest idle time, ms, of a pooled connection that may carry a request that cannot be retried. */
@@ -135,11 +135,7 @@
         peerTable = new PeerTable(loop, settings.peerAddress(), settings.seeds());
         loadTimes = new LoadTimeEstimator(loop, peerTable::loadsInFlight, platform::readyEnginesWithBaseModel);
         lease = new AssignmentLease(
-                loop,
-                settings.fencingEnforced(),
-                settings.leaseDurationMs(),
-                settings.enginePartitions(),
-                peerTable::mayStillOrder);
+                loop, settings.fencingEnforced(), settings.leaseDurationMs(), settings.enginePartitions(), peerTable);
         assignedEngines = new AssignedEngines(lease, this::createController);
         RecordRelay relay = new RecordRelay(loop, platform::appliedOffset);
         peerService = new PeerService(
@@ -167,7 +163,7 @@
                 peerTable,
                 log,
                 new AssignmentMember.Membership(settings.peerAddress(), ASSIGNMENT_TTL_MS),
-                this::reconcile);
+                new AssignmentMember.Listeners(this::assignmentChanged, peerService::resumeHub));
         servingContext = createServingContext();
         callerServer = new HttpServer(loop, this::callerLimits, this::serveCaller);
         CallerDirectory directory = new CallerDirectory(peerTable, peerService::self, settings.maxDirectoryTtlS());
@@ -353,6 +349,11 @@
         peerService.announceLeaving(e);
     }
 
+    private void assignmentChanged() {
+        reconcile();
+        peerService.sendStatus();
+    }
+
     private void reconcile() {
         platform.config().current().ifPresent(peerService::configureAllowances);
         peerService.permits().removeGone(id -> platform.endpoints().find(id) != null);
@@ -369,25 +370,9 @@
         if (service == null || !service.servesModels()) {
             return null;
         }
-        int partition = lease.partitionOf(e.id());
-        EngineController.TokenSource token = new EngineController.TokenSource() {
-            @Override
-            public long current() {
-                return platform.endpoints().backoffMs(e) > 0 ? -1 : lease.tokenForOrder(partition);
-            }
-
-            @Override
-            public void orderSent() {
-                lease.recordOrder(partition);
-            }
-
-            @Override
-            public void rejected(long t) {
-                lease.tokenRejected(t);
-            }
-        };
+        LeasedTokens tokens = new LeasedTokens(lease, platform.endpoints(), e);
         return new EngineController(
-                new EngineController.Context(loop, gateway, log, adapterUsage, loadTimes), token, service.engine(), e);
+                new EngineController.Context(loop, gateway, log, adapterUsage, loadTimes), tokens, service.engine(), e);
     }
 
     private ServerLimits callerLimits() {
--- a/entry/src/main/java/org/quetzalvane/entry/PeerService.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerService.java
@@ -157,6 +157,11 @@
         return exchange.isHub();
     }
 
+    /** Makes this node a hub at once, because the store's group still lists it as an owner of engines. */
+    void resumeHub() {
+        exchange.resumeHub();
+    }
+
     /** Sends this node's status ahead of the regular interval. */
     void sendStatus() {
         exchange.run();
@@ -284,6 +289,7 @@
     /** Called when the connection to a peer is made or lost. Status, loads and usage of a lost peer are dropped. */
     void connectionChanged(String peer, boolean connected) {
         if (connected) {
+            exchange.onConnect(peer);
             sendLeaving(peer);
             send(peer, new PeerMessage.EndpointLeavingRequest(address));
             quarantine.peerConnected(peer);
--- a/entry/src/test/java/org/quetzalvane/entry/PausedNodes.java
+++ b/entry/src/test/java/org/quetzalvane/entry/PausedNodes.java
@@ -35,7 +35,7 @@
     static final long LEASE_MS = 3_000;
 
     private static final int ZONES = 6;
-    private static final long GROUP_TTL_MS = 2_000;
+    private static final long GROUP_TTL_MS = 3_000;
 
     final ManualScheduler clock = new ManualScheduler();
     final PausedStore store = new PausedStore(clock);
@@ -54,6 +54,15 @@
         nodes.values().forEach(Node::start);
     }
 
+    /** Starts the process of a killed node again, which knows nothing of its earlier run. */
+    void restart(String address) {
+        Node before = nodes.get(address);
+        Node n = new Node(address, before.zone, before.capacity);
+        n.recoveredNanos = clock.nanoTime();
+        nodes.put(address, n);
+        n.start();
+    }
+
     Collection<Node> all() {
         return nodes.values();
     }
@@ -82,6 +91,8 @@
     /** A node with its own tables. */
     final class Node implements StatusExchange.Network {
         final String address;
+        private final String zone;
+        private final int capacity;
         final SuspendableScheduler scheduler = new SuspendableScheduler(clock);
         final AssignmentLease lease;
         final StatusExchange exchange;
@@ -99,9 +110,10 @@
 
         private Node(String address, String zone, int capacity) {
             this.address = address;
+            this.zone = zone;
+            this.capacity = capacity;
             peers = new PeerTable(scheduler, address, Set.of("10.0.0.0:1", "10.0.0.1:1"));
-            lease = new AssignmentLease(
-                    scheduler, fencingEnforced, LEASE_MS, PausedStore.PARTITIONS, peers::mayStillOrder);
+            lease = new AssignmentLease(scheduler, fencingEnforced, LEASE_MS, PausedStore.PARTITIONS, peers);
             PausedStore.Client client = store.new Client(scheduler, () -> storeReachable);
             member = new AssignmentMember(
                     scheduler,
@@ -110,14 +122,22 @@
                     peers,
                     (code, subject, fields) -> {},
                     new AssignmentMember.Membership(address, GROUP_TTL_MS),
-                    () -> {});
-            exchange = new StatusExchange(scheduler, components(), local(zone, capacity), this);
+                    new AssignmentMember.Listeners(this::assignmentChanged, this::resumeHub));
+            exchange = new StatusExchange(scheduler, components(), local(), this);
             relay = new RecordRelay(scheduler, topic -> followers.get(topic).appliedOffset());
             follow(client, OPERATOR, PlatformState.CONFIG_WAIT_MS, 0);
             follow(client, ENDPOINTS, PlatformState.ENTRIES_WAIT_MS, PlatformState.ENTRIES_INTERVAL_MS);
             startupRecords = new StartupRecords(scheduler, followers, peers::contacts, this::requestRecords);
         }
 
+        private void assignmentChanged() {
+            exchange.run();
+        }
+
+        private void resumeHub() {
+            exchange.resumeHub();
+        }
+
         private StatusExchange.Components components() {
             return new StatusExchange.Components(
                     peers,
@@ -130,7 +150,7 @@
                     (code, subject, fields) -> {});
         }
 
-        private StatusExchange.LocalNode local(String zone, int capacity) {
+        private StatusExchange.LocalNode local() {
             return new StatusExchange.LocalNode(
                     address, address, zone, capacity, () -> true, () -> false, this::positions, member::setActive);
         }
--- a/entry/src/test/java/org/quetzalvane/entry/PeerServiceTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/PeerServiceTest.java
@@ -50,7 +50,7 @@
         AdapterUsage usage = new AdapterUsage(clock);
         LoadTimeEstimator loadTimes = new LoadTimeEstimator(clock, () -> 0, () -> 1);
         PeerTable peers = new PeerTable(clock, "n1:1", Set.of());
-        AssignmentLease lease = new AssignmentLease(clock, true, 3_000, 1, peers::mayStillOrder);
+        AssignmentLease lease = new AssignmentLease(clock, true, 3_000, 1, peers);
         EngineController.Context context =
                 new EngineController.Context(clock, new ConflictingEngine(), log, usage, loadTimes);
         AssignedEngines assignedEngines =
--- a/entry/src/test/java/org/quetzalvane/entry/SimulatedNodes.java
+++ b/entry/src/test/java/org/quetzalvane/entry/SimulatedNodes.java
@@ -156,7 +156,7 @@
         Node(String address, String zone, int capacity) {
             this.address = address;
             peers = new PeerTable(clock, address, Set.copyOf(nodes.keySet()));
-            lease = new AssignmentLease(clock, true, 3_000, PARTITIONS, peers::mayStillOrder);
+            lease = new AssignmentLease(clock, true, 3_000, PARTITIONS, peers);
             LoadTimeEstimator loadTimes = new LoadTimeEstimator(clock, () -> 0, () -> 1);
             EngineController.Context context = new EngineController.Context(
                     clock, new SimulatedEngines(), (code, subject, fields) -> {}, usage, loadTimes);
