Learn how many loads the weight store carries at full speed

Load pattern: more missing adapters at once than the store carries at full speed.

Cause: the estimate of a load's duration took the store to carry as many loads as there are engines, at least eight. Where it carries 16 for 8 engines, loads were expected to take twice as long as they do, and requests and load places waited for loads that had ended. Where it carries fewer, requests reached engines before their adapter. A load was also not expected to be slowed down by those that started after it.

LoadTimeEstimator keeps the progress of the loads in flight. Metrics loads_in_flight and loads_at_full_speed.

--- a/core/src/main/java/org/quetzalvane/core/residency/EngineController.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/EngineController.java
@@ -200,7 +200,7 @@
             invalidateState();
             return;
         }
-        loadTimes.recordTooShort();
+        loadTimes.recordTooShort(engine.id(), ref);
         AdapterSlotTable.PendingLoad pending = slots.resumeLoading(ref);
         scheduler.schedule(Duration.ofMillis(REFUSED_LOAD_EXTENSION_MS), () -> loadCompleted(ref, pending));
     }
@@ -338,6 +338,11 @@
         if (closed || slots.loading(ref) != pending) {
             return;
         }
+        long remainingMs = loadTimes.remainingMs(engine.id(), ref);
+        if (remainingMs > 0) {
+            scheduler.schedule(Duration.ofMillis(remainingMs), () -> loadCompleted(ref, pending));
+            return;
+        }
         slots.stopLoading(ref);
         markResident(ref, pending.version());
         advance();
@@ -347,6 +352,7 @@
         slots.markResident(ref, version);
         log.log(EventCode.LOAD_FINISHED, engine.id(), "adapter", ref, "version", version);
         if (queue.contains(ref)) {
+            loadTimes.recordInTime(engine.id(), ref);
             adapterUsage.markUsed(engine.id(), ref);
             int requested = queue.version(ref);
             queue.complete(ref, requested == version || requested == RequiredVersions.ANY_VERSION);
--- a/core/src/test/java/org/quetzalvane/core/residency/LoadTimeEstimatorTest.java
+++ b/core/src/test/java/org/quetzalvane/core/residency/LoadTimeEstimatorTest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.quetzalvane.core.routes.AdapterRef;
@@ -24,6 +25,31 @@
         assertThat(lastMs).isEqualTo(expectedMs);
     }
 
+    /** Counts of peers are bounded by what the engines could have under way. */
+    @ParameterizedTest
+    @CsvSource({"-5, 265", "-2147483648, 265", "2147483647, 828"})
+    void invalidCountsOfPeersAreBounded(int peerLoads, long expectedMs) {
+        LoadTimeEstimator estimator = new LoadTimeEstimator(new ManualScheduler(), () -> peerLoads, () -> 6);
+        assertThat(estimator.loadStarted("e", new AdapterRef("m", "a"))).isEqualTo(expectedMs);
+    }
+
+    @Test
+    void loadIsSlowedDownByThoseThatStartLater() {
+        ManualScheduler clock = new ManualScheduler();
+        LoadTimeEstimator estimator = new LoadTimeEstimator(clock, () -> 0, () -> 4);
+        AdapterRef first = new AdapterRef("m", "a0");
+        assertThat(estimator.loadStarted("e0", first)).isEqualTo(265);
+        clock.advance(Duration.ofMillis(132));
+        for (int i = 1; i < 16; i++) {
+            estimator.loadStarted("e" + i, new AdapterRef("m", "a" + i));
+        }
+        clock.advance(Duration.ofMillis(133));
+        assertThat(estimator.remainingMs("e0", first)).isEqualTo(133);
+        clock.advance(Duration.ofMillis(133));
+        assertThat(estimator.remainingMs("e0", first)).isZero();
+        assertThat(estimator.loadsInFlight()).isEqualTo(15);
+    }
+
     @ParameterizedTest
     @CsvSource({"264, 1", "265, 0"})
     void loadsAreInFlightUntilTheirExpectedEnd(long elapsedMs, int inFlight) {
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -382,7 +382,7 @@
 
     /** Serves the metrics as text on a port of the IP address for callers; waits until the port is bound. */
     void listenMetrics(int port) {
-        NodeGauges.register(metrics, callerServer, platform, peerTable, peerService, lease);
+        NodeGauges.register(metrics, callerServer, platform, peerTable, peerService, lease, loadTimes);
         InetSocketAddress own = Addresses.parse(settings.callerAddress());
         new HttpServer(loop, this::callerLimits, this::serveMetrics)
                 .listen(new InetSocketAddress(own.getAddress(), port));
--- a/entry/src/main/java/org/quetzalvane/entry/NodeGauges.java
+++ b/entry/src/main/java/org/quetzalvane/entry/NodeGauges.java
@@ -1,5 +1,6 @@
 package org.quetzalvane.entry;
 
+import org.quetzalvane.core.residency.LoadTimeEstimator;
 import org.quetzalvane.core.team.AssignmentLease;
 import org.quetzalvane.core.team.PeerTable;
 import org.quetzalvane.transport.HttpServer;
@@ -14,7 +15,8 @@
             PlatformState platform,
             PeerTable peerTable,
             PeerService peerService,
-            AssignmentLease lease) {
+            AssignmentLease lease,
+            LoadTimeEstimator loadTimes) {
         metrics.gauge("callers_unanswered", callerServer::busyConnections);
         metrics.gauge("operator_records_age_ms", platform::configAgeMs);
         metrics.gauge("endpoint_entries_age_ms", platform::entriesAgeMs);
@@ -27,6 +29,8 @@
         metrics.accountUses(() -> peerService.allowances().uses());
         metrics.gauge("budgets_held", () -> peerService.allowances().held());
         metrics.gauge("members", () -> peerTable.members().size());
+        metrics.gauge("loads_in_flight", loadTimes::loadsInFlight);
+        metrics.gauge("loads_at_full_speed", () -> (long) loadTimes.fullSpeedLoads());
         metrics.gauge("duties_held", () -> lease.owned().size());
         metrics.gauge("duty_generation", lease::generation);
     }
