--- a/core/src/main/java/org/quetzalvane/core/team/ServedVersionTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/ServedVersionTable.java
@@ -2,10 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -19,6 +17,7 @@
 import org.quetzalvane.core.fleet.ServiceVersion;
 import org.quetzalvane.core.serve.ServedVersions;
 import org.quetzalvane.core.store.KeyedTopic;
+import org.quetzalvane.core.store.SharedRead;
 import org.quetzalvane.core.store.StoreRecord;
 import org.quetzalvane.core.store.WritableTopic;
 import org.quetzalvane.core.time.Scheduler;
@@ -47,7 +46,7 @@
     private final BooleanSupplier listCurrent;
     private final BooleanSupplier writer;
     private final StructuredLog log;
-    private final List<Consumer<Set<ServiceVersion>>> lookups = new ArrayList<>();
+    private final SharedRead lookups;
     /** Time since which this node has followed the endpoints' list, or -1 before it knows the list. */
     private long followedSinceNanos = -1;
     /** Versions that the store held when this node first read them, or null. */
@@ -55,7 +54,6 @@
     /** Listed versions that this node, as the writer, last found or wrote in the store; null if it must look again. */
     private Set<ServiceVersion> confirmed;
 
-    private boolean reading;
     private boolean writing;
 
     /**
@@ -79,6 +77,7 @@
         this.listCurrent = listCurrent;
         this.writer = writer;
         this.log = log;
+        this.lookups = new SharedRead(scheduler, topic, Duration.ofMillis(LOOKUP_TIMEOUT_MS), this::recordsRead);
     }
 
     /** Starts following the list, and recording while this node is the writer. */
@@ -131,26 +130,13 @@
             done.accept(recorded);
             return;
         }
-        lookups.add(done);
-        scheduler.schedule(Duration.ofMillis(LOOKUP_TIMEOUT_MS), () -> {
-            if (lookups.remove(done)) {
-                done.accept(null);
-            }
-        });
-        if (!reading) {
-            reading = true;
-            topic.readNewest(this::completeLookups);
-        }
+        lookups.then(() -> done.accept(recorded));
     }
 
-    private void completeLookups(KeyedTopic.ReadResult result) {
-        reading = false;
+    private void recordsRead(KeyedTopic.ReadResult result) {
         if (recorded == null) {
             recorded = decode(result);
         }
-        List<Consumer<Set<ServiceVersion>>> waiting = List.copyOf(lookups);
-        lookups.clear();
-        waiting.forEach(done -> done.accept(recorded));
     }
 
     private void check() {
--- a/core/src/main/java/org/quetzalvane/core/team/StreamOriginArchive.java
+++ b/core/src/main/java/org/quetzalvane/core/team/StreamOriginArchive.java
@@ -14,6 +14,7 @@
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.store.KeyedTopic;
+import org.quetzalvane.core.store.SharedRead;
 import org.quetzalvane.core.store.StoreRecord;
 import org.quetzalvane.core.store.WritableTopic;
 import org.quetzalvane.core.time.Scheduler;
@@ -44,13 +45,12 @@
     private final StreamOriginTable origins;
     private final BooleanSupplier writer;
     private final StructuredLog log;
-    private final List<Runnable> lookups = new ArrayList<>();
+    private final SharedRead lookups;
     private Map<String, List<Long>> unwritten = new HashMap<>();
     /** Whether this node is the writer and has written all origins that it knew. */
     private boolean writing;
 
     private boolean callInFlight;
-    private boolean reading;
     private boolean everRead;
     private long readNanos;
     private int nextSlot;
@@ -73,6 +73,7 @@
         this.origins = origins;
         this.writer = writer;
         this.log = log;
+        this.lookups = new SharedRead(scheduler, topic, Duration.ofMillis(LOOKUP_TIMEOUT_MS), this::recordsRead);
     }
 
     /** Starts writing while this node is the writer. */
@@ -98,28 +99,14 @@
             done.accept(known);
             return;
         }
-        Runnable lookup = () -> done.accept(origins.known(requestId));
-        lookups.add(lookup);
-        scheduler.schedule(Duration.ofMillis(LOOKUP_TIMEOUT_MS), () -> {
-            if (lookups.remove(lookup)) {
-                lookup.run();
-            }
-        });
-        if (!reading) {
-            reading = true;
-            topic.readNewest(this::completeLookups);
-        }
+        lookups.then(() -> done.accept(origins.known(requestId)));
     }
 
-    private void completeLookups(KeyedTopic.ReadResult result) {
-        reading = false;
+    private void recordsRead(KeyedTopic.ReadResult result) {
         if (load(result)) {
             everRead = true;
             readNanos = scheduler.nanoTime();
         }
-        List<Runnable> waiting = List.copyOf(lookups);
-        lookups.clear();
-        waiting.forEach(Runnable::run);
     }
 
     private void added(String softwareVersion, long stream) {
