--- a/review/standins/Engine.java
+++ b/review/standins/Engine.java
@@ -38,8 +38,20 @@
     private long fence = -1;
     private int entries;
     private boolean crashed;
+    private Spoiler spoiler = (attempt, from) -> null;
     private volatile String lastHolder;
 
+    /** Decides which answers are broken off. */
+    interface Spoiler {
+        /**
+         * Piece inside which an answer without length and chunks ends; 0 if it ends before its first piece; null for a
+         * sound answer.
+         *
+         * @param from first piece of the answer, above 1 if it goes on with a stream
+         */
+        Integer endsInside(String attempt, int from);
+    }
+
     Engine(String id, String ip, int slots, int adapterSlots, int gapMs, Consumer<String> record) throws IOException {
         this.id = id;
         this.slots = slots;
@@ -49,6 +61,20 @@
         this.server = Servers.listen(ip, 0, this::serve);
     }
 
+    void spoiler(Spoiler s) {
+        spoiler = s;
+    }
+
+    /** Loads adapters before the first request. */
+    synchronized void hold(String... adapters) {
+        held.addAll(List.of(adapters));
+    }
+
+    /** Address of its socket, IP:PORT. */
+    String address() {
+        return Servers.address(server);
+    }
+
     synchronized boolean crashed() {
         return crashed;
     }
@@ -94,7 +120,7 @@
                     }
                     json(out, status, "{}");
                 } else {
-                    run(m, out);
+                    run(m, socket, out);
                 }
             }
         } finally {
@@ -170,7 +196,7 @@
         });
     }
 
-    private void run(Wire.Message m, OutputStream out) throws Exception {
+    private void run(Wire.Message m, Socket socket, OutputStream out) throws Exception {
         String attempt = m.header("X-Attempt-Id");
         String adapter = m.header("X-Model").substring(MODEL.length() + 1);
         synchronized (this) {
@@ -196,14 +222,22 @@
         // 3 tokens an event.
         int events = Integer.parseInt(m.header("X-Token-Usage").split(",")[1]) / 3;
         String end = "complete";
+        String last = m.header("Last-Event-Id");
+        int from = last == null ? 1 : Integer.parseInt(last) + 1;
+        Integer endsInside = spoiler.endsInside(attempt, from);
         try {
             Servers.write(
                     out,
                     "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Signature: sig." + attempt
                             + "\r\nX-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
-                            + "Transfer-Encoding: chunked\r\n\r\n");
-            for (int i = 1; i <= events; i++) {
-                String event = "id: " + i + "\ndata: piece " + i + " of " + events + "\n\n";
+                            + (endsInside == null ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
+            if (endsInside != null) {
+                end = breakOff(out, from, endsInside);
+                socket.close();
+                return;
+            }
+            for (int i = from; i <= events; i++) {
+                String event = event(i, events);
                 Servers.write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
                 Thread.sleep(gapMs);
             }
@@ -222,8 +256,26 @@
         }
     }
 
+    private static String event(int i, int events) {
+        return "id: " + i + "\ndata: piece " + i + " of " + events + "\n\n";
+    }
+
+    private String breakOff(OutputStream out, int from, int endsInside) throws IOException, InterruptedException {
+        if (endsInside == 0) {
+            Thread.sleep(gapMs);
+            return "ended before its first piece, " + from;
+        }
+        for (int i = from; i < endsInside; i++) {
+            Servers.write(out, event(i, endsInside));
+            Thread.sleep(gapMs);
+        }
+        Servers.write(out, "id: " + endsInside + "\ndata: pie");
+        Thread.sleep(gapMs);
+        return "ended inside piece " + endsInside;
+    }
+
     /** Ends at once, with all connections. */
-    private void crash() throws IOException {
+    void crash() throws IOException {
         List<Socket> open;
         synchronized (this) {
             crashed = true;
--- a/review/standins/Servers.java
+++ b/review/standins/Servers.java
@@ -19,11 +19,16 @@
 
     /** Listens on a free port of a loopback address, one thread a connection. */
     static ServerSocket listen(String ip, int receiveBuffer, Connection handler) throws IOException {
+        return listen(ip, 0, receiveBuffer, handler);
+    }
+
+    /** The same on a given port, or on a free one with port 0. */
+    static ServerSocket listen(String ip, int port, int receiveBuffer, Connection handler) throws IOException {
         ServerSocket server = new ServerSocket();
         if (receiveBuffer > 0) {
             server.setReceiveBufferSize(receiveBuffer);
         }
-        server.bind(new InetSocketAddress(InetAddress.getByName(ip), 0), 200);
+        server.bind(new InetSocketAddress(InetAddress.getByName(ip), port), 200);
         daemon(() -> {
             while (!server.isClosed()) {
                 try {
