--- a/review/standins/Node.java
+++ b/review/standins/Node.java
@@ -82,7 +82,9 @@
         ProcessBuilder b = new ProcessBuilder(command());
         b.environment().put("QUETZALVANE_BOOT", settings.toString());
         b.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(new File(log.toString())));
-        process = b.start();
+        Process started = b.start();
+        process = started;
+        Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
     }
 
     Process process() {
