--- a/review/3/LimitCase.java
+++ b/review/3/LimitCase.java
@@ -1,7 +1,6 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -23,7 +22,7 @@
 
     public static void main(String[] args) throws Exception {
         Path directory = Path.of(args[0]);
-        Path temporary = Files.createTempDirectory("case");
+        Path temporary = Record.temporary();
         record = new Record(directory);
         int exit = 2;
         String ip = Node.freeIp();
--- a/review/4/OrderCase.java
+++ b/review/4/OrderCase.java
@@ -1,7 +1,6 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,7 +24,7 @@
     private OrderCase() {}
 
     public static void main(String[] args) throws Exception {
-        Path temporary = Files.createTempDirectory("case");
+        Path temporary = Record.temporary();
         record = new Record(Path.of(args[0]));
         int exit = 2;
         String ip = Node.freeIp();
--- a/review/standins/Record.java
+++ b/review/standins/Record.java
@@ -18,6 +18,22 @@
         return !"0".equals(System.getenv("TROUBLE"));
     }
 
+    /** A temporary folder that is removed when the script ends. */
+    static Path temporary() throws IOException {
+        Path folder = Files.createTempDirectory("case");
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            try (var files = Files.list(folder)) {
+                for (Path f : files.toList()) {
+                    Files.delete(f);
+                }
+                Files.delete(folder);
+            } catch (IOException e) {
+                // It is in the system's temporary folder.
+            }
+        }));
+        return folder;
+    }
+
     synchronized void line(String text) {
         out.printf("%8.3f %s%n", (System.nanoTime() - start) / 1e9, text);
     }
