Log when a lost read was sent and how old the configuration of a refusal is

From the lines 2010, 2011 and 5005 it could not be told whether a node that refuses an unknown route had a read of its own that hung, or relied on a hub that did not hear from the store: they stated neither when the read in progress was sent and how long it waits, nor the source and the age of the configuration. Both are stated now. Nothing else changes.

--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -65,7 +65,7 @@
 
     /** Starts handling the request; the response may be sent within this call. */
     public void start() {
-        RouteMatch match = RouteMatch.of(context.config().current(), request);
+        RouteMatch match = RouteMatch.of(context.config(), request);
         route = match.route();
         service = match.service();
         requestLog.setRoute(route);
--- a/core/src/main/java/org/quetzalvane/core/serve/RouteMatch.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RouteMatch.java
@@ -1,8 +1,8 @@
 package org.quetzalvane.core.serve;
 
-import java.util.Optional;
-
 import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.routes.ConfigSource;
+import org.quetzalvane.core.routes.CurrentConfig;
 import org.quetzalvane.core.routes.Route;
 import org.quetzalvane.core.routes.ServiceSpec;
 import org.quetzalvane.core.routes.ServingConfig;
@@ -18,25 +18,29 @@
  */
 record RouteMatch(Route route, ServiceSpec service, ResultCode refusal, long retryAfterMs, String cause) {
 
-    static RouteMatch of(Optional<ServingConfig> config, CallerRequest request) {
-        if (config.isEmpty()) {
+    static RouteMatch of(CurrentConfig config, CallerRequest request) {
+        if (config.current().isEmpty()) {
             return refused(
                     null, ResultCode.NOT_READY, RequestFlow.DEFAULT_RETRY_AFTER_MS, "no configuration received yet");
         }
-        ServingConfig c = config.get();
+        ServingConfig c = config.current().get();
         Route route = c.match(request.host(), request.path()).orElse(null);
         if (route == null) {
-            String cause = "no route for the host and path in configuration version " + c.version();
+            String cause = "no route for the host and path in " + describe(c, config.source());
             return refused(null, ResultCode.UNKNOWN_PATH, -1, cause);
         }
         ServiceSpec service = c.service(route.serviceFor(request.id()));
         if (service == null) {
-            String cause = "the service of the route is missing in configuration version " + c.version();
+            String cause = "the service of the route is missing in " + describe(c, config.source());
             return refused(route, ResultCode.UNKNOWN_SERVICE, -1, cause);
         }
         return new RouteMatch(route, service, null, -1, null);
     }
 
+    private static String describe(ServingConfig c, ConfigSource source) {
+        return "configuration version " + c.version() + ", source=" + source.name() + " age_ms=" + source.ageMs();
+    }
+
     private static RouteMatch refused(Route route, ResultCode code, long retryAfterMs, String cause) {
         return new RouteMatch(route, null, code, retryAfterMs, cause);
     }
--- a/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
+++ b/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
@@ -53,6 +53,8 @@
     private boolean reachable = true;
     /** Runs since the last response of the store; null before the first. */
     private Stopwatch sinceResponse;
+    /** Runs since the read in progress was sent; null before the first. */
+    private Stopwatch sinceSent;
 
     /** Whether the store came back from a copy and what it lost may still be written again. */
     private boolean rewriting;
@@ -150,6 +152,7 @@
     }
 
     private void readNewest() {
+        sinceSent = Stopwatch.start(scheduler);
         topic.readNewest(page -> {
             if (page.outcome() == KeyedTopic.Outcome.RESTORED) {
                 onRestored();
@@ -210,6 +213,7 @@
             scheduler.schedule(Duration.ofMillis(RELAY_CHECK_INTERVAL_MS), this::read);
             return;
         }
+        sinceSent = Stopwatch.start(scheduler);
         topic.read(offset, waitMs, page -> {
             switch (page.outcome()) {
                 case EXPIRED -> readNewest();
@@ -254,16 +258,36 @@
     private void onFailure(String cause, Runnable retry) {
         if (reachable) {
             reachable = false;
-            log.log(EventCode.STORE_LOST, topic.name(), "cause", cause);
+            log.log(
+                    EventCode.STORE_LOST,
+                    topic.name(),
+                    "cause",
+                    cause,
+                    "sent_ms_ago",
+                    sinceSent.elapsedMs(),
+                    "wait_ms",
+                    waitMs,
+                    "offset",
+                    offset,
+                    "age_ms",
+                    msSinceLastResponse());
         }
         scheduler.schedule(Duration.ofMillis(RETRY_DELAY_MS), retry);
     }
 
     private void onResponse() {
-        sinceResponse = Stopwatch.start(scheduler);
         if (!reachable) {
             reachable = true;
-            log.log(EventCode.STORE_BACK, topic.name(), "offset", offset);
+            log.log(
+                    EventCode.STORE_BACK,
+                    topic.name(),
+                    "offset",
+                    offset,
+                    "sent_ms_ago",
+                    sinceSent.elapsedMs(),
+                    "age_ms",
+                    msSinceLastResponse());
         }
+        sinceResponse = Stopwatch.start(scheduler);
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/team/RecordRelay.java
+++ b/core/src/main/java/org/quetzalvane/core/team/RecordRelay.java
@@ -89,6 +89,11 @@
         return complete && storeHeard && viewIsRecent();
     }
 
+    /** Address of the hub whose views arrive, or null. */
+    public String hub() {
+        return hub;
+    }
+
     private boolean viewIsRecent() {
         return sinceView != null && sinceView.elapsedMs() < MAX_VIEW_AGE_MS;
     }
--- a/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
@@ -12,6 +12,7 @@
 import org.quetzalvane.core.exc.RecordException;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.fleet.EndpointTable;
+import org.quetzalvane.core.routes.ConfigSource;
 import org.quetzalvane.core.routes.CurrentConfig;
 import org.quetzalvane.core.routes.RequiredVersions;
 import org.quetzalvane.core.store.PeerRecords;
@@ -50,7 +51,7 @@
     private static final String PEER_TOPIC_OPERATOR = "operator";
     private static final String PEER_TOPIC_ENDPOINTS = "endpoints";
 
-    private final CurrentConfig config = new CurrentConfig();
+    private final CurrentConfig config = new CurrentConfig(this::configSource);
     private final RequiredVersions versions = new RequiredVersions();
     private final EndpointTable endpoints;
     private final RecordFollower operatorRecords;
@@ -145,6 +146,11 @@
         return ageMs(PEER_TOPIC_ENDPOINTS);
     }
 
+    private ConfigSource configSource() {
+        String name = relay != null && relay.reliesOnHub() ? relay.hub() : "store";
+        return new ConfigSource(name, configAgeMs());
+    }
+
     private long ageMs(String topic) {
         return relay != null && relay.reliesOnHub()
                 ? relay.storeAgeMs(topic)
