Send a read of the store again once it is overdue

Cause: a node reads the operator's records with a wait of 3 s at the store, and gave a read up 1 s after its wait. A read that the store lost while it was silent, just before it answered again, hid every change until then, and 250 ms more. The class of fault is a call whose wait is longer than the bound that it serves.

Change: a read without an answer 300 ms after its wait is overdue. Another one is sent beside it, with a wait of at most 250 ms until one is answered; the first response of either counts, so that a store that is merely slow is still heard. The operator's records are read with a wait of 1 s. Numbered event 2016.

The stand-in on the paused clock answered a read that it got while it was away, once it was back; so no test had shown this. It loses them now while it is silent.

--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -22,6 +22,7 @@
     CONFIG_MOVED(2009, "A newer configuration of the platform operator is in force."),
     STORE_LOST(2010, "The platform store does not respond."),
     STORE_BACK(2011, "The platform store responds again."),
+    STORE_READ_OVERDUE(2016, "A read of the platform store was not answered in time; another one is sent beside it."),
     SERVED_VERSIONS(2014, "The software versions that serve each service were recorded in the platform store."),
     STREAM_ORIGINS_KEPT(2015, "This node began to keep the software versions of streams in the platform store."),
     STORE_RESTORED(2013, "The platform store came back from a copy; its records are read again."),
--- a/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
+++ b/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
@@ -17,8 +17,10 @@
 /**
  * Follows a topic: keeps the newest record of each key and passes each newer one to a listener.
  *
- * <p>Invariant: for each key, offsets only increase, whatever the store or a peer returns. Known records are kept while
- * the store cannot be reached. Confined to the event loop.
+ * <p>Invariants: for each key, offsets only increase, whatever the store or a peer returns. Known records are kept
+ * while the store cannot be reached. A read that is lost without an error delays a record by at most its wait and
+ * {@link #OVERDUE_MS}: another read is then sent beside it, and the first response of either counts. Confined to the
+ * event loop.
  */
 public final class RecordFollower {
     /**
@@ -26,6 +28,13 @@
      * force.
      */
     private static final long RETRY_DELAY_MS = 250;
+    /**
+     * Time after the end of its wait at which an unanswered read counts as lost, ms: more than the response time of a
+     * slow store.
+     */
+    private static final long OVERDUE_MS = 300;
+    /** Longest wait of a read that is sent because the one before is overdue, ms. */
+    private static final long MAX_WAIT_WHILE_OVERDUE_MS = 250;
     /** Interval at which it is checked whether another node still passes the records on, ms. */
     private static final long RELAY_CHECK_INTERVAL_MS = 100;
     /**
@@ -53,8 +62,14 @@
     private boolean reachable = true;
     /** Runs since the last response of the store; null before the first. */
     private Stopwatch sinceResponse;
-    /** Runs since the read in progress was sent; null before the first. */
+    /** Runs since the last read was sent; null before the first. */
     private Stopwatch sinceSent;
+    /** Number of the last read sent; those before it are overdue or settled. */
+    private long lastRead;
+    /** Reads up to this number no longer decide what is called next. */
+    private long lastSettled;
+
+    private boolean overdue;
 
     /** Whether the store came back from a copy and what it lost may still be written again. */
     private boolean rewriting;
@@ -159,7 +174,8 @@
                 return;
             }
             if (page.outcome() != KeyedTopic.Outcome.OK) {
-                onFailure(page.cause(), this::readNewest);
+                onFailure(page.cause());
+                scheduler.schedule(Duration.ofMillis(RETRY_DELAY_MS), this::readNewest);
                 return;
             }
             onResponse();
@@ -213,20 +229,61 @@
             scheduler.schedule(Duration.ofMillis(RELAY_CHECK_INTERVAL_MS), this::read);
             return;
         }
+        long number = ++lastRead;
+        long readWaitMs = overdue ? Math.min(waitMs, MAX_WAIT_WHILE_OVERDUE_MS) : waitMs;
         sinceSent = Stopwatch.start(scheduler);
-        topic.read(offset, waitMs, page -> {
-            switch (page.outcome()) {
-                case EXPIRED -> readNewest();
-                case RESTORED -> onRestored();
-                case FAILED -> onFailure(page.cause(), this::read);
-                default -> {
-                    onResponse();
-                    applyAll(page.records());
-                    offset = Math.max(offset, page.endOffset());
-                    scheduler.schedule(Duration.ofMillis(page.records().isEmpty() ? 0 : readIntervalMs), this::read);
-                }
+        Scheduler.Timer timer = scheduler.schedule(Duration.ofMillis(readWaitMs + OVERDUE_MS), () -> {
+            if (number > lastSettled) {
+                onOverdue();
             }
         });
+        topic.read(offset, readWaitMs, page -> {
+            timer.cancel();
+            if (page.outcome() == KeyedTopic.Outcome.OK) {
+                onResponse();
+                applyAll(page.records());
+                offset = Math.max(offset, page.endOffset());
+            } else if (page.outcome() == KeyedTopic.Outcome.FAILED) {
+                onFailure(page.cause());
+            }
+            boolean awaitsAnother = page.outcome() == KeyedTopic.Outcome.FAILED && number < lastRead;
+            if (number > lastSettled && !awaitsAnother) {
+                lastSettled = lastRead;
+                readNext(page);
+            }
+        });
+    }
+
+    /** Sends another read, since this one may have been lost; its response is still processed. */
+    private void onOverdue() {
+        if (!overdue) {
+            overdue = true;
+            log.log(
+                    EventCode.STORE_READ_OVERDUE,
+                    topic.name(),
+                    "sent_ms_ago",
+                    sinceSent.elapsedMs(),
+                    "offset",
+                    offset,
+                    "age_ms",
+                    msSinceLastResponse());
+        }
+        if (relayed.getAsBoolean()) {
+            lastSettled = lastRead;
+        }
+        read();
+    }
+
+    private void readNext(KeyedTopic.ReadResult page) {
+        switch (page.outcome()) {
+            case EXPIRED -> readNewest();
+            case RESTORED -> onRestored();
+            case FAILED -> scheduler.schedule(Duration.ofMillis(RETRY_DELAY_MS), this::read);
+            default -> {
+                overdue = false;
+                scheduler.schedule(Duration.ofMillis(page.records().isEmpty() ? 0 : readIntervalMs), this::read);
+            }
+        }
     }
 
     private void applyAll(Collection<StoreRecord> records) {
@@ -255,7 +312,7 @@
         }
     }
 
-    private void onFailure(String cause, Runnable retry) {
+    private void onFailure(String cause) {
         if (reachable) {
             reachable = false;
             log.log(
@@ -272,7 +329,6 @@
                     "age_ms",
                     msSinceLastResponse());
         }
-        scheduler.schedule(Duration.ofMillis(RETRY_DELAY_MS), retry);
     }
 
     private void onResponse() {
--- a/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
@@ -33,10 +33,10 @@
  */
 final class PlatformState {
     /**
-     * Longest wait of a read of the operator's records, ms. A connection that fails silently hides a change for this
-     * long, which stays within the 5 s of the stability window and within the bound for configuration changes.
+     * Longest wait of a read of the operator's records, ms. A read that is lost hides a change for this long and until
+     * it is overdue, and a hub's members until they stop relying on it; a change must be in force within 2 s.
      */
-    static final long CONFIG_WAIT_MS = 3_000;
+    static final long CONFIG_WAIT_MS = 1_000;
     /** Longest wait of a read of the endpoints' entries, ms: one heartbeat interval of the platform. */
     static final long ENTRIES_WAIT_MS = 1_000;
     /**
--- a/entry/src/test/java/org/quetzalvane/entry/PausedStore.java
+++ b/entry/src/test/java/org/quetzalvane/entry/PausedStore.java
@@ -38,6 +38,7 @@
     private long copiedNanos;
     private long era;
     private boolean away;
+    private boolean silent;
     private int listings;
     private int reads;
 
@@ -85,6 +86,11 @@
         away = true;
     }
 
+    /** Loses the calls that arrive, and the reads that wait, without an answer. */
+    void silence(boolean on) {
+        silent = on;
+    }
+
     /**
      * Comes back from the copy, in the next era.
      *
@@ -236,7 +242,7 @@
 
         /** Calls the store; {@code done} receives null if there is no answer or it is of an earlier era. */
         private <T> void call(Supplier<T> work, Consumer<T> done) {
-            clock.schedule(DELAY, () -> answer(!away && connected.getAsBoolean() ? work.get() : null, done));
+            clock.schedule(DELAY, () -> answer(!away && !silent && connected.getAsBoolean() ? work.get() : null, done));
         }
 
         private <T> void answer(T result, Consumer<T> done) {
@@ -280,7 +286,7 @@
                 long end = clock.nanoTime() + waitMs * 1_000_000;
                 clock.schedule(
                         DELAY,
-                        () -> poll(position % OFFSETS_PER_ERA, end, page -> {
+                        () -> poll(position % OFFSETS_PER_ERA, end, false, page -> {
                             boolean rose = position / OFFSETS_PER_ERA != knownEra;
                             done.accept(
                                     rose
@@ -289,13 +295,14 @@
                         }));
             }
 
-            private void poll(long offset, long endNanos, Consumer<ReadResult> done) {
-                boolean reached = !away && connected.getAsBoolean();
+            private void poll(long offset, long endNanos, boolean lostBefore, Consumer<ReadResult> done) {
+                boolean lost = lostBefore || silent;
+                boolean reached = !lost && !away && connected.getAsBoolean();
                 ReadResult page = reached ? after(name, offset) : null;
                 boolean empty = page == null
                         || page.outcome() == Outcome.OK && page.records().isEmpty();
                 if (empty && clock.nanoTime() < endNanos) {
-                    clock.schedule(POLL_INTERVAL, () -> poll(offset, endNanos, done));
+                    clock.schedule(POLL_INTERVAL, () -> poll(offset, endNanos, lost, done));
                 } else {
                     answer(page, done);
                 }
