Judge each topic of a hub by itself, and rely on it for at most 1.5 s

A member that gets the store's records through its hub took the hub for one that hears from the store if any of its topics was recent, for 2 s after the hub's last response, as stated in its last view. The class of fault: the liveness of one source judged by another.

Each topic is judged by its own age now, as it grows between two views, up to 1.5 s: one read of 1 s and a status interval. A topic that the hub does not state is not relied on. Since members begin to read earlier, more of them would list a restored store; they leave the listing to their hub for 0.9 s, unless they have none.

SilentStoreTest.changeIsInForceInTimeOnTheMembersOfALostHub failed before with CUT_FROM_STORE (the second of 25 moments).

--- a/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
+++ b/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
@@ -52,6 +53,7 @@
     private final long readIntervalMs;
     private final Consumer<StoreRecord> listener;
     private BooleanSupplier relayed = () -> false;
+    private LongSupplier listingDelayMs = () -> 0;
     private Consumer<List<StoreRecord>> relay = records -> {};
     private Runnable batchListener = () -> {};
     private final Map<String, StoreRecord> newest = new HashMap<>();
@@ -102,10 +104,12 @@
      * Sets the exchange of records with other nodes; the store is not read while another node passes its records on.
      *
      * @param passedOn whether another node passes on every record
+     * @param restoreDelayMs delay of the listing of a restored store, ms, after which another node may pass it on
      * @param next receives the records that were newer than the known ones, after they were applied
      */
-    public void exchange(BooleanSupplier passedOn, Consumer<List<StoreRecord>> next) {
+    public void exchange(BooleanSupplier passedOn, LongSupplier restoreDelayMs, Consumer<List<StoreRecord>> next) {
         relayed = passedOn;
+        listingDelayMs = restoreDelayMs;
         relay = next;
     }
 
@@ -191,6 +195,21 @@
         });
     }
 
+    /** Lists a store that came back from a copy, unless another node passes its records on after a delay. */
+    private void onRestored(long delayMs) {
+        if (delayMs == 0) {
+            onRestored();
+            return;
+        }
+        scheduler.schedule(Duration.ofMillis(delayMs), () -> {
+            if (relayed.getAsBoolean()) {
+                read();
+            } else {
+                onRestored();
+            }
+        });
+    }
+
     /** Reads all records again, and once more when those that the store lost are written again. */
     private void onRestored() {
         restoredNanos = scheduler.nanoTime();
@@ -277,7 +296,7 @@
     private void readNext(KeyedTopic.ReadResult page) {
         switch (page.outcome()) {
             case EXPIRED -> readNewest();
-            case RESTORED -> onRestored();
+            case RESTORED -> onRestored(listingDelayMs.getAsLong());
             case FAILED -> scheduler.schedule(Duration.ofMillis(RETRY_DELAY_MS), this::read);
             default -> {
                 overdue = false;
--- a/core/src/main/java/org/quetzalvane/core/team/RecordRelay.java
+++ b/core/src/main/java/org/quetzalvane/core/team/RecordRelay.java
@@ -12,18 +12,24 @@
 /**
  * Decides whether a node that reports to a hub gets the store's records through it or has to read the store itself.
  *
- * <p>A hub passes on each record at once and states in each view how far it has read. The node relies on it while views
- * arrive, the hub hears from the store, and no record is missing; one that is missing is requested. Hundreds of nodes
- * that each read the store would make more calls than all else that the product does there. Confined to the event loop.
+ * <p>A hub passes on each record at once and states in each view how far it has read each topic. The node relies on it
+ * for a topic while views arrive, the hub hears from the store on that topic, and none of its records is missing; one
+ * that is missing is requested. Hundreds of nodes that each read the store would make more calls than all else that the
+ * product does there. Confined to the event loop.
  */
 public final class RecordRelay {
     /** Age of the last view up to which the hub is relied on, ms: three status intervals and a margin. */
     private static final long MAX_VIEW_AGE_MS = 1_000;
     /**
-     * Time since the hub last heard from the store on the topic that it reads most often, ms: its reads wait for 1 s
-     * and are 0.7 s apart.
+     * Time since the hub last heard from the store on a topic up to which it is relied on for that topic, ms: a read
+     * that waits for 1 s, and a status interval until the next view states its response.
      */
-    private static final long MAX_STORE_AGE_MS = 2_000;
+    private static final long MAX_STORE_AGE_MS = 1_500;
+    /**
+     * Time that a hub needs to list a restored store and to state so, ms: a read that is lost and sent again, and a
+     * status interval.
+     */
+    private static final long HUB_LISTING_MS = 900;
 
     private final Scheduler scheduler;
     private final Function<String, Long> appliedOffset;
@@ -34,9 +40,6 @@
     /** Runs since the last view; null before the first. */
     private Stopwatch sinceView;
 
-    private boolean storeHeard;
-    private boolean complete;
-
     /**
      * Creates the decision of a node that relies on no hub yet.
      *
@@ -56,12 +59,8 @@
         }
         sinceView = Stopwatch.start(scheduler);
         hubPositions = Map.copyOf(positions);
-        storeHeard = positions.values().stream().anyMatch(p -> p.ageMs() <= MAX_STORE_AGE_MS);
-        complete = received.containsAll(positions.keySet())
-                && positions.entrySet().stream()
-                        .allMatch(e ->
-                                appliedOffset.apply(e.getKey()) >= e.getValue().offset());
-        return !complete && storeHeard && takeRequest(from);
+        boolean missing = positions.keySet().stream().anyMatch(t -> hubHearsStore(t) && !isComplete(t));
+        return missing && takeRequest(from);
     }
 
     /** Records that all records of a topic have arrived from a node. */
@@ -75,18 +74,35 @@
     public void onDisconnect(String peer) {
         if (peer.equals(hub)) {
             hub = null;
-            complete = false;
+            received.clear();
         }
     }
 
-    /** Whether a node is the hub and has just heard from the store, so that its records are as recent as a listing. */
-    public boolean hubHearsStore(String from) {
-        return from.equals(hub) && storeHeard && viewIsRecent();
+    /**
+     * Whether a node is the hub and has just heard from the store on a topic, so that its records are as recent as a
+     * listing.
+     */
+    public boolean hubHearsStore(String from, String topic) {
+        return from.equals(hub) && hubHearsStore(topic);
+    }
+
+    /** Whether the hub passes the records of a topic on, so that this node need not read the store for them. */
+    public boolean reliesOnHub(String topic) {
+        return hub != null && hubHearsStore(topic) && isComplete(topic);
+    }
+
+    /** Time after which the hub should have listed a restored store, milliseconds; 0 without a hub. */
+    public long listingDelayMs() {
+        return hub != null && viewIsRecent() ? HUB_LISTING_MS : 0;
+    }
+
+    private boolean hubHearsStore(String topic) {
+        return viewIsRecent() && hubPositions.containsKey(topic) && storeAgeMs(topic) <= MAX_STORE_AGE_MS;
     }
 
-    /** Whether the hub passes the records on, so that this node need not read the store. */
-    public boolean reliesOnHub() {
-        return complete && storeHeard && viewIsRecent();
+    private boolean isComplete(String topic) {
+        return received.contains(topic)
+                && appliedOffset.apply(topic) >= hubPositions.get(topic).offset();
     }
 
     /** Address of the hub whose views arrive, or null. */
@@ -98,10 +114,9 @@
         return sinceView != null && sinceView.elapsedMs() < MAX_VIEW_AGE_MS;
     }
 
-    /** Time since the hub last heard from the store on a topic, milliseconds; 0 for a topic it has not named. */
+    /** Time since the hub last heard from the store on a topic that its last view states, milliseconds. */
     public long storeAgeMs(String topic) {
-        PeerMessage.TopicPosition p = hubPositions.get(topic);
-        return p == null ? 0 : p.ageMs() + sinceView.elapsedMs();
+        return hubPositions.get(topic).ageMs() + sinceView.elapsedMs();
     }
 
     /** At most one request per view timeout, so that a slow link is not filled with lists of records. */
--- a/entry/src/main/java/org/quetzalvane/entry/PeerService.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerService.java
@@ -282,7 +282,7 @@
         } else if (m instanceof PeerMessage.StreamOriginReply r) {
             streamOrigins.onReply(r);
         } else if (m instanceof PeerMessage.Records r) {
-            startupRecords.onRecords(r, relay.hubHearsStore(r.from()));
+            startupRecords.onRecords(r, relay.hubHearsStore(r.from(), r.topic()));
             if (r.complete()) {
                 relay.onRecords(r.from(), r.topic());
             }
--- a/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
@@ -147,12 +147,12 @@
     }
 
     private ConfigSource configSource() {
-        String name = relay != null && relay.reliesOnHub() ? relay.hub() : "store";
+        String name = relay != null && relay.reliesOnHub(PEER_TOPIC_OPERATOR) ? relay.hub() : "store";
         return new ConfigSource(name, configAgeMs());
     }
 
     private long ageMs(String topic) {
-        return relay != null && relay.reliesOnHub()
+        return relay != null && relay.reliesOnHub(topic)
                 ? relay.storeAgeMs(topic)
                 : follower(topic).msSinceLastResponse();
     }
@@ -199,8 +199,9 @@
      */
     void exchange(RecordRelay hubRelay, BiConsumer<String, List<StoreRecord>> next) {
         relay = hubRelay;
-        operatorRecords.exchange(relay::reliesOnHub, records -> next.accept(PEER_TOPIC_OPERATOR, records));
-        entries.exchange(relay::reliesOnHub, records -> next.accept(PEER_TOPIC_ENDPOINTS, records));
+        followers()
+                .forEach((topic, follower) -> follower.exchange(
+                        () -> relay.reliesOnHub(topic), relay::listingDelayMs, records -> next.accept(topic, records)));
     }
 
     /** Known records by the topic's name in the messages between nodes. */
--- a/entry/src/test/java/org/quetzalvane/entry/SilentStoreTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/SilentStoreTest.java
@@ -15,7 +15,11 @@
     /** Step between the moments at which the silence begins, ms, over more than one read of the store. */
     private static final int PHASE_MS = 170;
 
+    /** The same over the second between two views or responses of a hub, ms. */
+    private static final int HUB_PHASE_MS = 47;
+
     private static final int PHASES = 25;
+    private static final int NODES_WITH_HUBS = 30;
 
     /** A read that was lost in the silence hid a change until it was given up, up to 4 s after the store's return. */
     @ParameterizedTest
@@ -46,4 +50,32 @@
                     .containsEntry("config", "2"));
         });
     }
+
+    /** Members relied on a hub for 2 s after it had lost the store, and then had to read the change themselves. */
+    @ParameterizedTest
+    @CsvSource({"CUT_FROM_STORE", "FROZEN", "KILLED"})
+    void changeIsInForceInTimeOnTheMembersOfALostHub(PausedNodes.Fault fault) {
+        IntStream.range(0, PHASES).forEach(phase -> {
+            PausedNodes nodes = new PausedNodes(true);
+            nodes.store.write(PausedNodes.OPERATOR, "config", "1");
+            nodes.start(NODES_WITH_HUBS);
+            nodes.advance(10_000 + phase * HUB_PHASE_MS);
+            PausedNodes.Node lost = hubOfAMember(nodes);
+            lost.disturb(fault);
+            nodes.store.write(PausedNodes.OPERATOR, "config", "2");
+            nodes.advance(APPLY_MS);
+            assertThat(nodes.all())
+                    .as("phase " + phase)
+                    .filteredOn(n -> n != lost)
+                    .allSatisfy(n -> assertThat(n.values()).containsEntry("config", "2"));
+        });
+    }
+
+    private static PausedNodes.Node hubOfAMember(PausedNodes nodes) {
+        return nodes.all().stream()
+                .filter(n -> !n.exchange.isHub())
+                .map(n -> nodes.node(n.exchange.reportsTo()))
+                .findFirst()
+                .orElseThrow();
+    }
 }
