--- a/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
+++ b/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
@@ -17,8 +18,10 @@
 /**
  * Follows a topic: keeps the newest record of each key and passes each newer one to a listener.
  *
- * <p>Invariant: for each key, offsets only increase, whatever the store or a peer returns. Known records are kept while
- * the store cannot be reached. Confined to the event loop.
+ * <p>Invariants: for each key, offsets only increase, whatever the store or a peer returns. Known records are kept
+ * while the store cannot be reached. A read that is lost without an error delays a record by at most its wait and
+ * {@link #OVERDUE_MS}: another read is then sent beside it, and the first response of either counts. Confined to the
+ * event loop.
  */
 public final class RecordFollower {
     /**
@@ -26,6 +29,13 @@
      * force.
      */
     private static final long RETRY_DELAY_MS = 250;
+    /**
+     * Time after the end of its wait at which an unanswered read counts as lost, ms: more than the response time of a
+     * slow store.
+     */
+    private static final long OVERDUE_MS = 300;
+    /** Longest wait of a read that is sent because the one before is overdue, ms. */
+    private static final long MAX_WAIT_WHILE_OVERDUE_MS = 250;
     /** Interval at which it is checked whether another node still passes the records on, ms. */
     private static final long RELAY_CHECK_INTERVAL_MS = 100;
     /**
@@ -43,6 +53,7 @@
     private final long readIntervalMs;
     private final Consumer<StoreRecord> listener;
     private BooleanSupplier relayed = () -> false;
+    private LongSupplier listingDelayMs = () -> 0;
     private Consumer<List<StoreRecord>> relay = records -> {};
     private Runnable batchListener = () -> {};
     private final Map<String, StoreRecord> newest = new HashMap<>();
@@ -53,6 +64,14 @@
     private boolean reachable = true;
     /** Runs since the last response of the store; null before the first. */
     private Stopwatch sinceResponse;
+    /** Runs since the last read was sent; null before the first. */
+    private Stopwatch sinceSent;
+    /** Number of the last read sent; those before it are overdue or settled. */
+    private long lastRead;
+    /** Reads up to this number no longer decide what is called next. */
+    private long lastSettled;
+
+    private boolean overdue;
 
     /** Whether the store came back from a copy and what it lost may still be written again. */
     private boolean rewriting;
@@ -85,10 +104,12 @@
      * Sets the exchange of records with other nodes; the store is not read while another node passes its records on.
      *
      * @param passedOn whether another node passes on every record
+     * @param restoreDelayMs delay of the listing of a restored store, ms, after which another node may pass it on
      * @param next receives the records that were newer than the known ones, after they were applied
      */
-    public void exchange(BooleanSupplier passedOn, Consumer<List<StoreRecord>> next) {
+    public void exchange(BooleanSupplier passedOn, LongSupplier restoreDelayMs, Consumer<List<StoreRecord>> next) {
         relayed = passedOn;
+        listingDelayMs = restoreDelayMs;
         relay = next;
     }
 
@@ -150,13 +171,15 @@
     }
 
     private void readNewest() {
+        sinceSent = Stopwatch.start(scheduler);
         topic.readNewest(page -> {
             if (page.outcome() == KeyedTopic.Outcome.RESTORED) {
                 onRestored();
                 return;
             }
             if (page.outcome() != KeyedTopic.Outcome.OK) {
-                onFailure(page.cause(), this::readNewest);
+                onFailure(page.cause());
+                scheduler.schedule(Duration.ofMillis(RETRY_DELAY_MS), this::readNewest);
                 return;
             }
             onResponse();
@@ -172,6 +195,21 @@
         });
     }
 
+    /** Lists a store that came back from a copy, unless another node passes its records on after a delay. */
+    private void onRestored(long delayMs) {
+        if (delayMs == 0) {
+            onRestored();
+            return;
+        }
+        scheduler.schedule(Duration.ofMillis(delayMs), () -> {
+            if (relayed.getAsBoolean()) {
+                read();
+            } else {
+                onRestored();
+            }
+        });
+    }
+
     /** Reads all records again, and once more when those that the store lost are written again. */
     private void onRestored() {
         restoredNanos = scheduler.nanoTime();
@@ -210,21 +248,63 @@
             scheduler.schedule(Duration.ofMillis(RELAY_CHECK_INTERVAL_MS), this::read);
             return;
         }
-        topic.read(offset, waitMs, page -> {
-            switch (page.outcome()) {
-                case EXPIRED -> readNewest();
-                case RESTORED -> onRestored();
-                case FAILED -> onFailure(page.cause(), this::read);
-                default -> {
-                    onResponse();
-                    applyAll(page.records());
-                    offset = Math.max(offset, page.endOffset());
-                    scheduler.schedule(Duration.ofMillis(page.records().isEmpty() ? 0 : readIntervalMs), this::read);
-                }
+        long number = ++lastRead;
+        long readWaitMs = overdue ? Math.min(waitMs, MAX_WAIT_WHILE_OVERDUE_MS) : waitMs;
+        sinceSent = Stopwatch.start(scheduler);
+        Scheduler.Timer timer = scheduler.schedule(Duration.ofMillis(readWaitMs + OVERDUE_MS), () -> {
+            if (number > lastSettled) {
+                onOverdue();
+            }
+        });
+        topic.read(offset, readWaitMs, page -> {
+            timer.cancel();
+            if (page.outcome() == KeyedTopic.Outcome.OK) {
+                onResponse();
+                applyAll(page.records());
+                offset = Math.max(offset, page.endOffset());
+            } else if (page.outcome() == KeyedTopic.Outcome.FAILED) {
+                onFailure(page.cause());
+            }
+            boolean awaitsAnother = page.outcome() == KeyedTopic.Outcome.FAILED && number < lastRead;
+            if (number > lastSettled && !awaitsAnother) {
+                lastSettled = lastRead;
+                readNext(page);
             }
         });
     }
 
+    /** Sends another read, since this one may have been lost; its response is still processed. */
+    private void onOverdue() {
+        if (!overdue) {
+            overdue = true;
+            log.log(
+                    EventCode.STORE_READ_OVERDUE,
+                    topic.name(),
+                    "sent_ms_ago",
+                    sinceSent.elapsedMs(),
+                    "offset",
+                    offset,
+                    "age_ms",
+                    msSinceLastResponse());
+        }
+        if (relayed.getAsBoolean()) {
+            lastSettled = lastRead;
+        }
+        read();
+    }
+
+    private void readNext(KeyedTopic.ReadResult page) {
+        switch (page.outcome()) {
+            case EXPIRED -> readNewest();
+            case RESTORED -> onRestored(listingDelayMs.getAsLong());
+            case FAILED -> scheduler.schedule(Duration.ofMillis(RETRY_DELAY_MS), this::read);
+            default -> {
+                overdue = false;
+                scheduler.schedule(Duration.ofMillis(page.records().isEmpty() ? 0 : readIntervalMs), this::read);
+            }
+        }
+    }
+
     private void applyAll(Collection<StoreRecord> records) {
         List<StoreRecord> newer = new ArrayList<>();
         for (StoreRecord r : records) {
@@ -251,19 +331,38 @@
         }
     }
 
-    private void onFailure(String cause, Runnable retry) {
+    private void onFailure(String cause) {
         if (reachable) {
             reachable = false;
-            log.log(EventCode.STORE_LOST, topic.name(), "cause", cause);
+            log.log(
+                    EventCode.STORE_LOST,
+                    topic.name(),
+                    "cause",
+                    cause,
+                    "sent_ms_ago",
+                    sinceSent.elapsedMs(),
+                    "wait_ms",
+                    waitMs,
+                    "offset",
+                    offset,
+                    "age_ms",
+                    msSinceLastResponse());
         }
-        scheduler.schedule(Duration.ofMillis(RETRY_DELAY_MS), retry);
     }
 
     private void onResponse() {
-        sinceResponse = Stopwatch.start(scheduler);
         if (!reachable) {
             reachable = true;
-            log.log(EventCode.STORE_BACK, topic.name(), "offset", offset);
+            log.log(
+                    EventCode.STORE_BACK,
+                    topic.name(),
+                    "offset",
+                    offset,
+                    "sent_ms_ago",
+                    sinceSent.elapsedMs(),
+                    "age_ms",
+                    msSinceLastResponse());
         }
+        sinceResponse = Stopwatch.start(scheduler);
     }
 }
--- a/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
@@ -12,6 +12,7 @@
 import org.quetzalvane.core.exc.RecordException;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.fleet.EndpointTable;
+import org.quetzalvane.core.routes.ConfigSource;
 import org.quetzalvane.core.routes.CurrentConfig;
 import org.quetzalvane.core.routes.RequiredVersions;
 import org.quetzalvane.core.store.PeerRecords;
@@ -32,10 +33,10 @@
  */
 final class PlatformState {
     /**
-     * Longest wait of a read of the operator's records, ms. A connection that fails silently hides a change for this
-     * long, which stays within the 5 s of the stability window and within the bound for configuration changes.
+     * Longest wait of a read of the operator's records, ms. A read that is lost hides a change for this long and until
+     * it is overdue, and a hub's members until they stop relying on it; a change must be in force within 2 s.
      */
-    static final long CONFIG_WAIT_MS = 3_000;
+    static final long CONFIG_WAIT_MS = 1_000;
     /** Longest wait of a read of the endpoints' entries, ms: one heartbeat interval of the platform. */
     static final long ENTRIES_WAIT_MS = 1_000;
     /**
@@ -50,7 +51,7 @@
     private static final String PEER_TOPIC_OPERATOR = "operator";
     private static final String PEER_TOPIC_ENDPOINTS = "endpoints";
 
-    private final CurrentConfig config = new CurrentConfig();
+    private final CurrentConfig config = new CurrentConfig(this::configSource);
     private final RequiredVersions versions = new RequiredVersions();
     private final EndpointTable endpoints;
     private final RecordFollower operatorRecords;
@@ -145,8 +146,13 @@
         return ageMs(PEER_TOPIC_ENDPOINTS);
     }
 
+    private ConfigSource configSource() {
+        String name = relay != null && relay.reliesOnHub(PEER_TOPIC_OPERATOR) ? relay.hub() : "store";
+        return new ConfigSource(name, configAgeMs());
+    }
+
     private long ageMs(String topic) {
-        return relay != null && relay.reliesOnHub()
+        return relay != null && relay.reliesOnHub(topic)
                 ? relay.storeAgeMs(topic)
                 : follower(topic).msSinceLastResponse();
     }
@@ -193,8 +199,9 @@
      */
     void exchange(RecordRelay hubRelay, BiConsumer<String, List<StoreRecord>> next) {
         relay = hubRelay;
-        operatorRecords.exchange(relay::reliesOnHub, records -> next.accept(PEER_TOPIC_OPERATOR, records));
-        entries.exchange(relay::reliesOnHub, records -> next.accept(PEER_TOPIC_ENDPOINTS, records));
+        followers()
+                .forEach((topic, follower) -> follower.exchange(
+                        () -> relay.reliesOnHub(topic), relay::listingDelayMs, records -> next.accept(topic, records)));
     }
 
     /** Known records by the topic's name in the messages between nodes. */
