Fail a response without framing that the end of the event loop cuts off

What callers saw: nothing in the shipped process, which halts; a node that is closed within its process could end an undelimited response to a caller as complete, depending on which of its connections was closed first.

Cause: the client's own close at the end of the event loop reaches the decoder in the same way as the close by the server, which ends a response with neither a length nor chunks; the end was reported as complete.

The connection now reports a failure when such a body ends because its event loop is closed.

--- a/transport/src/main/java/org/quetzalvane/transport/ClientConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ClientConnection.java
@@ -187,12 +187,19 @@
         if (listener != null && chunk instanceof LastHttpContent) {
             if (discarding) {
                 discarding = false;
-                return;
+            } else if (endedByClosing()) {
+                fail("event loop closed");
+            } else {
+                complete();
             }
-            complete();
         }
     }
 
+    /** Whether the body ended with the connection, which this process closes with its event loop. */
+    private boolean endedByClosing() {
+        return loop.isClosing() && !ctx.channel().isActive();
+    }
+
     private void complete() {
         HttpResponseListener r = listener;
         listener = null;
--- a/transport/src/main/java/org/quetzalvane/transport/NettyEventLoop.java
+++ b/transport/src/main/java/org/quetzalvane/transport/NettyEventLoop.java
@@ -112,6 +112,11 @@
         return () -> f.cancel(false);
     }
 
+    /** Whether {@link #close} has been called. */
+    boolean isClosing() {
+        return loop.isShuttingDown();
+    }
+
     @Override
     public void close() {
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
