--- a/entry/src/test/java/org/quetzalvane/entry/TruncatedStreamTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/TruncatedStreamTest.java
@@ -21,27 +21,10 @@
 class TruncatedStreamTest {
     private static final String EVENT = "id: 1\ndata: a\n\n";
     private static final String CUT_EVENT = EVENT + "id: 2\ndata: ha";
-    private static final String LAST_CHUNK = "0\r\n\r\n";
 
     @RegisterExtension
     final LoopbackCluster cluster = new LoopbackCluster();
 
-    /** How an engine frames its stream. */
-    private enum Framing {
-        NONE,
-        CHUNKS,
-        LENGTH;
-
-        String frame(String head, String body) {
-            return switch (this) {
-                case NONE -> head + "\r\n" + body;
-                case CHUNKS -> head + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length()) + "\r\n"
-                        + body + "\r\n" + LAST_CHUNK;
-                case LENGTH -> head + "Content-Length: " + body.length() + "\r\n\r\n" + body;
-            };
-        }
-    }
-
     @ParameterizedTest
     @CsvSource({
         "/single/, NONE, CLOSE, text/event-stream",
@@ -80,7 +63,7 @@
     })
     void streamThatEndsAfterAnEventIsComplete(String path, Framing framing, End end) throws Exception {
         String response = requestOnKeptConnections(path, framing, end, "text/event-stream", EVENT);
-        assertThat(response).startsWith("HTTP/1.1 200").contains(EVENT).endsWith(LAST_CHUNK);
+        assertThat(response).startsWith("HTTP/1.1 200").contains(EVENT).endsWith(Framing.LAST_CHUNK);
     }
 
     /** A resumed stream without an event ended as complete because events of an earlier attempt preceded it. */
@@ -108,7 +91,7 @@
 
     private static boolean isFramedAsComplete(String response) {
         boolean delimited =
-                response.toLowerCase(Locale.ROOT).contains("content-length") || response.endsWith(LAST_CHUNK);
+                response.toLowerCase(Locale.ROOT).contains("content-length") || response.endsWith(Framing.LAST_CHUNK);
         return response.startsWith("HTTP/1.1 200") && delimited;
     }
 
