Fail a call whose server switches protocols without an error of the program

What operators saw: a TASK_FAILED event with a ClassCastException when an endpoint answered a request with 101, which no request asks for. The caller's request failed as it should.

Cause: after 101 the decoder passes on the bytes undecoded, and the connection took every message for a part of a response.

The call now fails with its cause.

--- a/transport/src/main/java/org/quetzalvane/transport/ClientConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ClientConnection.java
@@ -139,7 +139,11 @@
     @Override
     public void channelRead(ChannelHandlerContext c, Object msg) {
         try {
-            handle((HttpObject) msg);
+            if (msg instanceof HttpObject) {
+                handle((HttpObject) msg);
+            } else {
+                fail("bytes after a switch of protocols");
+            }
         } finally {
             ReferenceCountUtil.release(msg);
         }
--- a/transport/src/test/java/org/quetzalvane/transport/TruncatedResponseTest.java
+++ b/transport/src/test/java/org/quetzalvane/transport/TruncatedResponseTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -156,6 +157,18 @@
         assertThat(seen.heads).isZero();
     }
 
+    /** Such bytes were reported as a failure of this program. */
+    @Test
+    void bytesAfterASwitchOfProtocolsFailTheCall() throws Exception {
+        List<Throwable> reported = new CopyOnWriteArrayList<>();
+        loop.onFailure(reported::add);
+        Recorder seen = call(HttpMethod.GET);
+        write(acceptRequest(), "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + Response.LENGTH.bytes());
+        assertThat(seen.outcome()).isEqualTo("failed");
+        assertThat(seen.heads).isZero();
+        assertThat(reported).isEmpty();
+    }
+
     /** The client's own close at the end of the event loop was taken for the end of the body. */
     @Test
     void responseWithoutFramingIsIncompleteWhenTheEventLoopIsClosed() throws Exception {
