Break a stream off at the head of a response within it

What callers saw: the status line and headers of an error as an event in the middle of their stream, and the text of the error after them, if that ended like an event. The stream was then resumed or ended as complete.

Cause: an endpoint that fails after it has begun its stream may write the head of an error on the same connection. Without a length or chunks the head is a part of the body, and an empty line after it ends an event; whatever ended like an event was passed on.

EventSplitter now withholds the event that holds a status line and all that follows, and the attempt counts as broken off, so that the stream goes on at another endpoint after the last event before it, or is broken off for the caller. A status line that begins a line is no field of an event; one after other text counts only if a line follows it within the event that is no field either, since generated text may name the protocol. A status line that follows other text without any header after it can't be told from text and is still passed on.

The events that are complete with a chunk are now passed on also if the rest of the chunk breaks the stream off; the next endpoint is asked for what follows them.

--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -357,18 +357,19 @@
     }
 
     private void relayChunk(byte[] chunk) {
-        byte[] toSend = handler.responseStream().feed(chunk);
-        if (handler.responseStream().isEventTooLarge()) {
+        ResponseStream stream = handler.responseStream();
+        byte[] toSend = stream.feed(chunk);
+        if (toSend.length > 0) {
+            handler.streamVersion().eventsSentFrom(endpoint);
+            if (!response.write(toSend)) {
+                pauseReading();
+            }
+        }
+        if (stream.isEventTooLarge()) {
             context.log().log(EventCode.INPUT_TOO_LARGE, endpoint.id(), "input", "event", "request", request.id());
             failed(false, "event too large");
-            return;
-        }
-        if (toSend.length == 0) {
-            return;
-        }
-        handler.streamVersion().eventsSentFrom(endpoint);
-        if (!response.write(toSend)) {
-            pauseReading();
+        } else if (stream.hasHead()) {
+            failed(false, "head of a response within the stream");
         }
     }
 
--- a/core/src/main/java/org/quetzalvane/core/serve/EventSplitter.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EventSplitter.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /**
  * Splits a stream of server-sent events at the ends of events and keeps the id of the last complete one.
@@ -30,6 +31,7 @@
     private String lastId;
     private boolean hasEvents;
     private boolean attemptHasEvents;
+    private boolean headFound;
 
     EventSplitter(String lastId) {
         this.lastId = lastId;
@@ -40,22 +42,24 @@
     void beginAttempt() {
         clearPending();
         attemptHasEvents = false;
+        headFound = false;
     }
 
     /**
-     * Adds bytes and returns those of the events that are now complete; empty if no event is complete. The cost is
-     * linear in the bytes added, however long the partial event is.
+     * Adds bytes and returns those of the events that are now complete, up to one that holds the head of a response;
+     * empty if no event is complete. The cost is linear in the bytes added, however long the partial event is.
      */
     byte[] feed(byte[] bytes) {
         int end = lastEventEnd(bytes);
         pending.write(bytes, 0, end);
         byte[] complete = NOTHING;
         if (end > 0) {
-            complete = pending.toByteArray();
+            complete = withoutHead(pending.toByteArray());
             clearPending();
+        }
+        if (complete.length > 0) {
             hasEvents = true;
             attemptHasEvents = true;
-            updateLastId(complete);
         }
         pending.write(bytes, end, bytes.length - end);
         for (int i = Math.max(end, bytes.length - 2); i < bytes.length; i++) {
@@ -65,6 +69,24 @@
         return complete;
     }
 
+    /** Returns the events before one that holds the head of a response, and keeps the id of the last one. */
+    private byte[] withoutHead(byte[] events) {
+        String text = new String(events, StandardCharsets.ISO_8859_1);
+        int at = EmbeddedHead.eventWithHead(text);
+        if (at < 0) {
+            updateLastId(text);
+            return events;
+        }
+        headFound = true;
+        updateLastId(text.substring(0, at));
+        return Arrays.copyOf(events, at);
+    }
+
+    /** Whether the present attempt has sent the head of a response as an event; nothing more should be fed then. */
+    boolean hasHead() {
+        return headFound;
+    }
+
     /** Whether the present attempt has sent a complete event. */
     boolean attemptHasEvents() {
         return attemptHasEvents;
@@ -122,8 +144,7 @@
         return i == -1 ? last : secondLast;
     }
 
-    private void updateLastId(byte[] complete) {
-        String text = new String(complete, StandardCharsets.ISO_8859_1);
+    private void updateLastId(String text) {
         int at = text.startsWith(ID_FIELD) ? 0 : -1;
         int later = text.lastIndexOf("\n" + ID_FIELD);
         if (later >= 0) {
--- a/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
@@ -68,6 +68,11 @@
         return splitter != null && splitter.isEventTooLarge();
     }
 
+    /** Whether an endpoint sent the head of a response as an event, which is withheld with all that follows. */
+    boolean hasHead() {
+        return splitter != null && splitter.hasHead();
+    }
+
     /** Id of the last complete event that has one, before that the id given to {@link #ofEvents}; may be null. */
     String lastId() {
         return splitter == null ? null : splitter.lastId();
--- a/core/src/test/java/org/quetzalvane/core/serve/EventSplitterTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/EventSplitterTest.java
@@ -34,6 +34,24 @@
         assertThat(splitter.lastId()).isEqualTo("3");
     }
 
+    /** An endpoint that failed within its stream wrote the head of an error there. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 7, 20, 1_000})
+    void eventsBeforeTheHeadOfAResponseAreReturnedForAnyChunkSize(int chunkSize) {
+        EventSplitter splitter = new EventSplitter(null);
+        byte[] all = (EVENTS + "id: 4\ndata: haHTTP/1.1 500 Error\r\nServer: x\r\n\r\nid: 5\n\n")
+                .getBytes(StandardCharsets.US_ASCII);
+        StringBuilder out = new StringBuilder();
+        for (int i = 0; i < all.length && !splitter.hasHead(); i += chunkSize) {
+            out.append(new String(splitter.feed(Arrays.copyOfRange(all, i, Math.min(all.length, i + chunkSize)))));
+        }
+        assertThat(out).hasToString(EVENTS);
+        assertThat(splitter.lastId()).isEqualTo("3");
+        assertThat(splitter.hasHead()).isTrue();
+        splitter.beginAttempt();
+        assertThat(splitter.hasHead()).isFalse();
+    }
+
     /** Allocation stands for bytes copied; it does not depend on the speed of the machine. */
     @Test
     void bytesCopiedForAnEventWithoutEndAreLinearInItsLength() {
