Resume a stream only by a response with the status of the first one

What callers saw: a stream that had broken off ended as complete if the next endpoint answered 204, and went on with the body of a 202 or 206, if that was signed and called itself a stream of events.

Cause: any 2xx with that content type counted as the rest of the stream. The caller has only the head of the first endpoint and can't tell that the rest belongs to an answer of another kind.

A response now goes on with a stream only if it has the status of the head that the caller got; any other one ends the attempt as the errors do.

Evidence: ResumedStreamErrorTest.answerThatIsNoStreamNeverReachesTheCaller lets the next endpoint answer with 15 statuses, with and without the content type and the signature, in each framing.

--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -234,12 +234,12 @@
         } else if (h.serverError() && !callerResponseBegun() && hasAlternative() && handler.tryAcquireRetry()) {
             close(true);
             handler.failed(this, ResultCode.ENDPOINT_FAILED, "status=" + h.status(), true);
+        } else if (callerResponseBegun() && !handler.responseStream().isContinuedBy(h)) {
+            close(true);
+            handler.failed(this, ResultCode.STREAM_BROKEN, "resume status=" + h.status(), false);
         } else if (h.success() && h.eventStream()) {
             beginning.begun();
             beginEventStream(h);
-        } else if (callerResponseBegun()) {
-            close(true);
-            handler.failed(this, ResultCode.STREAM_BROKEN, "resume status=" + h.status(), false);
         } else {
             buffer = new BodyBuffer();
         }
--- a/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
@@ -9,6 +9,7 @@
 final class ResponseStream {
     private final EventSplitter splitter;
     private final boolean resumable;
+    private int status;
 
     private ResponseStream(EventSplitter splitter, boolean resumable) {
         this.splitter = splitter;
@@ -32,9 +33,15 @@
 
     /** Begins the response to the caller with the head of the first endpoint. */
     void begin(CallerResponse response, ResponseHead head) {
+        status = head.status();
         response.begin(head);
     }
 
+    /** Whether a response goes on with the stream: it is a stream of events and has the status of the first one. */
+    boolean isContinuedBy(ResponseHead head) {
+        return splitter != null && head.eventStream() && head.status() == status;
+    }
+
     /** Starts the part of the stream that the next attempt sends; a partial event of the one before is discarded. */
     void beginAttempt() {
         if (splitter != null) {
--- a/entry/src/test/java/org/quetzalvane/entry/ResumedStreamErrorTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/ResumedStreamErrorTest.java
@@ -1,5 +1,6 @@
 package org.quetzalvane.entry;
 
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -8,6 +9,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalvane.platform.BootSettings;
 import org.quetzalvane.platform.standin.CallerClient;
@@ -23,6 +25,7 @@
 class ResumedStreamErrorTest {
     private static final int RETRIES = 10_000;
     private static final String BEGINNING = "id: 1\ndata: a\n\n";
+    private static final String BROKEN_BEGINNING = BEGINNING + "id: 2\ndata: ha";
     private static final String REST = "id: 2\ndata: b\n\n";
     private static final String ERROR = "id: 9\ndata: upstream error\n\n";
 
@@ -35,6 +38,31 @@
     private volatile Function<String, Reply> onResumed;
     private String node;
 
+    @ParameterizedTest
+    @CsvSource({
+        "text/event-stream, signed",
+        "text/event-stream, ''",
+        "text/plain, signed",
+        "'', signed",
+    })
+    void answerThatIsNoStreamNeverReachesTheCaller(String type, String signature) throws Exception {
+        for (int status : List.of(99, 101, 103, 200, 202, 204, 206, 302, 304, 400, 404, 500, 502, 503, 999)) {
+            if (status == 200 && type.equals("text/event-stream") && !signature.isEmpty()) {
+                continue;
+            }
+            for (Framing framing : Framing.values()) {
+                ReceivedResponse received = breakOffThenAnswer(request -> {
+                    String head = "HTTP/1.1 %03d X\r\nX-Attempt-Id: %s\r\n"
+                                    .formatted(status, RawEndpointStandIn.header(request, CallerClient.ID_HEADER))
+                            + (signature.isEmpty() ? "" : "X-Response-Signature: " + signature + "\r\n")
+                            + (type.isEmpty() ? "" : "Content-Type: " + type + "\r\n");
+                    return new Reply(framing.frame(head, ERROR), End.CLOSE);
+                });
+                assertBrokenOffAfterBeginning(received);
+            }
+        }
+    }
+
     /** An endpoint wrote the head of an error within its own stream, which callers got as an event. */
     @ParameterizedTest
     @ValueSource(
@@ -76,6 +104,11 @@
         assertThat(received.complete()).isTrue();
     }
 
+    private ReceivedResponse breakOffThenAnswer(Function<String, Reply> answer) throws Exception {
+        return callResumed(
+                request -> new Reply(Framing.NONE.frame(streamHead(request), BROKEN_BEGINNING), End.CLOSE), answer);
+    }
+
     /** Repeats a call whose stream no endpoint was asked to resume. */
     private ReceivedResponse callResumed(Function<String, Reply> first, Function<String, Reply> next) throws Exception {
         int before = resumed.get();
