Take only requests that can end before the node does, and answer those that run at the end

Callers saw: in a planned stop, requests that were taken up to 2.5 s after SIGTERM, whatever their route's timeout, were passed on and then cut without an answer when the process ended, non-idempotent ones among them. With a grace period of 3 s, requests were still accepted after the node had stopped waiting (2.3 s). Requests pipelined behind a long one were read and got no answer.

Cause: the decision to accept knew only the time since the signal, not what was left, the deadline or the kind of the request; nothing ended what still ran when the process did.

Change: GracePeriod knows the end. A request that must not be repeated is sent only if its deadline lies before that end; one that may be repeated also if none of the newest 64 requests of its route took longer than what is left. Others are refused with DRAINING and Retry-After 0 at once: on arrival, when the stop begins, and when they would be sent after waiting for an allowance, a permit, an adapter or another attempt. Endpoints get what is left as their deadline. At the end, waiting requests are refused as not run, running ones get 502, and begun streams are broken off. The margin before the kill is a tenth of a short grace period, so that this falls into its last sixth.

A second SIGTERM and SIGHUP during the stop are part of the former.

--- a/core/src/main/java/org/quetzalvane/core/serve/AccountGate.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/AccountGate.java
@@ -31,9 +31,6 @@
     private Charge acquired;
     private boolean closed;
 
-    /** Why a request must not be sent; {@code retryAfterMs} is -1 if it must not be repeated. */
-    record Refusal(ResultCode code, long retryAfterMs, String cause) {}
-
     private record Charge(ClientAccount account, long cost) {}
 
     AccountGate(ServingContext context, CallerRequest request) {
--- a/core/src/main/java/org/quetzalvane/core/serve/AttemptSender.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/AttemptSender.java
@@ -18,21 +18,21 @@
 
     private final Attempt.Shared shared;
     private final ServiceSpec service;
-    private final long deadlineNanos;
+    private final RequestDeadline deadline;
     private final AccountGate account;
     /** Ids of the endpoints that an attempt was sent to. */
     private final Set<String> sentTo = new HashSet<>();
 
-    AttemptSender(Attempt.Shared shared, ServiceSpec service, long deadlineNanos, AccountGate account) {
+    AttemptSender(Attempt.Shared shared, ServiceSpec service, RequestDeadline deadline, AccountGate account) {
         this.shared = shared;
         this.service = service;
-        this.deadlineNanos = deadlineNanos;
+        this.deadline = deadline;
         this.account = account;
     }
 
     /** Time left to an endpoint, ms. */
     long remainingMs() {
-        return (deadlineNanos - shared.context().scheduler().nanoTime()) / 1_000_000 - NETWORK_MARGIN_MS;
+        return deadline.remainingMs() - NETWORK_MARGIN_MS;
     }
 
     /** An attempt at an endpoint, not sent yet; null if no time is left. */
--- a/core/src/main/java/org/quetzalvane/core/serve/QuarantineGate.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/QuarantineGate.java
@@ -1,5 +1,6 @@
 package org.quetzalvane.core.serve;
 
+import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.quarantine.PromptQuarantine;
 import org.quetzalvane.core.quarantine.Registration;
 import org.quetzalvane.core.quarantine.RequestContent;
@@ -42,4 +43,10 @@
     void close() {
         watch.close();
     }
+
+    /** Why the request must not be sent, or null. */
+    Refusal refusal() {
+        Verdict v = check();
+        return v.maySend() ? null : new Refusal(ResultCode.PROMPT_QUARANTINED, v.retryAfterMs(), v.evidence());
+    }
 }
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -1,6 +1,5 @@
 package org.quetzalvane.core.serve;
 
-import java.time.Duration;
 import java.util.Set;
 
 import org.quetzalvane.core.ResultCode;
@@ -8,10 +7,8 @@
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.limit.Permit;
 import org.quetzalvane.core.quarantine.RequestContent;
-import org.quetzalvane.core.quarantine.Verdict;
 import org.quetzalvane.core.routes.Route;
 import org.quetzalvane.core.routes.ServiceSpec;
-import org.quetzalvane.core.time.Scheduler;
 
 /**
  * Handles one request from its arrival to its single final response.
@@ -20,7 +17,8 @@
  * route allows that; it is reported as not run only if every attempt was refused by its endpoint or never reached one.
  * Confined to the event loop.
  */
-public final class RequestFlow implements Attempt.Handler, EngineAcquisition.Handler, AttemptReplacement.Handler {
+public final class RequestFlow
+        implements Attempt.Handler, EngineAcquisition.Handler, AttemptReplacement.Handler, RequestDeadline.Handler {
     /**
      * Retry time sent to the caller when no better estimate exists, ms: one load from the weight store (265 ms) and a
      * margin.
@@ -37,7 +35,7 @@
 
     private Route route;
     private ServiceSpec service;
-    private Scheduler.Timer deadlineTimer;
+    private RequestDeadline deadline;
     private boolean done;
     private Attempt current;
     private ResponseStream responseStream;
@@ -73,28 +71,29 @@
             refuse(match.refusal(), match.retryAfterMs(), match.cause());
             return;
         }
-        AccountGate.Refusal refusal = account.checkArrival(route);
+        Refusal refusal = account.checkArrival(route);
         requestLog.setAccount(account.accountName());
-        if (refusal != null) {
-            refuse(refusal.code(), refusal.retryAfterMs(), refusal.cause());
+        if (endIf(refusal)) {
             return;
         }
         route = account.prioritized(route);
         long ms = request.timeoutMs() < 0 ? route.timeoutMs() : Math.min(route.timeoutMs(), request.timeoutMs());
-        deadlineTimer = context.scheduler().schedule(Duration.ofMillis(ms), this::deadlineReached);
-        account.acquire(permit -> decided(permit, arrivedNanos + ms * 1_000_000));
+        deadline = new RequestDeadline(context, route, ms, this);
+        if (!endIf(deadline.refusal())) {
+            account.acquire(this::decided);
+        }
     }
 
-    private void decided(Permit allowance, long deadlineNanos) {
+    private void decided(Permit allowance) {
         if (allowance.granted()) {
-            admitted(deadlineNanos);
+            admitted();
         } else {
             long retryAfterMs = RetryAfter.spread(allowance.waitMs(), request.id());
             refuse(ResultCode.ALLOWANCE_EXCEEDED, retryAfterMs, "wait_ms=" + allowance.waitMs());
         }
     }
 
-    private void admitted(long deadlineNanos) {
+    private void admitted() {
         context.retryBudget().recordRequest(service.name());
         if (request.adapter() != null) {
             context.adapterDemand().recordRequest(request.adapter());
@@ -104,7 +103,7 @@
         quarantine = new QuarantineGate(context.quarantine(), content);
         quarantine.watch(this::condemned);
         shared = new Attempt.Shared(context, request, content, route, response, this);
-        sender = new AttemptSender(shared, service, deadlineNanos, account);
+        sender = new AttemptSender(shared, service, deadline, account);
         acquisition = new EngineAcquisition(context, request, route, this);
         selection = new EndpointSelection(context, request, service, history, acquisition, this);
         permits = new PermitGate(context, request, route, this);
@@ -175,7 +174,7 @@
         current = sender.createAttempt(e);
         if (current == null) {
             context.permits().giveBack(e);
-            deadlineReached();
+            deadline.reached();
         } else {
             sendCandidate(current, version);
         }
@@ -321,6 +320,7 @@
     public void completed(Attempt a) {
         clearCurrent(a);
         requestLog.logDone(a, history.mayHaveRun() + 1);
+        deadline.served(requestLog.elapsedMs());
         finish();
     }
 
@@ -361,27 +361,21 @@
 
     /** Ends the request if nothing may be sent any more; returns whether it has ended. */
     private boolean endIfForbidden() {
-        AccountGate.Refusal refusal = account.check(route);
-        if (refusal == null) {
-            return endIfCondemned();
-        }
-        giveUp(refusal.code(), refusal.retryAfterMs(), refusal.cause());
-        return true;
+        return endIf(deadline.refusal()) || endIf(account.check(route)) || endIf(quarantine.refusal());
     }
 
-    private boolean endIfCondemned() {
-        Verdict v = quarantine.check();
-        if (!v.maySend()) {
-            giveUp(ResultCode.PROMPT_QUARANTINED, v.retryAfterMs(), v.evidence());
+    private boolean endIf(Refusal refusal) {
+        if (refusal != null) {
+            giveUp(refusal.code(), refusal.retryAfterMs(), refusal.cause());
         }
-        return !v.maySend();
+        return refusal != null;
     }
 
     /** The request, or parts of its prompt, became condemned while it waits or runs. */
     private void condemned() {
         silentAttempts.withdraw("condemned");
         if (current == null) {
-            endIfCondemned();
+            endIf(quarantine.refusal());
         } else if (!current.isPastBeginning()) {
             history.recordCancelled();
             fail(ResultCode.OUTCOME_UNKNOWN, "the request was condemned before the response was past its beginning");
@@ -427,15 +421,20 @@
         finish();
     }
 
-    private void deadlineReached() {
+    @Override
+    public boolean sent() {
+        return mayHaveRun() || current != null;
+    }
+
+    @Override
+    public void end(ResultCode notRun, ResultCode sent, long retryAfterMs, String cause) {
         if (done) {
             return;
         }
-        boolean mayHaveRun = history.mayHaveRun() > 0 || current != null;
-        if (mayHaveRun) {
-            fail(ResultCode.PROGRESS_TIMEOUT, "deadline");
+        if (sent()) {
+            fail(sent, cause);
         } else {
-            refuse(ResultCode.DEADLINE_UNREACHABLE, DEFAULT_RETRY_AFTER_MS, "deadline");
+            refuse(notRun, retryAfterMs, cause);
         }
     }
 
@@ -445,8 +444,8 @@
         if (quarantine != null) {
             quarantine.close();
         }
-        if (deadlineTimer != null) {
-            deadlineTimer.cancel();
+        if (deadline != null) {
+            deadline.close();
         }
         silentAttempts.close();
         if (current != null) {
--- a/core/src/main/java/org/quetzalvane/core/serve/ServingContext.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ServingContext.java
@@ -46,6 +46,7 @@
  * @param streamOrigins software versions that streams come from
  * @param servedVersions software versions that may have begun a stream of unknown origin
  * @param quarantine requests that crash endpoints
+ * @param gracePeriod time that is left to a node that was told to stop
  * @param endpointClient port for requests to endpoints
  * @param log structured log
  */
@@ -71,5 +72,6 @@
         StreamOrigins streamOrigins,
         ServedVersions servedVersions,
         PromptQuarantine quarantine,
+        GracePeriod gracePeriod,
         EndpointClient endpointClient,
         StructuredLog log) {}
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -57,6 +57,7 @@
     final FakeQuarantine quarantine = new FakeQuarantine();
     final FakePermits permits = new FakePermits();
     final FakeAllowances allowances = new FakeAllowances();
+    final GracePeriod gracePeriod = new GracePeriod(clock);
     boolean keysVerifiable = true;
     final FakeCallerResponse response = new FakeCallerResponse();
     private final RetryBudgetShare retryBudget = new RetryBudgetShare(clock, 0.2, 50, 10_000, () -> 1);
@@ -92,6 +93,7 @@
                 origins,
                 (service, done) -> done.accept(endpoints.softwareVersions(service)),
                 quarantine,
+                gracePeriod,
                 client,
                 (code, subject, fields) -> logged.add(code));
     }
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -2,9 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import org.quetzalvane.core.ResultCode;
@@ -28,6 +25,7 @@
 import org.quetzalvane.core.routes.ServiceSpec;
 import org.quetzalvane.core.serve.CallerRequest;
 import org.quetzalvane.core.serve.CallerResponse;
+import org.quetzalvane.core.serve.GracePeriod;
 import org.quetzalvane.core.serve.RequestFlow;
 import org.quetzalvane.core.serve.ServingContext;
 import org.quetzalvane.core.team.AssignedEngines;
@@ -74,13 +72,6 @@
     private static final long ENGINE_CALL_TIMEOUT_MS = 150;
     /** Longest idle time, ms, of a pooled connection that may carry a request that cannot be retried. */
     private static final long NON_RETRYABLE_MAX_IDLE_MS = 1_500;
-    /** Part of the grace period that is reserved for ending the process, ms. */
-    private static final long SHUTDOWN_MARGIN_MS = 700;
-    /**
-     * Time after the signal to stop for which requests are still accepted, ms. A request sent up to 3 s after the
-     * signal may be cut off when the process ends.
-     */
-    private static final long ACCEPT_AFTER_STOP_MS = 2_500;
     /** Partition whose owner records the software versions that serve. */
     private static final int SERVED_VERSIONS_PARTITION = 0;
     /** One in this many {@code REQUEST_DONE} events is logged, chosen by the hash of the request id. */
@@ -111,7 +102,8 @@
     private final HttpServer callerServer;
     private final HttpServer readinessServer;
     private final HttpServer directoryServer;
-    private final CountDownLatch notAccepting = new CountDownLatch(1);
+    private final GracePeriod gracePeriod = new GracePeriod(loop);
+    private final PlannedStop plannedStop;
     private boolean leaving;
 
     EntryNode(BootSettings settings) {
@@ -166,6 +158,7 @@
                 new AssignmentMember.Listeners(this::assignmentChanged, peerService::resumeHub));
         servingContext = createServingContext();
         callerServer = new HttpServer(loop, this::callerLimits, this::serveCaller);
+        plannedStop = new PlannedStop(loop, callerServer, gracePeriod, settings.gracePeriodMs());
         CallerDirectory directory = new CallerDirectory(peerTable, peerService::self, settings.maxDirectoryTtlS());
         readinessServer = new HttpServer(loop, this::callerLimits, directory::serveReadiness);
         directoryServer = new HttpServer(loop, this::callerLimits, directory::serveAddresses);
@@ -190,23 +183,18 @@
     }
 
     /**
-     * Drains the node: accepts no new callers, lets the requests in progress complete, and returns shortly before the
-     * grace period ends.
+     * Drains the node: accepts no new callers, lets the requests in progress complete, ends those that do not, and
+     * returns shortly before the grace period ends.
      */
     void stop() throws InterruptedException {
-        long start = loop.nanoTime();
         loop.execute(() -> {
             leaving = true;
             log.log(EventCode.NODE_DRAINING, settings.nodeName(), "unanswered", callerServer.busyConnections());
-            callerServer.drain();
+            plannedStop.begin();
             assignmentMember.leave();
             peerService.sendStatus();
-            loop.schedule(Duration.ofMillis(ACCEPT_AFTER_STOP_MS), this::stopAccepting);
         });
-        long limitMs = settings.gracePeriodMs() - SHUTDOWN_MARGIN_MS;
-        CountDownLatch idle = new CountDownLatch(1);
-        loop.execute(() -> awaitIdle(start, idle));
-        idle.await(limitMs, TimeUnit.MILLISECONDS);
+        plannedStop.awaitIdleOrEnd();
         log.log(EventCode.NODE_STOPPED, settings.nodeName());
         try {
             lineLog.flush();
@@ -215,10 +203,6 @@
         }
     }
 
-    private void stopAccepting() {
-        callerServer.stopAccepting(notAccepting::countDown);
-    }
-
     /** Stops the event loop at once; requests in progress are dropped. */
     void close() {
         loop.close();
@@ -226,17 +210,7 @@
 
     /** Waits until a draining node has closed its listening socket for callers. */
     void awaitNotAccepting() throws InterruptedException {
-        notAccepting.await();
-    }
-
-    /** Polls until requests are no longer accepted and every response has been sent. */
-    private void awaitIdle(long start, CountDownLatch idle) {
-        boolean accepted = loop.nanoTime() - start > ACCEPT_AFTER_STOP_MS * 1_000_000;
-        if (accepted && callerServer.busyConnections() == 0) {
-            idle.countDown();
-        } else {
-            loop.schedule(Duration.ofMillis(50), () -> awaitIdle(start, idle));
-        }
+        plannedStop.awaitNotAccepting();
     }
 
     private ServingContext createServingContext() {
@@ -272,6 +246,7 @@
                 peerService.streamOrigins(),
                 platform.servedVersions(),
                 peerService.quarantine(),
+                gracePeriod,
                 gateway,
                 log);
     }
--- a/entry/src/test/java/org/quetzalvane/entry/EntryProcess.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EntryProcess.java
@@ -88,6 +88,11 @@
         }
     }
 
+    /** Sends SIGTERM. */
+    void terminate() {
+        process.destroy();
+    }
+
     /** Sends SIGTERM and waits for the exit. */
     void stop() throws InterruptedException {
         process.destroy();
--- a/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
+++ b/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
@@ -14,8 +14,17 @@
         return withRetryBudget(name, seeds, storeAddress, 0.2, 50);
     }
 
+    /** Settings with another grace period, ms. */
+    static BootSettings withGracePeriod(BootSettings s, long gracePeriodMs) {
+        return copy(s, gracePeriodMs, s.revocation());
+    }
+
     /** Settings with another behaviour while the configuration may be out of date. */
     static BootSettings withRevocation(BootSettings s, BootSettings.Revocation revocation) {
+        return copy(s, s.gracePeriodMs(), revocation);
+    }
+
+    private static BootSettings copy(BootSettings s, long gracePeriodMs, BootSettings.Revocation revocation) {
         return new BootSettings(
                 s.nodeName(),
                 s.zone(),
@@ -28,7 +37,7 @@
                 s.storeAddress(),
                 s.enginePartitions(),
                 s.drainTimeoutMs(),
-                s.gracePeriodMs(),
+                gracePeriodMs,
                 s.leaseDurationMs(),
                 s.fencingEnforced(),
                 s.retryRatio(),
