Notice records that a hub did not pass on before later ones

What callers saw: a member of a hub refused the routes of a newer configuration for good, with the hub and the store sound again.

Cause: a hub passes records on only to the members that it lists, and drops a member whose status it has not had for 1.2 s. A member judged whether it has all records by its greatest offset. If a record was written while it was not listed, and the first thing that reached it afterwards was a later record, its greatest offset was that of the hub, and it relied on the hub without ever having had the record between. Its own read finds the record, unless the store turned it away at that time; from then on it no longer reads.

Fix: a message that passes records on states the greatest offset that its sender had applied before. A receiver that is behind that offset does not count as complete until it has listed the hub's records, and reads the store meanwhile. The field exists in the message and was 0 there; 0 of an older version is never ahead, so mixed versions behave as before.

--- a/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
@@ -131,7 +131,8 @@
      * @param topic name of the topic
      * @param complete whether these are all records known; otherwise those that the sender has just applied
      * @param records newest record of each key
-     * @param endOffset of a complete list, see {@link PeerRecords}; otherwise, and from older versions, 0
+     * @param endOffset of a complete list, see {@link PeerRecords}; otherwise the greatest offset that the sender had
+     *     applied before; 0 if that is not stated, as in messages of older versions
      */
     record Records(String from, String topic, boolean complete, List<StoreRecord> records, long endOffset)
             implements PeerMessage {}
--- a/core/src/main/java/org/quetzalvane/core/team/RecordRelay.java
+++ b/core/src/main/java/org/quetzalvane/core/team/RecordRelay.java
@@ -70,6 +70,18 @@
         }
     }
 
+    /**
+     * Records, before they are applied, that a node passes on records of a topic. If those before them are missing
+     * here, the later ones must not make the topic complete.
+     *
+     * @param after greatest offset that the node had applied before these records
+     */
+    public void onPassedOn(String topic, long after) {
+        if (appliedOffset.apply(topic) < after) {
+            received.remove(topic);
+        }
+    }
+
     /** Drops what is known of a lost hub: records that it passed on meanwhile are missing here. */
     public void onDisconnect(String peer) {
         if (peer.equals(hub)) {
--- a/core/src/test/java/org/quetzalvane/core/team/RecordRelayTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/RecordRelayTest.java
@@ -52,6 +52,21 @@
         assertThat(relay.reliesOnHub(TOPIC)).isEqualTo(relies);
     }
 
+    /** Parameters: offset before the records that are passed on, and whether the node still relies on the hub. */
+    @ParameterizedTest
+    @CsvSource({"0, true", "5, true", "6, false"})
+    void storeIsReadOnceARecordBeforeThosePassedOnIsMissing(long after, boolean relies) {
+        synchronize("h1");
+        relay.onPassedOn(TOPIC, after);
+        applied = 7;
+        assertThat(view("h1", 7, 10)).isFalse();
+        assertThat(relay.reliesOnHub(TOPIC)).isEqualTo(relies);
+        clock.advance(Duration.ofMillis(1_000));
+        assertThat(view("h1", 7, 10)).isEqualTo(!relies);
+        relay.onRecords("h1", TOPIC);
+        assertThat(relay.reliesOnHub(TOPIC)).isTrue();
+    }
+
     /** A hub whose read of one topic hung was relied on for it, since it still heard from the store on another one. */
     @Test
     void hubIsReliedOnOnlyForTheTopicsOnWhichItHearsFromTheStore() {
--- a/entry/src/main/java/org/quetzalvane/entry/PeerService.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerService.java
@@ -33,6 +33,7 @@
 import org.quetzalvane.core.team.PeerMessage;
 import org.quetzalvane.core.team.PermitExchange;
 import org.quetzalvane.core.team.QuarantineExchange;
+import org.quetzalvane.core.team.RecordPublisher;
 import org.quetzalvane.core.team.RecordRelay;
 import org.quetzalvane.core.team.StartupRecords;
 import org.quetzalvane.core.team.StatusExchange;
@@ -56,6 +57,7 @@
     private final RecordAccess records;
     private final StartupRecords startupRecords;
     private final RecordRelay relay;
+    private final RecordPublisher publisher;
     private final StreamOriginTable streamOrigins;
     private final QuarantineExchange quarantine;
     private final PermitExchange permits;
@@ -99,6 +101,7 @@
         this.address = local.address();
         this.records = records;
         this.relay = relay;
+        this.publisher = new RecordPublisher(address);
         this.startupRecords =
                 new StartupRecords(scheduler, records.followers(), this::recordSources, this::requestRecords);
         this.exchange = new StatusExchange(scheduler, components, local, this);
@@ -200,7 +203,7 @@
 
     /** Passes records that were just applied on to the nodes that report to this one. */
     void relayRecords(String topic, List<StoreRecord> applied) {
-        sendToMembers(new PeerMessage.Records(address, topic, false, applied, 0));
+        sendToMembers(publisher.publish(topic, applied));
     }
 
     @Override
@@ -282,15 +285,22 @@
         } else if (m instanceof PeerMessage.StreamOriginReply r) {
             streamOrigins.onReply(r);
         } else if (m instanceof PeerMessage.Records r) {
-            startupRecords.onRecords(r, relay.hubHearsStore(r.from(), r.topic()));
-            if (r.complete()) {
-                relay.onRecords(r.from(), r.topic());
-            }
+            receiveRecords(r);
         } else if (m != null && !quarantine.receive(m) && !permits.receive(m)) {
             allowances.receive(m);
         }
     }
 
+    private void receiveRecords(PeerMessage.Records r) {
+        if (!r.complete()) {
+            relay.onPassedOn(r.topic(), r.endOffset());
+        }
+        startupRecords.onRecords(r, relay.hubHearsStore(r.from(), r.topic()));
+        if (r.complete()) {
+            relay.onRecords(r.from(), r.topic());
+        }
+    }
+
     /** Called when the connection to a peer is made or lost. Status, loads and usage of a lost peer are dropped. */
     void connectionChanged(String peer, boolean connected) {
         if (connected) {
--- a/entry/src/test/java/org/quetzalvane/entry/PausedNodes.java
+++ b/entry/src/test/java/org/quetzalvane/entry/PausedNodes.java
@@ -19,6 +19,7 @@
 import org.quetzalvane.core.team.AssignmentLease;
 import org.quetzalvane.core.team.PeerMessage;
 import org.quetzalvane.core.team.PeerTable;
+import org.quetzalvane.core.team.RecordPublisher;
 import org.quetzalvane.core.team.RecordRelay;
 import org.quetzalvane.core.team.StartupRecords;
 import org.quetzalvane.core.team.StatusExchange;
@@ -98,6 +99,7 @@
         final StatusExchange exchange;
         private final PeerTable peers;
         private final RecordRelay relay;
+        private final RecordPublisher publisher;
         private final AssignmentMember member;
         private final Map<String, RecordFollower> followers = new HashMap<>();
         private final StartupRecords startupRecords;
@@ -110,6 +112,7 @@
 
         private Node(String address, String zone, int capacity) {
             this.address = address;
+            publisher = new RecordPublisher(address);
             this.zone = zone;
             this.capacity = capacity;
             peers = new PeerTable(scheduler, address, Set.of("10.0.0.0:1", "10.0.0.1:1"));
@@ -224,7 +227,7 @@
         }
 
         private void sendToMembers(String topic, List<StoreRecord> records) {
-            PeerMessage.Records m = new PeerMessage.Records(address, topic, false, records, 0);
+            PeerMessage.Records m = publisher.publish(topic, records);
             peers.members().forEach(n -> send(n.address(), m));
         }
 
@@ -260,6 +263,9 @@
             } else if (m instanceof PeerMessage.RecordsRequest r) {
                 followers.forEach((topic, f) -> send(r.from(), completeList(topic, f.records())));
             } else if (m instanceof PeerMessage.Records r) {
+                if (!r.complete()) {
+                    relay.onPassedOn(r.topic(), r.endOffset());
+                }
                 startupRecords.onRecords(r, relay.hubHearsStore(r.from(), r.topic()));
                 if (r.complete()) {
                     relay.onRecords(r.from(), r.topic());
