Follow a topic on whatever a call or a listener does

A node could keep an old configuration for good while it said that it was ready, and refuse routes by it. The reads of the store form a chain in which the callback of each schedules the next, and the chain ended without a trace but one line in the log: if a call threw at once (no descriptors or buffers left), if its callback never came, if the records could not be passed on to a hub's members, if the decision whether a hub passes them on failed, or if a listener failed with an error. It may be what was seen on real processes; no log shows it.

The timer that sends an overdue read again covers listings as well now, and is cancelled only once the next step is scheduled, so each of these costs at most 1.5 s (CallChain). A failure to pass records on is logged as 1005 like that of a listener.

RecordFollowerTest.secondRestoreExtendsTheTimeForWritingAgain answered a read that is overdue in place of the second listing, which so had no response; it is sent again after 1.5 s now and was counted. The test answers the listing, as its comment says, and counts the same.

--- a/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
+++ b/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
@@ -20,8 +20,8 @@
  *
  * <p>Invariants: for each key, offsets only increase, whatever the store or a peer returns. Known records are kept
  * while the store cannot be reached. A read that is lost without an error delays a record by at most its wait and
- * {@link #OVERDUE_MS}: another read is then sent beside it, and the first response of either counts. Confined to the
- * event loop.
+ * {@link #OVERDUE_MS}: another read is then sent beside it, and the first response of either counts. The chain of calls
+ * does not end, see {@link CallChain}. Confined to the event loop.
  */
 public final class RecordFollower {
     /**
@@ -34,6 +34,11 @@
      * slow store.
      */
     private static final long OVERDUE_MS = 300;
+    /**
+     * Time after which a listing without a response is sent again, ms: longer than a call takes to fail and to be
+     * retried, shorter than the 2 s within which a configuration must be in force.
+     */
+    private static final long LISTING_OVERDUE_MS = 1_500;
     /** Longest wait of a read that is sent because the one before is overdue, ms. */
     private static final long MAX_WAIT_WHILE_OVERDUE_MS = 250;
     /** Interval at which it is checked whether another node still passes the records on, ms. */
@@ -52,6 +57,7 @@
     private final long waitMs;
     private final long readIntervalMs;
     private final Consumer<StoreRecord> listener;
+    private final CallChain calls;
     private BooleanSupplier relayed = () -> false;
     private LongSupplier listingDelayMs = () -> 0;
     private Consumer<List<StoreRecord>> relay = records -> {};
@@ -64,12 +70,6 @@
     private boolean reachable = true;
     /** Runs since the last response of the store; null before the first. */
     private Stopwatch sinceResponse;
-    /** Runs since the last read was sent; null before the first. */
-    private Stopwatch sinceSent;
-    /** Number of the last read sent; those before it are overdue or settled. */
-    private long lastRead;
-    /** Reads up to this number no longer decide what is called next. */
-    private long lastSettled;
 
     private boolean overdue;
 
@@ -98,6 +98,7 @@
         this.waitMs = waitMs;
         this.readIntervalMs = readIntervalMs;
         this.listener = listener;
+        this.calls = new CallChain(scheduler);
     }
 
     /**
@@ -171,28 +172,43 @@
     }
 
     private void readNewest() {
-        sinceSent = Stopwatch.start(scheduler);
-        topic.readNewest(page -> {
-            if (page.outcome() == KeyedTopic.Outcome.RESTORED) {
-                onRestored();
-                return;
-            }
-            if (page.outcome() != KeyedTopic.Outcome.OK) {
-                onFailure(page.cause());
-                scheduler.schedule(Duration.ofMillis(RETRY_DELAY_MS), this::readNewest);
-                return;
+        calls.send(new CallChain.Call(
+                topic::readNewest,
+                LISTING_OVERDUE_MS,
+                this::readNewest,
+                this::processListing,
+                this::continueAfterListing));
+    }
+
+    private void continueAfterListing(KeyedTopic.ReadResult page) {
+        switch (page.outcome()) {
+            case OK -> read();
+            case RESTORED -> onRestored();
+            default -> scheduler.schedule(Duration.ofMillis(RETRY_DELAY_MS), this::readNewest);
+        }
+    }
+
+    private void processListing(KeyedTopic.ReadResult page) {
+        process(page);
+        if (page.outcome() != KeyedTopic.Outcome.OK) {
+            return;
+        }
+        if (page.endOffset() >= offset) {
+            if (!rewriting) {
+                removeAbsent(page);
             }
+            offset = page.endOffset();
+        }
+        initialized = true;
+    }
+
+    private void process(KeyedTopic.ReadResult page) {
+        if (page.outcome() == KeyedTopic.Outcome.OK) {
             onResponse();
             applyAll(page.records());
-            if (page.endOffset() >= offset) {
-                if (!rewriting) {
-                    removeAbsent(page);
-                }
-                offset = page.endOffset();
-            }
-            initialized = true;
-            read();
-        });
+        } else if (page.outcome() == KeyedTopic.Outcome.FAILED) {
+            onFailure(page.cause());
+        }
     }
 
     /** Lists a store that came back from a copy, unless another node passes its records on after a delay. */
@@ -202,7 +218,7 @@
             return;
         }
         scheduler.schedule(Duration.ofMillis(delayMs), () -> {
-            if (relayed.getAsBoolean()) {
+            if (isRelayed()) {
                 read();
             } else {
                 onRestored();
@@ -227,7 +243,10 @@
             scheduler.schedule(Duration.ofMillis(leftMs), this::endRewriting);
             return;
         }
-        topic.readNewest(page -> {
+        if (!rewriting) {
+            return;
+        }
+        CallChain.sendWatched(scheduler, topic::readNewest, LISTING_OVERDUE_MS, this::endRewriting, page -> {
             if (page.outcome() == KeyedTopic.Outcome.OK) {
                 rewriting = false;
                 applyAll(page.records());
@@ -244,33 +263,23 @@
     }
 
     private void read() {
-        if (relayed.getAsBoolean()) {
-            scheduler.schedule(Duration.ofMillis(RELAY_CHECK_INTERVAL_MS), this::read);
+        Scheduler.Timer check = scheduler.schedule(Duration.ofMillis(RELAY_CHECK_INTERVAL_MS), this::read);
+        if (isRelayed()) {
             return;
         }
-        long number = ++lastRead;
+        check.cancel();
         long readWaitMs = overdue ? Math.min(waitMs, MAX_WAIT_WHILE_OVERDUE_MS) : waitMs;
-        sinceSent = Stopwatch.start(scheduler);
-        Scheduler.Timer timer = scheduler.schedule(Duration.ofMillis(readWaitMs + OVERDUE_MS), () -> {
-            if (number > lastSettled) {
-                onOverdue();
-            }
-        });
-        topic.read(offset, readWaitMs, page -> {
-            timer.cancel();
-            if (page.outcome() == KeyedTopic.Outcome.OK) {
-                onResponse();
-                applyAll(page.records());
-                offset = Math.max(offset, page.endOffset());
-            } else if (page.outcome() == KeyedTopic.Outcome.FAILED) {
-                onFailure(page.cause());
-            }
-            boolean awaitsAnother = page.outcome() == KeyedTopic.Outcome.FAILED && number < lastRead;
-            if (number > lastSettled && !awaitsAnother) {
-                lastSettled = lastRead;
-                readNext(page);
-            }
-        });
+        calls.send(new CallChain.Call(
+                done -> topic.read(offset, readWaitMs, done),
+                readWaitMs + OVERDUE_MS,
+                this::onOverdue,
+                this::processRead,
+                this::continueAfterRead));
+    }
+
+    private void processRead(KeyedTopic.ReadResult page) {
+        process(page);
+        offset = Math.max(offset, page.endOffset());
     }
 
     /** Sends another read, since this one may have been lost; its response is still processed. */
@@ -281,19 +290,29 @@
                     EventCode.STORE_READ_OVERDUE,
                     topic.name(),
                     "sent_ms_ago",
-                    sinceSent.elapsedMs(),
+                    calls.msSinceSent(),
                     "offset",
                     offset,
                     "age_ms",
                     msSinceLastResponse());
         }
-        if (relayed.getAsBoolean()) {
-            lastSettled = lastRead;
+        if (isRelayed()) {
+            calls.settleAll();
         }
         read();
     }
 
-    private void readNext(KeyedTopic.ReadResult page) {
+    /** Whether another node passes the records on; this node reads them itself if that cannot be told. */
+    private boolean isRelayed() {
+        try {
+            return relayed.getAsBoolean();
+        } catch (RuntimeException e) {
+            log.log(EventCode.TASK_FAILED, topic.name(), "key", "relay", "offset", offset, "cause", e);
+            return false;
+        }
+    }
+
+    private void continueAfterRead(KeyedTopic.ReadResult page) {
         switch (page.outcome()) {
             case EXPIRED -> readNewest();
             case RESTORED -> onRestored(listingDelayMs.getAsLong());
@@ -318,7 +337,7 @@
         }
         if (!newer.isEmpty()) {
             guarded("batch", appliedOffset, batchListener);
-            relay.accept(newer);
+            guarded("relay", appliedOffset, () -> relay.accept(newer));
         }
     }
 
@@ -340,7 +359,7 @@
                     "cause",
                     cause,
                     "sent_ms_ago",
-                    sinceSent.elapsedMs(),
+                    calls.msSinceSent(),
                     "wait_ms",
                     waitMs,
                     "offset",
@@ -359,7 +378,7 @@
                     "offset",
                     offset,
                     "sent_ms_ago",
-                    sinceSent.elapsedMs(),
+                    calls.msSinceSent(),
                     "age_ms",
                     msSinceLastResponse());
         }
--- a/core/src/test/java/org/quetzalvane/core/store/RecordFollowerTest.java
+++ b/core/src/test/java/org/quetzalvane/core/store/RecordFollowerTest.java
@@ -223,7 +223,7 @@
         topic.respond(KeyedTopic.ReadResult.ok(List.of(), 1_000));
         clock.advance(Duration.ofMillis(RecordFollower.REWRITE_MS - 100));
         topic.respond(KeyedTopic.ReadResult.restored());
-        topic.respond(KeyedTopic.ReadResult.ok(List.of(), 2_000));
+        respondToListing(KeyedTopic.ReadResult.ok(List.of(), 2_000));
         clock.advance(Duration.ofMillis(RecordFollower.REWRITE_MS - 100));
         assertThat(topic.listings).isEqualTo(3);
         clock.advance(Duration.ofMillis(100));
@@ -244,7 +244,7 @@
         assertThat(topic.listings - before).isEqualTo(2);
     }
 
-    /** Responds to the newest call, which is the listing; the read before it stays open. */
+    /** Responds to the newest call, which is the listing; the reads before it stay open. */
     private void respondToListing(KeyedTopic.ReadResult page) {
         topic.open.removeLast().accept(page);
     }
