Follow a store that takes 1.5 s to respond

A store that answers 1.5 s late could not be followed at all: a read that waits for a record was given up 1 s after its wait, before its response came, and so was each one that was sent beside it; nodes kept the configuration that they had. Shown on the paused clock only.

A read is given up 2 s after its wait now. This hides nothing, since another one is sent 300 ms after the wait of the one before. Writes and calls of the group keep 1 s.

The store on the paused clock ends a call after its timeout whatever became of it, takes the product's timeouts, and can refuse a node's calls; RestoredRecordsTest and RestoredOwnersTest, which try all faults, get cases of such a node.

--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -61,10 +61,15 @@
      */
     private static final int CONNECT_TIMEOUT_MS = 400;
     /**
-     * Timeout of a call to the store, ms, in addition to the wait that a read requests. The published response time is
-     * 4 ms; a slow store takes 60 times as long.
+     * Timeout of a write to the store and of a call of its group, ms. The published response time is 4 ms; a slow store
+     * takes 60 times as long.
      */
-    private static final long STORE_TIMEOUT_MS = 1_000;
+    static final long STORE_TIMEOUT_MS = 1_000;
+    /**
+     * Timeout of a read of the store, ms, in addition to the wait that it requests. It is longer, since another read is
+     * sent once one is overdue, and a store that takes longer to respond than the timeout could not be followed.
+     */
+    static final long STORE_READ_TIMEOUT_MS = 2_000;
     /**
      * Time without a join after which the group assigns a node's partitions to others, ms: a process that was killed is
      * usually back earlier and resumes its partitions.
@@ -121,7 +126,11 @@
         loop.onFailure(this::logTaskFailure);
         HttpClient http = new HttpClient(loop, CONNECT_TIMEOUT_MS);
         StoreClient store = new StoreClient(
-                http, loop, settings.storeAddress(), STORE_TIMEOUT_MS, new StoreEraLog(log, this::storeRestored));
+                http,
+                loop,
+                settings.storeAddress(),
+                new StoreClient.Timeouts(STORE_TIMEOUT_MS, STORE_READ_TIMEOUT_MS),
+                new StoreEraLog(log, this::storeRestored));
         platform = new PlatformState(loop, store, log, this::reconcile, this::recordsServedVersions);
         EndpointNoticeHandler notices = new EndpointNoticeHandler(
                 platform.endpoints(),
--- a/entry/src/test/java/org/quetzalvane/entry/NodeCostMain.java
+++ b/entry/src/test/java/org/quetzalvane/entry/NodeCostMain.java
@@ -125,7 +125,7 @@
                 new HttpClient(loop, 100),
                 loop,
                 "127.0.0.1:9",
-                100,
+                new StoreClient.Timeouts(100, 100),
                 new StoreEraLog((code, subject, fields) -> {}, () -> {}));
         state[0] = new PlatformState(
                 loop,
--- a/entry/src/test/java/org/quetzalvane/entry/PausedNodes.java
+++ b/entry/src/test/java/org/quetzalvane/entry/PausedNodes.java
@@ -84,6 +84,7 @@
         FROZEN,
         KILLED,
         CUT_FROM_STORE,
+        REFUSED_BY_STORE,
         CUT_FROM_PEERS,
         CUT_OFF
     }
@@ -103,7 +104,7 @@
         private final StartupRecords startupRecords;
         private final Map<String, String> values = new TreeMap<>();
         private Set<String> targets = Set.of();
-        private boolean storeReachable = true;
+        private PausedStore.Link storeLink = PausedStore.Link.SOUND;
         private boolean peersReachable = true;
         private boolean disturbed;
         private long recoveredNanos = -1_000_000_000_000L;
@@ -114,7 +115,7 @@
             this.capacity = capacity;
             peers = new PeerTable(scheduler, address, Set.of("10.0.0.0:1", "10.0.0.1:1"));
             lease = new AssignmentLease(scheduler, fencingEnforced, LEASE_MS, PausedStore.PARTITIONS, peers);
-            PausedStore.Client client = store.new Client(scheduler, () -> storeReachable);
+            PausedStore.Client client = store.new Client(scheduler, address, () -> storeLink);
             member = new AssignmentMember(
                     scheduler,
                     client,
@@ -192,8 +193,12 @@
                 case FROZEN -> scheduler.freeze();
                 case KILLED -> scheduler.kill();
                 default -> {
-                    storeReachable = f == Fault.CUT_FROM_PEERS;
-                    peersReachable = f == Fault.CUT_FROM_STORE;
+                    storeLink = switch (f) {
+                        case CUT_FROM_PEERS -> PausedStore.Link.SOUND;
+                        case REFUSED_BY_STORE -> PausedStore.Link.REFUSED;
+                        default -> PausedStore.Link.CUT;
+                    };
+                    peersReachable = f == Fault.CUT_FROM_STORE || f == Fault.REFUSED_BY_STORE;
                 }
             }
             disturbed = true;
@@ -201,7 +206,7 @@
 
         /** Ends the fault; a killed node stays so. */
         void recover() {
-            storeReachable = true;
+            storeLink = PausedStore.Link.SOUND;
             peersReachable = true;
             disturbed = false;
             recoveredNanos = clock.nanoTime();
--- a/entry/src/test/java/org/quetzalvane/entry/PausedStore.java
+++ b/entry/src/test/java/org/quetzalvane/entry/PausedStore.java
@@ -8,8 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import org.quetzalvane.core.store.AssignmentGroup;
@@ -30,7 +30,6 @@
     private static final long GENERATIONS_PER_ERA = 1_000_000;
     private static final Duration DELAY = Duration.ofMillis(1);
     private static final Duration POLL_INTERVAL = Duration.ofMillis(10);
-    private static final long TIMEOUT_MS = 1_000;
 
     private final ManualScheduler clock;
     private Content content = new Content();
@@ -39,6 +38,8 @@
     private long era;
     private boolean away;
     private boolean silent;
+    private Predicate<Response> lost = response -> false;
+    private Duration delay = DELAY;
     private int listings;
     private int reads;
 
@@ -46,6 +47,13 @@
         this.clock = clock;
     }
 
+    /**
+     * A response to a node. Immutable.
+     *
+     * @param topic topic that was read, or null for a call to the group
+     */
+    record Response(String node, String topic, boolean carriesRecords) {}
+
     /** All that a copy of the store contains. */
     private static final class Content {
         private final Map<String, List<StoreRecord>> topics = new HashMap<>();
@@ -86,6 +94,16 @@
         away = true;
     }
 
+    /** Loses the responses for which a predicate holds, on their way. */
+    void loseResponses(Predicate<Response> predicate) {
+        lost = predicate;
+    }
+
+    /** Sets the time that a response takes, ms. */
+    void respondAfter(long ms) {
+        delay = Duration.ofMillis(ms);
+    }
+
     /** Loses the calls that arrive, and the reads that wait, without an answer. */
     void silence(boolean on) {
         silent = on;
@@ -202,21 +220,32 @@
         return era * GENERATIONS_PER_ERA + generation;
     }
 
+    /** How a node reaches the store. */
+    enum Link {
+        SOUND,
+        /** Calls and responses are lost. */
+        CUT,
+        /** Each call fails at once: an error status or a reset. */
+        REFUSED
+    }
+
     /** The client of one node, which learns the era from the answers. */
     final class Client implements AssignmentGroup {
         private final Scheduler scheduler;
-        private final BooleanSupplier connected;
+        private final String node;
+        private final Supplier<Link> link;
         private long knownEra;
 
         /**
          * Creates the client.
          *
          * @param scheduler clock of the node
-         * @param connected whether calls and answers get through
+         * @param link how calls and answers get through
          */
-        Client(Scheduler scheduler, BooleanSupplier connected) {
+        Client(Scheduler scheduler, String node, Supplier<Link> link) {
             this.scheduler = scheduler;
-            this.connected = connected;
+            this.node = node;
+            this.link = link;
         }
 
         /** One topic as this node reads it. */
@@ -227,31 +256,54 @@
         @Override
         public void join(String member, long ttlMs, long generation, Consumer<Assignment> done) {
             long known = generation / GENERATIONS_PER_ERA == knownEra ? generation % GENERATIONS_PER_ERA : 0;
-            call(() -> PausedStore.this.join(member, ttlMs, known), done);
+            call(null, () -> PausedStore.this.join(member, ttlMs, known), done);
         }
 
         @Override
         public void members(Consumer<Set<String>> done) {
-            call(() -> Set.copyOf(content.members.keySet()), done);
+            call(null, () -> Set.copyOf(content.members.keySet()), done);
         }
 
         @Override
         public void leave(String member) {
-            call(() -> PausedStore.this.leave(member), left -> {});
+            call(null, () -> PausedStore.this.leave(member), left -> {});
         }
 
-        /** Calls the store; {@code done} receives null if there is no answer or it is of an earlier era. */
-        private <T> void call(Supplier<T> work, Consumer<T> done) {
-            clock.schedule(DELAY, () -> answer(!away && !silent && connected.getAsBoolean() ? work.get() : null, done));
+        private <T> void call(String topic, Supplier<T> work, Consumer<T> done) {
+            Consumer<T> once = once(topic == null ? EntryNode.STORE_TIMEOUT_MS : EntryNode.STORE_READ_TIMEOUT_MS, done);
+            clock.schedule(DELAY, () -> answer(topic, !silent && reached() ? work.get() : null, once));
         }
 
-        private <T> void answer(T result, Consumer<T> done) {
-            long stated = era;
-            if (result == null || !connected.getAsBoolean()) {
-                scheduler.schedule(Duration.ofMillis(TIMEOUT_MS), () -> done.accept(null));
+        private boolean reached() {
+            return !away && link.get() == Link.SOUND;
+        }
+
+        /** A callback that receives one result: null if there is none in time. */
+        private <T> Consumer<T> once(long timeoutMs, Consumer<T> done) {
+            boolean[] finished = {false};
+            Consumer<T> first = result -> {
+                if (!finished[0]) {
+                    finished[0] = true;
+                    done.accept(result);
+                }
+            };
+            scheduler.schedule(Duration.ofMillis(timeoutMs), () -> first.accept(null));
+            return first;
+        }
+
+        /** Passes a result on; {@code done} receives null for one of an earlier era. */
+        private <T> void answer(String topic, T result, Consumer<T> done) {
+            if (link.get() == Link.REFUSED) {
+                scheduler.schedule(DELAY, () -> done.accept(null));
+                return;
+            }
+            boolean records =
+                    result instanceof KeyedTopic.ReadResult r && !r.records().isEmpty();
+            if (result == null || !reached() || lost.test(new Response(node, topic, records))) {
                 return;
             }
-            scheduler.schedule(DELAY, () -> {
+            long stated = era;
+            scheduler.schedule(delay, () -> {
                 boolean outdated = stated < knownEra;
                 knownEra = Math.max(knownEra, stated);
                 done.accept(outdated ? null : result);
@@ -273,7 +325,10 @@
             @Override
             public void readNewest(Consumer<ReadResult> done) {
                 listings++;
-                call(() -> newest(name), page -> done.accept(page == null ? ReadResult.failed("no answer") : page));
+                call(
+                        name,
+                        () -> newest(name),
+                        page -> done.accept(page == null ? ReadResult.failed("no answer") : page));
             }
 
             @Override
@@ -284,27 +339,22 @@
                 }
                 reads++;
                 long end = clock.nanoTime() + waitMs * 1_000_000;
-                clock.schedule(
-                        DELAY,
-                        () -> poll(position % OFFSETS_PER_ERA, end, false, page -> {
-                            boolean rose = position / OFFSETS_PER_ERA != knownEra;
-                            done.accept(
-                                    rose
-                                            ? ReadResult.restored()
-                                            : page == null ? ReadResult.failed("no answer") : page);
-                        }));
+                Consumer<ReadResult> once = once(waitMs + EntryNode.STORE_READ_TIMEOUT_MS, page -> {
+                    boolean rose = position / OFFSETS_PER_ERA != knownEra;
+                    done.accept(rose ? ReadResult.restored() : page == null ? ReadResult.failed("no answer") : page);
+                });
+                clock.schedule(DELAY, () -> poll(position % OFFSETS_PER_ERA, end, false, once));
             }
 
-            private void poll(long offset, long endNanos, boolean lostBefore, Consumer<ReadResult> done) {
-                boolean lost = lostBefore || silent;
-                boolean reached = !lost && !away && connected.getAsBoolean();
-                ReadResult page = reached ? after(name, offset) : null;
+            private void poll(long offset, long endNanos, boolean missedBefore, Consumer<ReadResult> done) {
+                boolean missed = missedBefore || silent;
+                ReadResult page = !missed && reached() ? after(name, offset) : null;
                 boolean empty = page == null
                         || page.outcome() == Outcome.OK && page.records().isEmpty();
-                if (empty && clock.nanoTime() < endNanos) {
-                    clock.schedule(POLL_INTERVAL, () -> poll(offset, endNanos, lost, done));
+                if (empty && link.get() != Link.REFUSED && clock.nanoTime() < endNanos) {
+                    clock.schedule(POLL_INTERVAL, () -> poll(offset, endNanos, missed, done));
                 } else {
-                    answer(page, done);
+                    answer(name, page, done);
                 }
             }
         }
