--- a/entry/src/test/java/org/quetzalvane/entry/ResumedStreamErrorTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/ResumedStreamErrorTest.java
@@ -52,10 +52,7 @@
             }
             for (Framing framing : Framing.values()) {
                 ReceivedResponse received = breakOffThenAnswer(request -> {
-                    String head = "HTTP/1.1 %03d X\r\nX-Attempt-Id: %s\r\n"
-                                    .formatted(status, RawEndpointStandIn.header(request, CallerClient.ID_HEADER))
-                            + (signature.isEmpty() ? "" : "X-Response-Signature: " + signature + "\r\n")
-                            + (type.isEmpty() ? "" : "Content-Type: " + type + "\r\n");
+                    String head = RawEndpointStandIn.head(request, status, signature, type);
                     return new Reply(framing.frame(head, ERROR), End.CLOSE);
                 });
                 assertBrokenOffAfterBeginning(received);
