Do not let lookups wait for a lost read of another one

A lookup of a stream's origin or of the served versions that came while the store had lost the read of an earlier lookup ended as unknown, for as long as that read was not given up (1 s, 2 s since a read is), though the store answered again. SharedRead had one read in progress and each lookup waits 300 ms. A call that threw left it waiting for good.

A read counts as in progress for the timeout of its tasks; those that wait then get another one. Its late response is still processed.

--- a/core/src/main/java/org/quetzalvane/core/store/SharedRead.java
+++ b/core/src/main/java/org/quetzalvane/core/store/SharedRead.java
@@ -8,8 +8,9 @@
 import org.quetzalvane.core.time.Scheduler;
 
 /**
- * Reads the newest records of a topic for several waiting tasks at once: at most one read is in progress, and each task
- * runs once, after a read that began later than it was added, or after a timeout. Confined to the event loop.
+ * Reads the newest records of a topic for several waiting tasks at once: at most one read is in progress that is
+ * younger than the timeout, and each task runs once, after a read that began later than it was added, or after the
+ * timeout. Confined to the event loop.
  */
 public final class SharedRead {
     private final Scheduler scheduler;
@@ -19,8 +20,11 @@
     /** Tasks that wait for the next read. */
     private List<Task> waiting = new ArrayList<>();
 
+    /** Whether the last read is in progress and not overdue. */
     private boolean reading;
 
+    private long lastRead;
+
     /**
      * Creates a reader that has read nothing.
      *
@@ -73,14 +77,34 @@
         List<Task> tasks = waiting;
         waiting = new ArrayList<>();
         reading = true;
-        topic.readNewest(result -> complete(result, tasks));
+        long number = ++lastRead;
+        CallChain.sendWatched(
+                scheduler,
+                topic::readNewest,
+                timeout.toMillis(),
+                () -> end(number),
+                result -> complete(number, result, tasks));
     }
 
-    private void complete(KeyedTopic.ReadResult result, List<Task> tasks) {
-        reading = false;
+    private void complete(long number, KeyedTopic.ReadResult result, List<Task> tasks) {
+        if (number == lastRead) {
+            reading = false;
+        }
         received.accept(result);
         boolean read = result.outcome() == KeyedTopic.Outcome.OK;
         tasks.forEach(t -> t.run(read));
+        readForWaiting();
+    }
+
+    /** Ends a read whose tasks have timed out, so that those that wait for the next one do not wait for it as well. */
+    private void end(long number) {
+        if (number == lastRead) {
+            reading = false;
+            readForWaiting();
+        }
+    }
+
+    private void readForWaiting() {
         if (!reading && !waiting.isEmpty()) {
             read();
         }
