--- a/entry/src/test/java/org/quetzalvane/entry/EntryProcess.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EntryProcess.java
@@ -12,9 +12,11 @@
 /** A node in a process of its own, which can be frozen and killed. Not thread-safe. */
 final class EntryProcess implements AutoCloseable {
     private static final long EXIT_TIMEOUT_S = 20;
+    private static final int HEAP_MB = 128;
 
     private final BootSettings settings;
     private final Path directory;
+    private final int heapMb;
     private Process process;
 
     /**
@@ -23,8 +25,14 @@
      * @param directory for the settings and the output
      */
     EntryProcess(BootSettings settings, Path directory) throws IOException {
+        this(settings, directory, HEAP_MB);
+    }
+
+    /** Starts a node whose heap is at most {@code heapMb}, MB. */
+    EntryProcess(BootSettings settings, Path directory, int heapMb) throws IOException {
         this.settings = settings;
         this.directory = directory;
+        this.heapMb = heapMb;
         start();
     }
 
@@ -40,7 +48,7 @@
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
-                "-Xmx128m",
+                "-Xmx" + heapMb + "m",
                 "-cp",
                 System.getProperty("java.class.path"),
                 EntryMain.class.getName());
