Keep a silent stream whose other endpoint can't go on with it

What callers saw: a stream whose endpoint was silent for a while broke off although the endpoint went on, if the endpoint that was asked beside it answered with a 2xx that is not the rest of the stream.

Cause: any 2xx head counted as the acceptance of the request. The silent attempt was cancelled, and the answer was then rejected.

Such a head now counts as a failure of the other endpoint, as an error does.

--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -265,7 +265,7 @@
         if (!silentAttempts.isCandidate(a)) {
             return true;
         }
-        if (head.success()) {
+        if (head.success() && (responseStream == null || responseStream.isContinuedBy(head))) {
             return silentAttempts.accept();
         }
         history.recordFailure(a, "status=" + head.status());
--- a/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/SilentEndpointTest.java
@@ -1,5 +1,6 @@
 package org.quetzalvane.core.serve;
 
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 
@@ -137,7 +138,9 @@
         NOT_RUN(c -> c.head(head(503, true))),
         UNREACHABLE(c -> c.failed(true, "refused")),
         BROKEN(c -> c.failed(false, "reset")),
-        FAILED(c -> c.head(head(500, false)));
+        FAILED(c -> c.head(head(500, false))),
+        NO_STREAM(c -> c.head(plainHead(200))),
+        OTHER_STATUS(c -> c.head(new ResponseHead(204, List.of(), false, false, true, true, -1, true)));
 
         private final Consumer<EndpointClient.Listener> act;
 
