--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -264,7 +264,7 @@
         if (!silentAttempts.isCandidate(a)) {
             return true;
         }
-        if (head.success()) {
+        if (head.success() && (responseStream == null || responseStream.isContinuedBy(head))) {
             return silentAttempts.accept();
         }
         history.recordFailure(a, "status=" + head.status());
