Go on joining the group whatever a join or a listener does

A hub lost its partitions of engines for good, with a line in the log at most, if a join threw at once, if its callback never came, or if what runs after a change of the assignment failed: the next join was scheduled by the callback, and last.

A join is sent again after 1.5 s unless a next one was scheduled before, which is done before the listeners run; only the response of the last join decides when.

--- a/entry/src/main/java/org/quetzalvane/entry/AssignmentMember.java
+++ b/entry/src/main/java/org/quetzalvane/entry/AssignmentMember.java
@@ -26,6 +26,11 @@
     private static final int UNCHANGED_JOINS = 3;
     /** Delay before a join without a response is retried, ms. */
     private static final long JOIN_RETRY_MS = 300;
+    /**
+     * Time after which a join whose response led to no next one is sent again, ms: longer than a call takes to fail,
+     * half of the group's TTL.
+     */
+    private static final long JOIN_OVERDUE_MS = 1_500;
     /**
      * Interval between reads of the group's members, ms. Peers report each other's addresses; the list adds those that
      * no peer reports.
@@ -49,6 +54,8 @@
     private int membership;
 
     private int unchangedJoins;
+    /** Number of the last join; only its response decides when the next one is sent. */
+    private long lastJoin;
 
     /**
      * Creates the member; {@link #setActive} joins the group.
@@ -132,7 +139,9 @@
         if (leaving || current != membership) {
             return;
         }
+        long number = ++lastJoin;
         Stopwatch sinceSent = Stopwatch.start(scheduler);
+        Scheduler.Timer overdue = scheduler.schedule(Duration.ofMillis(JOIN_OVERDUE_MS), () -> join(current));
         group.join(self, ttlMs, lease.generation(), assignment -> {
             if (leaving || current != membership) {
                 return;
@@ -140,20 +149,28 @@
             boolean moved =
                     assignment != null && lease.update(assignment.generation(), assignment.partitions(), sinceSent);
             unchangedJoins = moved ? 0 : unchangedJoins + 1;
+            if (number == lastJoin) {
+                overdue.cancel();
+                scheduler.schedule(Duration.ofMillis(nextJoinMs(assignment != null)), () -> join(current));
+            }
+            // Last, since a failure must not end the joins.
             if (moved) {
-                log.log(
-                        EventCode.DUTIES_CHANGED,
-                        self,
-                        "generation",
-                        assignment.generation(),
-                        "duties",
-                        assignment.partitions().size());
-                listeners.changed().run();
+                assignmentMoved(assignment);
             }
-            scheduler.schedule(Duration.ofMillis(nextJoinMs(assignment != null)), () -> join(current));
         });
     }
 
+    private void assignmentMoved(AssignmentGroup.Assignment a) {
+        log.log(
+                EventCode.DUTIES_CHANGED,
+                self,
+                "generation",
+                a.generation(),
+                "duties",
+                a.partitions().size());
+        listeners.changed().run();
+    }
+
     private long nextJoinMs(boolean answered) {
         if (!answered) {
             return JOIN_RETRY_MS;
