--- a/entry/src/test/java/org/quetzalvane/entry/ImpairedStoreTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/ImpairedStoreTest.java
@@ -120,6 +120,24 @@
         });
     }
 
+    /** The hub of a member ends while the store is silent, and another one is chosen before or after its return. */
+    @ParameterizedTest
+    @CsvSource({"2000, 100", "2000, 1900", "5000, 2500", "5000, 4500"})
+    void changeIsInForceInTimeThoughAHubEndedInTheSilence(long silentMs, long endedMs) {
+        IntStream.range(0, PHASES).forEach(phase -> {
+            PausedNodes nodes = started(30, phase);
+            PausedNodes.Node hub = hubOfAMember(nodes);
+            nodes.store.silence(true);
+            nodes.advance(endedMs);
+            hub.disturb(PausedNodes.Fault.KILLED);
+            nodes.advance(silentMs - endedMs);
+            nodes.store.silence(false);
+            nodes.store.write(PausedNodes.OPERATOR, "config", "2");
+            nodes.advance(APPLY_MS);
+            assertInForce(nodes.all().stream().filter(n -> n != hub).toList(), "2", phase);
+        });
+    }
+
     /** A node that is frozen while the store is silent, and thawed before or after its return. */
     @ParameterizedTest
     @CsvSource({"3, 2000, 1000", "3, 5000, 4900", "3, 2000, 2500", "30, 2000, 1500", "30, 5000, 5500"})
