Send no last chunk in a streamed response to a HEAD request

What callers saw: after the head of a response to a HEAD request on a route of streams the bytes "0", an empty line and another one, which a kept connection takes for the beginning of the next response.

Cause: a streamed response is framed in chunks whatever the method; its encoder does not know the request.

A response that is begun for HEAD is now complete with its head, as one that is sent at once already was.

--- a/transport/src/main/java/org/quetzalvane/transport/ServerExchange.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerExchange.java
@@ -29,6 +29,7 @@
     private final byte[] body;
     private Runnable onDisconnect = () -> {};
     private Runnable onWritable = () -> {};
+    private ChannelFuture begun;
     private boolean finished;
     private boolean closeAfterResponse;
 
@@ -65,7 +66,7 @@
         DefaultFullHttpResponse r = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(content));
         r.headers().add(headers);
-        boolean withoutBody = head.method().equals(HttpMethod.HEAD) || status == 204 || status == 304;
+        boolean withoutBody = answersHead() || status == 204 || status == 304;
         if (!withoutBody) {
             HttpUtil.setContentLength(r, content.length);
         }
@@ -73,20 +74,26 @@
         finish(ctx.writeAndFlush(r));
     }
 
-    /** Starts a response whose body follows; with a negative length the body is sent in chunks. */
+    /**
+     * Starts a response whose body follows; with a negative length the body is sent in chunks. That to a HEAD request
+     * is sent without a body.
+     */
     public void begin(int status, HttpHeaders headers, long length) {
         if (finished) {
             return;
         }
-        DefaultHttpResponse r = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        HttpResponseStatus s = HttpResponseStatus.valueOf(status);
+        HttpResponse r = answersHead()
+                ? new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, s)
+                : new DefaultHttpResponse(HttpVersion.HTTP_1_1, s);
         r.headers().add(headers);
         if (length >= 0) {
             HttpUtil.setContentLength(r, length);
-        } else {
+        } else if (!answersHead()) {
             HttpUtil.setTransferEncodingChunked(r, true);
         }
         setKeepAlive(r);
-        ctx.writeAndFlush(r);
+        begun = ctx.writeAndFlush(r);
     }
 
     /**
@@ -94,7 +101,7 @@
      * case.
      */
     public boolean write(byte[] bytes) {
-        if (finished) {
+        if (finished || answersHead()) {
             return true;
         }
         ctx.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
@@ -104,7 +111,7 @@
     /** Completes a response that was started. */
     public void end() {
         if (!finished) {
-            finish(ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+            finish(answersHead() ? begun : ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
         }
     }
 
@@ -116,6 +123,11 @@
         }
     }
 
+    /** Whether the response has no body and no end that is written, because it is one to a HEAD request. */
+    private boolean answersHead() {
+        return head.method().equals(HttpMethod.HEAD);
+    }
+
     private void setKeepAlive(HttpResponse r) {
         closeAfterResponse = connection.closesAfterResponse(head);
         HttpUtil.setKeepAlive(r, !closeAfterResponse);
