--- a/entry/src/test/java/org/quetzalvane/entry/ReceivedResponse.java
+++ b/entry/src/test/java/org/quetzalvane/entry/ReceivedResponse.java
@@ -2,6 +2,8 @@
 
 import java.util.Locale;
 
+import org.quetzalvane.platform.standin.RawEndpointStandIn;
+
 /**
  * What a caller received on its connection up to its end, read by the framing that the node stated. Immutable.
  *
@@ -57,6 +59,6 @@
 
     /** Whether the response is one of an endpoint that signs its responses. */
     boolean signed() {
-        return head.contains("x-response-signature: signed\r\n");
+        return head.contains(RawEndpointStandIn.SIGNATURE_HEADER.toLowerCase(Locale.ROOT) + ": signed\r\n");
     }
 }
--- a/entry/src/test/java/org/quetzalvane/entry/ResumedStreamErrorTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/ResumedStreamErrorTest.java
@@ -52,9 +52,14 @@
             }
             for (Framing framing : Framing.values()) {
                 ReceivedResponse received = breakOffThenAnswer(request -> {
-                    String head = "HTTP/1.1 %03d X\r\nX-Attempt-Id: %s\r\n"
-                                    .formatted(status, RawEndpointStandIn.header(request, CallerClient.ID_HEADER))
-                            + (signature.isEmpty() ? "" : "X-Response-Signature: " + signature + "\r\n")
+                    String head = "HTTP/1.1 %03d X\r\n%s: %s\r\n"
+                                    .formatted(
+                                            status,
+                                            CallerClient.ID_HEADER,
+                                            RawEndpointStandIn.header(request, CallerClient.ID_HEADER))
+                            + (signature.isEmpty()
+                                    ? ""
+                                    : RawEndpointStandIn.SIGNATURE_HEADER + ": " + signature + "\r\n")
                             + (type.isEmpty() ? "" : "Content-Type: " + type + "\r\n");
                     return new Reply(framing.frame(head, ERROR), End.CLOSE);
                 });
