--- a/entry/src/test/java/org/quetzalvane/entry/PlannedStopProcessTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/PlannedStopProcessTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.quetzalvane.entry.StoppingCallers.Outcome;
+import org.quetzalvane.platform.standin.CallerClient;
 import org.quetzalvane.platform.standin.EndpointStandIn;
 import org.quetzalvane.platform.standin.SampleConfig;
 import org.quetzalvane.transport.ServerExchange;
@@ -137,7 +138,7 @@
     }
 
     private void run(EndpointStandIn self, ServerExchange x) {
-        began.add(x.head().headers().get("X-Attempt-Id"));
+        began.add(x.head().headers().get(CallerClient.ID_HEADER));
         Duration length = x.head().uri().endsWith("long") ? longRun : SHORT_RUN;
         if (self.id().startsWith("plain")) {
             self.schedule(length, () -> self.respondComplete(x, "ok"));
