--- a/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
+++ b/core/src/main/java/org/quetzalvane/core/store/RecordFollower.java
@@ -263,6 +263,7 @@
     }
 
     private void read() {
+        // Scheduled before the decision, whose failure must not end the chain.
         Scheduler.Timer check = scheduler.schedule(Duration.ofMillis(RELAY_CHECK_INTERVAL_MS), this::read);
         if (isRelayed()) {
             return;
--- a/entry/src/test/java/org/quetzalvane/entry/StoppingCallers.java
+++ b/entry/src/test/java/org/quetzalvane/entry/StoppingCallers.java
@@ -93,8 +93,12 @@
             }
         } catch (IOException e) {
             // The connection was reset; the response is judged by what arrived.
-            text.append("");
+            return outcome(id, path, start, text);
         }
+        return outcome(id, path, start, text);
+    }
+
+    private static Outcome outcome(String id, String path, long start, StringBuilder text) {
         int status = text.length() < 12 ? 0 : Integer.parseInt(text.substring(9, 12));
         return new Outcome(id, path, start, System.nanoTime(), status, isComplete(text));
     }
