Let the engines of the fault soak send responses once more and fail requests

The stand-in of an engine sends a part of its responses a second time, right after the first one or before the next one, whole or broken off within the head, with and without a close; a part of the requests fails. Callers check the headers, ids and events of what they get; the soak compares the status that a caller got with the one that engines sent.

--- a/entry/src/test/java/org/quetzalvane/entry/FaultSoak.java
+++ b/entry/src/test/java/org/quetzalvane/entry/FaultSoak.java
@@ -19,7 +19,6 @@
 import org.quetzalvane.platform.standin.SampleConfig;
 import org.quetzalvane.platform.standin.StreamCaller;
 import org.quetzalvane.platform.standin.StreamingEngineStandIn;
-import org.quetzalvane.platform.standin.StreamingEngineStandIn.End;
 import org.quetzalvane.platform.standin.StreamingEngineStandIn.Identity;
 
 /**
@@ -35,12 +34,12 @@
     private static final int MIN_ENGINES = 2;
     private static final int ADAPTERS = 8;
     private static final int CALLERS_PER_NODE = 6;
-    private static final int BROKEN_PERCENT = 12;
     private static final long NEXT_FAULT_MS = 500;
     private static final int HEARTBEAT_MS = 1_200;
 
     private final Random random;
     private final Path directory;
+    private final EngineResponses responses;
     private final PlatformStoreStandIn store = new PlatformStoreStandIn();
     private final List<EntryProcess> nodes = new ArrayList<>();
     private final List<Thread> repairs = new CopyOnWriteArrayList<>();
@@ -73,10 +72,16 @@
         ENGINE_DRAIN
     }
 
-    /** Creates a soak that has not started. */
+    /** Creates a soak that has not started, with engines that send each response once. */
     FaultSoak(long seed, Path directory) {
+        this(seed, directory, new EngineResponses(0, 0));
+    }
+
+    /** Creates a soak that has not started. */
+    FaultSoak(long seed, Path directory, EngineResponses responses) {
         this.random = new Random(seed);
         this.directory = directory;
+        this.responses = responses;
     }
 
     /** Runs nodes and callers for a time, under the given kinds of faults. */
@@ -124,6 +129,20 @@
         return outcomes.stream().filter(o -> o.versions().size() > 1).toList();
     }
 
+    /** Attempts that got a response that is not, or not only, that of an engine to them, as text. */
+    List<String> foreign() {
+        List<String> found = new ArrayList<>();
+        for (StreamCaller.Outcome o : outcomes) {
+            found.addAll(o.foreign());
+            o.statuses().forEach((attempt, status) -> {
+                if (status.startsWith("2") && responses.onlyFailed(attempt)) {
+                    found.add(attempt + " got " + status + " though its engine answered with a failure");
+                }
+            });
+        }
+        return found;
+    }
+
     /** Number of streams that callers received whole. */
     long completeStreams() {
         return outcomes.stream().filter(StreamCaller.Outcome::complete).count();
@@ -136,7 +155,8 @@
                 .count();
         return "streams " + outcomes.size() + ", complete " + completeStreams() + ", resumed by callers " + resumed
                 + ", out of order "
-                + outOfOrder().size() + ", mixed " + mixed().size() + ", orders " + violations + ", faults "
+                + outOfOrder().size() + ", mixed " + mixed().size() + ", foreign "
+                + foreign().size() + ", orders " + violations + ", faults "
                 + faults.stream().collect(Collectors.groupingBy(f -> f, TreeMap::new, Collectors.counting()));
     }
 
@@ -274,7 +294,7 @@
 
     private void startEngine(Identity identity, int port) throws IOException {
         StreamingEngineStandIn e =
-                new StreamingEngineStandIn(identity, port, Set.of("a1", "a2"), FaultSoak::endOf, violations::add);
+                new StreamingEngineStandIn(identity, port, Set.of("a1", "a2"), responses, violations::add);
         engines.add(e);
         // An engine serves before its first heartbeat; until then, one that starts again is listed as it was before.
         repair(
@@ -282,15 +302,6 @@
                 () -> store.writeEndpoint(identity.id(), e.entry("ready")));
     }
 
-    /** A part of the attempts is broken off, in each of the framings. */
-    private static End endOf(String attempt, int first) {
-        int n = Math.floorMod(attempt.hashCode() * 31 + first, 100);
-        if (n >= BROKEN_PERCENT) {
-            return n % 3 == 0 ? End.WHOLE_UNDELIMITED : End.WHOLE;
-        }
-        return End.values()[2 + n % 3];
-    }
-
     private String config() {
         return SampleConfig.withVersion(configVersion++).replace("\"slots\":4", "\"slots\":32");
     }
--- a/entry/src/test/java/org/quetzalvane/entry/FaultSoakMain.java
+++ b/entry/src/test/java/org/quetzalvane/entry/FaultSoakMain.java
@@ -7,23 +7,30 @@
 
 import org.quetzalvane.platform.standin.StreamCaller;
 
-/** Runs soaks by hand: FIRST_SEED LAST_SEED NODES SECONDS [KIND,...]; prints what each one found. */
+/**
+ * Runs soaks by hand: FIRST_SEED LAST_SEED NODES SECONDS [KIND,...|all [FAILURE_PERCENT SECOND_COPY_PERCENT]]; prints
+ * what each one found.
+ */
 final class FaultSoakMain {
     private FaultSoakMain() {}
 
     public static void main(String[] args) throws Exception {
-        List<FaultSoak.Fault> kinds = args.length < 5
+        List<FaultSoak.Fault> kinds = args.length < 5 || args[4].equals("all")
                 ? List.of(FaultSoak.Fault.values())
                 : Arrays.stream(args[4].split(","))
                         .map(FaultSoak.Fault::valueOf)
                         .toList();
         for (long seed = Long.parseLong(args[0]); seed <= Long.parseLong(args[1]); seed++) {
             Path directory = Files.createTempDirectory("soak-" + seed + "-");
-            try (FaultSoak soak = new FaultSoak(seed, directory)) {
+            EngineResponses responses = args.length < 7
+                    ? new EngineResponses(0, 0)
+                    : new EngineResponses(Integer.parseInt(args[5]), Integer.parseInt(args[6]));
+            try (FaultSoak soak = new FaultSoak(seed, directory, responses)) {
                 soak.run(Integer.parseInt(args[2]), Long.parseLong(args[3]), kinds);
                 System.out.println("seed " + seed + " " + directory + ": " + soak.summary());
                 soak.outOfOrder().forEach(FaultSoakMain::print);
                 soak.mixed().forEach(FaultSoakMain::print);
+                soak.foreign().forEach(f -> System.out.println("  " + f));
             }
         }
         System.exit(0);
--- a/entry/src/test/java/org/quetzalvane/entry/FaultSoakTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/FaultSoakTest.java
@@ -35,6 +35,22 @@
         runAndJudge(seed, nodes, EnumSet.allOf(FaultSoak.Fault.class));
     }
 
+    /**
+     * Callers get the responses to their own requests while engines send responses once more on kept connections, whole
+     * or broken off, and some requests fail.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, 3", "2, 4"})
+    void callersGetTheirOwnResponsesFromEnginesThatSendResponsesTwice(long seed, int nodes) throws Exception {
+        Set<FaultSoak.Fault> kinds = EnumSet.complementOf(EnumSet.of(FaultSoak.Fault.ENGINE_UPGRADE));
+        try (FaultSoak soak = new FaultSoak(seed, directory, new EngineResponses(25, 40))) {
+            soak.run(nodes, SECONDS, List.copyOf(kinds));
+            assertThat(soak.foreign()).as(soak.summary()).isEmpty();
+            assertThat(soak.outOfOrder()).as(soak.summary()).isEmpty();
+            assertThat(soak.completeStreams()).as(soak.summary()).isPositive();
+        }
+    }
+
     private void runAndJudge(long seed, int nodes, Set<FaultSoak.Fault> kinds) throws Exception {
         try (FaultSoak soak = new FaultSoak(seed, directory)) {
             soak.run(nodes, SECONDS, List.copyOf(kinds));
