Keep the retries of all nodes within the budget across restarts and cuts

Cause: each process has a share of the fixed extra retries from its first moment. The one before it, or the nodes whose load a joining node takes over, have used theirs in the same window, so after restarts the endpoints of a service get more repeated requests than the budget allows. A silent node counted for 12 s only, so that after a longer cut each side shared the whole extra among its own nodes.

--- a/core/src/main/java/org/quetzalvane/core/choice/RetryBudgetShare.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/RetryBudgetShare.java
@@ -10,20 +10,25 @@
  * This node's share, by service, of the retry budget that all nodes have in common.
  *
  * <p>In each window a node grants at most {@link #USED_FRACTION} of {@code ratio} times the requests that it received
- * itself plus an equal part of the fixed extra retries. The nodes together stay within the budget without coordination,
- * also when an endpoint fails under full load and every request needs a retry. Confined to the event loop.
+ * itself plus an equal part of the fixed extra retries. Until a window has passed since its start, it uses nothing of
+ * the extra and a smaller fraction of the rest, because the process before it or the nodes whose load it takes over may
+ * have used theirs. The nodes together stay within the budget without coordination, also when an endpoint fails under
+ * full load and every request needs a retry. Confined to the event loop.
  */
 public final class RetryBudgetShare {
     /** Number of nodes assumed while it is unknown, so that a node that knows no peers takes the smallest share. */
     private static final int ASSUMED_NODES = 64;
     /** Fraction of the budget that is granted; the rest is a margin for windows of nodes that do not coincide. */
     private static final double USED_FRACTION = 0.8;
+    /** Fraction of {@code ratio} that is granted in the first window of a process. */
+    private static final double FIRST_WINDOW_FRACTION = 0.2;
 
     private final Scheduler scheduler;
     private final double ratio;
     private final double extra;
     private final long windowNanos;
     private final IntSupplier nodes;
+    private final long startNanos;
     private final Map<String, Counts> byService = new HashMap<>();
 
     /**
@@ -40,6 +45,7 @@
         this.extra = extra;
         this.windowNanos = windowMs * 1_000_000;
         this.nodes = nodes;
+        this.startNanos = scheduler.nanoTime();
     }
 
     /** Counts a request of a caller to a service. */
@@ -82,10 +88,16 @@
     private boolean hasRetry(String service) {
         Counts c = counts(service);
         long now = scheduler.nanoTime();
+        return c.retries.count(now) + c.reserved + 1 <= allowed(c.requests.count(now), now);
+    }
+
+    private double allowed(long requests, long now) {
+        if (now - startNanos < windowNanos) {
+            return FIRST_WINDOW_FRACTION * ratio * requests;
+        }
         int nodeCount = nodes.getAsInt();
         double extraShare = extra / (nodeCount <= 0 ? ASSUMED_NODES : nodeCount);
-        double allowed = USED_FRACTION * (ratio * c.requests.count(now) + extraShare);
-        return c.retries.count(now) + c.reserved + 1 <= allowed;
+        return USED_FRACTION * (ratio * requests + extraShare);
     }
 
     private Counts counts(String service) {
--- a/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerTable.java
@@ -32,11 +32,6 @@
     private static final long SUSPICION_MS = 3_000;
     /** Time for which a peer that sends no status stays a connection target, ms: a restart takes a few seconds. */
     private static final long KNOWN_TIMEOUT_MS = 30_000;
-    /**
-     * Age up to which a known peer is counted in the retry budget, ms: the window of the budget, usually 10 s, and a
-     * margin.
-     */
-    private static final long BUDGET_SHARING_MS = 12_000;
 
     private final Scheduler scheduler;
     private final String self;
@@ -47,6 +42,7 @@
 
     private final Map<String, Long> knownPeers = new HashMap<>();
     private final Map<String, Long> suspectedUntilNanos = new HashMap<>();
+    private final RetryBudgetNodes budgetNodes;
     /** Other owners of engines when this node resumed its membership of an earlier run, or null if it did not. */
     private Set<String> otherOwners;
 
@@ -60,6 +56,7 @@
         this.scheduler = scheduler;
         this.self = self;
         this.seeds = Set.copyOf(seeds);
+        this.budgetNodes = new RetryBudgetNodes(scheduler, self);
     }
 
     /** Stores the status of a peer. */
@@ -67,10 +64,10 @@
         cached = null;
         statuses.put(s.from(), new ReceivedStatus(s, scheduler.nanoTime()));
         suspectedUntilNanos.remove(s.from());
-        addKnown(s.from());
+        addKnown(s.node());
         s.duties().forEach(p -> lastReporterByPartition.put(p, s.from()));
-        s.members().forEach(m -> addKnown(m.address()));
-        s.hubs().forEach(h -> knownPeers.putIfAbsent(h, scheduler.nanoTime()));
+        s.members().forEach(this::addKnown);
+        s.hubs().stream().filter(h -> !knownPeers.containsKey(h)).forEach(this::addKnown);
     }
 
     /** Stores what a hub knows; a view without nodes or owners leaves the known ones as they are. */
@@ -88,7 +85,7 @@
         if (!v.nodes().isEmpty()) {
             viewNodes = List.copyOf(v.nodes());
         }
-        viewNodes.forEach(n -> addKnown(n.address()));
+        viewNodes.forEach(this::addKnown);
     }
 
     /**
@@ -112,6 +109,12 @@
     /** Adds a peer that is up or is listed by the store. */
     public void addKnown(String peer) {
         knownPeers.put(peer, scheduler.nanoTime());
+        budgetNodes.listed(peer);
+    }
+
+    private void addKnown(NodeInfo n) {
+        knownPeers.put(n.address(), scheduler.nanoTime());
+        budgetNodes.up(n.address(), n.leaving());
     }
 
     /** Records that the connection to a peer has ended. */
@@ -264,13 +267,9 @@
         return up().stream().mapToInt(PeerMessage.Status::loading).sum();
     }
 
-    /** Nodes that share the retry budget, including this one; 0 if no peer was seen recently. */
+    /** Nodes that share the retry budget, including this one; 0 if that is unknown. */
     public int retryBudgetNodes() {
-        long now = scheduler.nanoTime();
-        long n = knownPeers.values().stream()
-                .filter(at -> now - at < BUDGET_SHARING_MS * 1_000_000)
-                .count();
-        return n == 0 ? 0 : (int) n + (knownPeers.containsKey(self) ? 0 : 1);
+        return budgetNodes.count();
     }
 
     private boolean viewIsFresh() {
