Send nothing to an endpoint that asked to wait while a request waited for it

Cause: the endpoints that asked to be sent nothing for a time (503 with a retry time) were left out when an endpoint was selected, but not when the request was sent after a wait for its adapter's load or for a permit. Each request that waited for the endpoint then reached it within its time.

Change: PermitGate and AttemptReplacement ask again when the request is sent, return the permit and have another endpoint selected.

RetryBudgetOverNodesTest: cuts that also separate the nodes from the store.

Fixture: counting of retries that are left moved into a method; the fake client notes which attempts were not cancelled.

--- a/core/src/main/java/org/quetzalvane/core/serve/AttemptReplacement.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/AttemptReplacement.java
@@ -165,7 +165,8 @@
 
     /** Sends the candidate; returns false if none may be sent any more. */
     private boolean sendPermitted(Endpoint e, int version) {
-        Attempt created = ended ? null : handler.createCandidate(e);
+        boolean mayAsk = !ended && context.endpoints().backoffMs(e) == 0;
+        Attempt created = mayAsk ? handler.createCandidate(e) : null;
         if (created == null) {
             return false;
         }
--- a/core/src/main/java/org/quetzalvane/core/serve/PermitGate.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/PermitGate.java
@@ -8,8 +8,8 @@
 
 /**
  * Acquires a permit before a request is sent to an endpoint that named a limit. A request whose permit is denied
- * selects an endpoint again, which then takes the wait into account; one that cannot be served in time is refused.
- * Confined to the event loop.
+ * selects an endpoint again, which then takes the wait into account, and so does one whose endpoint asked meanwhile to
+ * be sent nothing; one that cannot be served in time is refused. Confined to the event loop.
  */
 final class PermitGate {
     /** Permits that are asked for before the request is refused. */
@@ -63,6 +63,9 @@
             if (permit.granted()) {
                 context.permits().giveBack(e);
             }
+        } else if (permit.granted() && context.endpoints().backoffMs(e) > 0) {
+            context.permits().giveBack(e);
+            handler.selectNext();
         } else if (permit.granted()) {
             send.run();
         } else if (++asked < MAX_ASKED) {
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import org.junit.jupiter.api.BeforeEach;
@@ -206,17 +208,23 @@
 
     /** Spends all retries of a service but some. */
     void spendRetryBudget(String service, int left) {
+        int available = availableRetries(service);
+        for (int i = left; i < available; i++) {
+            retryBudget.tryReserve(service);
+            retryBudget.useReserved(service);
+        }
+    }
+
+    /** Retries that are left to a service. */
+    int availableRetries(String service) {
         int available = 0;
         while (retryBudget.tryReserve(service)) {
             available++;
         }
         for (int i = 0; i < available; i++) {
-            if (i < left) {
-                retryBudget.returnReserved(service);
-            } else {
-                retryBudget.useReserved(service);
-            }
+            retryBudget.returnReserved(service);
         }
+        return available;
     }
 
     void advance(long ms) {
@@ -263,6 +271,9 @@
         final List<String> sent = new ArrayList<>();
         final List<EndpointRequest> requests = new ArrayList<>();
         final List<Listener> listeners = new ArrayList<>();
+        /** Numbers of the attempts that were not cancelled. */
+        final Set<Integer> open = new HashSet<>();
+
         int cancelled;
         boolean reading = true;
 
@@ -274,11 +285,14 @@
         public Call send(Endpoint endpoint, EndpointRequest request, Listener listener) {
             sent.add(endpoint.id());
             requests.add(request);
+            int number = listeners.size();
             listeners.add(listener);
+            open.add(number);
             return new Call() {
                 @Override
                 public void cancel() {
                     cancelled++;
+                    open.remove(number);
                 }
 
                 @Override
--- a/core/src/test/java/org/quetzalvane/core/team/RetryBudgetOverNodesTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/RetryBudgetOverNodesTest.java
@@ -27,7 +27,7 @@
     private static final int NODES = 8;
     private static final int STEP_MS = 100;
     private static final int WINDOW_STEPS = 10_000 / STEP_MS;
-    /** Interval at which a node reads the list of the members from the store, which no cut separates it from. */
+    /** Interval at which a node reads the list of the members from the store. */
     private static final int MEMBER_LIST_STEPS = 5_000 / STEP_MS;
 
     private static final int WARM_UP_STEPS = 3 * WINDOW_STEPS;
@@ -41,6 +41,7 @@
 
     private double due;
     private boolean failing;
+    private boolean storeReachable = true;
 
     /** A node and the part of the network that it is in; the process is replaced by a restart. */
     private final class Node {
@@ -114,7 +115,7 @@
         List<String> members =
                 nodes.stream().filter(Node::up).map(n -> n.address).toList();
         for (Node n : nodes) {
-            if (n.up() && requests.size() >= n.nextListStep) {
+            if (n.up() && storeReachable && requests.size() >= n.nextListStep) {
                 n.nextListStep += MEMBER_LIST_STEPS;
                 members.forEach(n.peers::addKnown);
             }
@@ -204,12 +205,14 @@
     }
 
     @ParameterizedTest
-    @ValueSource(ints = {10, 30, 120})
-    void nodesThatAreCutIntoHalves(int seconds) {
+    @CsvSource({"10, true", "120, true", "10, false", "30, false", "120, false"})
+    void nodesThatAreCutIntoHalves(int seconds, boolean listed) {
         startNodes(NODES);
+        storeReachable = listed;
         nodes.subList(0, NODES / 2).forEach(n -> n.part = 1);
         failing = true;
         run(seconds * 1_000 / STEP_MS);
+        storeReachable = true;
         nodes.forEach(n -> n.part = 0);
         run(2 * WINDOW_STEPS);
         assertWithinBudget();
