Bound the memory that all requests and responses of a node hold together

Each input had its bound, the process had none. Request bodies within max_body_bytes that slow endpoints did not read, and responses that stopped within an event below 1 MiB, added up until the heap was full.

A request body is charged before it is stored, at its stated length, and may take at most half of what is left, so that small requests are admitted long after large ones are refused. Bodies of a known length are no longer copied when they are complete. Responses are not refused: past their share the largest is shed, which ends the buffering of a body, or fails an attempt that is within an event as for one that is too large. Gauges state what is held, the shares, and what was refused.

--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -3,6 +3,7 @@
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.limit.MemoryAccount;
 import org.quetzalvane.core.quarantine.RequestContent;
 import org.quetzalvane.core.routes.Route;
 
@@ -100,6 +101,7 @@
     private long longestGapMs;
     private ResponseHead head;
     private BodyBuffer buffer;
+    private final MemoryAccount.Holding held;
 
     /** Objects shared by all attempts of one request. */
     record Shared(
@@ -120,6 +122,7 @@
         this.endpoint = endpoint;
         this.endpointIsEngine = endpointIsEngine;
         this.sentNanos = context.scheduler().nanoTime();
+        this.held = context.memory().open(MemoryAccount.Kind.RESPONSE_PART, this::shed);
         this.beginning = new ResponseBeginning(context, shared.content(), endpoint);
         this.silence = new SilenceMonitor(context.scheduler(), this::silenceLimitMs, this::reportSilence);
         context.endpointLoads()
@@ -271,9 +274,16 @@
         }
         byte[] toSend = buffer.add(chunk);
         if (toSend == null) {
-            return;
+            held.hold(buffer.heldBytes());
+        } else {
+            relayBuffered(toSend);
         }
+    }
+
+    /** Passes on bytes of a response that is not, or no longer, buffered. */
+    private void relayBuffered(byte[] toSend) {
         if (!buffer.flushed()) {
+            held.close();
             buffer.markFlushed();
             beginStreamedResponse(ResponseStream.opaque());
         }
@@ -282,6 +292,17 @@
         }
     }
 
+    /** Frees memory of the node: gives up buffering a response, or a stream that is within an event. */
+    private void shed() {
+        if (buffer != null) {
+            relayBuffered(buffer.content());
+        } else {
+            context.log().log(
+                    EventCode.INPUT_TOO_LARGE, endpoint.id(), "input", "events held", "request", request.id());
+            failed(false, "memory for partial events is full");
+        }
+    }
+
     @Override
     public void end() {
         if (!open) {
@@ -370,6 +391,8 @@
             failed(false, "event too large");
         } else if (stream.hasHead()) {
             failed(false, "head of a response within the stream");
+        } else {
+            held.hold(stream.heldBytes());
         }
     }
 
@@ -400,6 +423,7 @@
     private void close(boolean cancelCall) {
         open = false;
         silence.stop();
+        held.close();
         context.endpointLoads()
                 .requestEnded(
                         endpoint.id(),
--- a/core/src/main/java/org/quetzalvane/core/serve/BodyBuffer.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/BodyBuffer.java
@@ -12,7 +12,7 @@
     /** Largest body that is buffered, bytes; plain services respond with less than 5 kB. */
     static final int MAX_BYTES = 64 * 1024;
 
-    private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+    private ByteArrayOutputStream buffered = new ByteArrayOutputStream();
     private boolean flushed;
 
     /**
@@ -28,22 +28,26 @@
         if (buffered.size() <= MAX_BYTES) {
             return null;
         }
-        byte[] all = buffered.toByteArray();
-        buffered.reset();
-        return all;
+        return buffered.toByteArray();
     }
 
     /** Ends the buffering; further chunks are not stored. */
     void markFlushed() {
         flushed = true;
+        buffered = null;
     }
 
     boolean flushed() {
         return flushed;
     }
 
-    /** The buffered body; empty after {@link #add} has returned it. */
+    /** Most bytes of memory that the buffered body occupies; the buffer grows by doubling. */
+    long heldBytes() {
+        return 2L * buffered.size();
+    }
+
+    /** The buffered body; empty once it has been flushed. */
     byte[] content() {
-        return buffered.toByteArray();
+        return flushed ? new byte[0] : buffered.toByteArray();
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/serve/EventSplitter.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EventSplitter.java
@@ -92,6 +92,11 @@
         return attemptHasEvents;
     }
 
+    /** Most bytes of memory that the partial event occupies; its buffer grows by doubling. */
+    long heldBytes() {
+        return 2L * pending.size();
+    }
+
     /** Whether a partial event is withheld. */
     boolean hasPartialEvent() {
         return pending.size() > 0;
--- a/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
@@ -70,6 +70,11 @@
         return splitter.hasPartialEvent() || !delimited && !splitter.attemptHasEvents();
     }
 
+    /** Bytes of memory that the partial event occupies. */
+    long heldBytes() {
+        return splitter == null ? 0 : splitter.heldBytes();
+    }
+
     /** Whether the stream is within an event that is too large to be withheld until its end. */
     boolean isEventTooLarge() {
         return splitter != null && splitter.isEventTooLarge();
--- a/core/src/main/java/org/quetzalvane/core/serve/ServingContext.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ServingContext.java
@@ -14,6 +14,7 @@
 import org.quetzalvane.core.fleet.EndpointTable;
 import org.quetzalvane.core.limit.AccountAllowances;
 import org.quetzalvane.core.limit.EndpointPermits;
+import org.quetzalvane.core.limit.MemoryAccount;
 import org.quetzalvane.core.quarantine.PromptQuarantine;
 import org.quetzalvane.core.residency.AdapterLoader;
 import org.quetzalvane.core.residency.AdapterUsage;
@@ -47,6 +48,7 @@
  * @param servedVersions software versions that may have begun a stream of unknown origin
  * @param quarantine requests that crash endpoints
  * @param gracePeriod time that is left to a node that was told to stop
+ * @param memory bytes that the node holds
  * @param endpointClient port for requests to endpoints
  * @param log structured log
  */
@@ -73,5 +75,6 @@
         ServedVersions servedVersions,
         PromptQuarantine quarantine,
         GracePeriod gracePeriod,
+        MemoryAccount memory,
         EndpointClient endpointClient,
         StructuredLog log) {}
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -21,6 +21,7 @@
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.fleet.EndpointTable;
 import org.quetzalvane.core.limit.EndpointPermits;
+import org.quetzalvane.core.limit.MemoryAccount;
 import org.quetzalvane.core.limit.Permit;
 import org.quetzalvane.core.quarantine.RequestContent;
 import org.quetzalvane.core.residency.AdapterLoader;
@@ -42,6 +43,7 @@
 
 /** Requests on a manual clock, with endpoints, loads and stream origins controlled by the test. */
 abstract class RequestFlowFixture {
+    static final long MEMORY_BYTES = 6 * 1024 * 1024;
     static final AdapterRef RESIDENT_ADAPTER = new AdapterRef("m", "a1");
     static final List<String> SHARED_PARTS = List.of("a1", "b2");
     static final AdapterRef MISSING_ADAPTER = new AdapterRef("m", "a9");
@@ -57,6 +59,7 @@
     final FakeQuarantine quarantine = new FakeQuarantine();
     final FakePermits permits = new FakePermits();
     final FakeAllowances allowances = new FakeAllowances();
+    final MemoryAccount memory = new MemoryAccount(MEMORY_BYTES);
     final GracePeriod gracePeriod = new GracePeriod(clock);
     boolean keysVerifiable = true;
     final FakeCallerResponse response = new FakeCallerResponse();
@@ -94,6 +97,7 @@
                 (service, done) -> done.accept(endpoints.softwareVersions(service)),
                 quarantine,
                 gracePeriod,
+                memory,
                 client,
                 (code, subject, fields) -> logged.add(code));
     }
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -17,6 +17,7 @@
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.limit.EndpointPermits;
+import org.quetzalvane.core.limit.MemoryAccount;
 import org.quetzalvane.core.residency.AdapterUsage;
 import org.quetzalvane.core.residency.EngineController;
 import org.quetzalvane.core.residency.LoadTimeEstimator;
@@ -27,6 +28,7 @@
 import org.quetzalvane.core.serve.CallerResponse;
 import org.quetzalvane.core.serve.GracePeriod;
 import org.quetzalvane.core.serve.RequestFlow;
+import org.quetzalvane.core.serve.RetryAfter;
 import org.quetzalvane.core.serve.ServingContext;
 import org.quetzalvane.core.team.AssignedEngines;
 import org.quetzalvane.core.team.AssignmentLease;
@@ -77,6 +79,8 @@
     private static final long ENGINE_CALL_TIMEOUT_MS = 150;
     /** Longest idle time, ms, of a pooled connection that may carry a request that cannot be retried. */
     private static final long NON_RETRYABLE_MAX_IDLE_MS = 1_500;
+    /** Retry time of requests whose body cannot be held, ms; slow endpoints take seconds for a body. */
+    private static final long MEMORY_RETRY_AFTER_MS = 1_000;
     /** Partition whose owner records the software versions that serve. */
     private static final int SERVED_VERSIONS_PARTITION = 0;
     /** One in this many {@code REQUEST_DONE} events is logged, chosen by the hash of the request id. */
@@ -87,6 +91,8 @@
     private final JsonLineLog lineLog;
     private final StructuredLog log;
     private final EntryMetrics metrics = new EntryMetrics();
+    private final MemoryAccount memory =
+            MemoryAccount.ofHeap(Runtime.getRuntime().maxMemory());
 
     private final PlatformState platform;
     private final EndpointLoads endpointLoads = new EndpointLoads();
@@ -166,11 +172,11 @@
                 new AssignmentMember.Membership(settings.peerAddress(), ASSIGNMENT_TTL_MS),
                 new AssignmentMember.Listeners(this::assignmentChanged, peerService::resumeHub));
         servingContext = createServingContext();
-        callerServer = new HttpServer(loop, this::callerLimits, this::serveCaller);
+        callerServer = new HttpServer(loop, this::callerLimits, memory, this::serveCaller);
         plannedStop = new PlannedStop(loop, callerServer, gracePeriod, settings.gracePeriodMs());
         CallerDirectory directory = new CallerDirectory(peerTable, peerService::self, settings.maxDirectoryTtlS());
-        readinessServer = new HttpServer(loop, this::callerLimits, directory::serveReadiness);
-        directoryServer = new HttpServer(loop, this::callerLimits, directory::serveAddresses);
+        readinessServer = new HttpServer(loop, this::callerLimits, memory, directory::serveReadiness);
+        directoryServer = new HttpServer(loop, this::callerLimits, memory, directory::serveAddresses);
         platform.endpoints().onNewInstance(this::dropPreviousInstanceState);
     }
 
@@ -256,6 +262,7 @@
                 platform.servedVersions(),
                 peerService.quarantine(),
                 gracePeriod,
+                memory,
                 gateway,
                 log);
     }
@@ -308,6 +315,11 @@
             return;
         }
         RequestFlow flow = new RequestFlow(servingContext, request, response);
+        if (exchange.bodyRefused()) {
+            long retryAfterMs = RetryAfter.spread(MEMORY_RETRY_AFTER_MS, request.id());
+            flow.end(ResultCode.NODE_MEMORY_FULL, ResultCode.INTERNAL, retryAfterMs, "body");
+            return;
+        }
         exchange.onDisconnect(flow::callerDisconnected);
         exchange.onWritable(flow::callerWritable);
         flow.start();
@@ -366,9 +378,10 @@
 
     /** Serves the metrics as text on a port of the IP address for callers; waits until the port is bound. */
     void listenMetrics(int port) {
+        NodeGauges.registerMemory(metrics, callerServer, memory);
         NodeGauges.register(metrics, callerServer, platform, peerTable, peerService, lease, loadTimes);
         InetSocketAddress own = Addresses.parse(settings.callerAddress());
-        new HttpServer(loop, this::callerLimits, this::serveMetrics)
+        new HttpServer(loop, this::callerLimits, memory, this::serveMetrics)
                 .listen(new InetSocketAddress(own.getAddress(), port));
     }
 
--- a/entry/src/main/java/org/quetzalvane/entry/NodeGauges.java
+++ b/entry/src/main/java/org/quetzalvane/entry/NodeGauges.java
@@ -1,5 +1,8 @@
 package org.quetzalvane.entry;
 
+import java.util.Locale;
+
+import org.quetzalvane.core.limit.MemoryAccount;
 import org.quetzalvane.core.residency.LoadTimeEstimator;
 import org.quetzalvane.core.team.AssignmentLease;
 import org.quetzalvane.core.team.PeerTable;
@@ -34,4 +37,15 @@
         metrics.gauge("duties_held", () -> lease.owned().size());
         metrics.gauge("duty_generation", lease::generation);
     }
+
+    /** Registers the gauges of the memory that requests and responses hold. */
+    static void registerMemory(EntryMetrics metrics, HttpServer callerServer, MemoryAccount memory) {
+        metrics.gauge("response_bytes_unsent", callerServer::unsentBytes);
+        for (MemoryAccount.Kind k : MemoryAccount.Kind.values()) {
+            String label = "{kind=\"" + k.name().toLowerCase(Locale.ROOT) + "\"}";
+            metrics.gauge("memory_held_bytes" + label, () -> memory.held(k));
+            metrics.gauge("memory_share_bytes" + label, () -> memory.share(k));
+            metrics.gauge("memory_refused" + label, () -> memory.refused(k));
+        }
+    }
 }
--- a/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
@@ -14,9 +14,10 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.quetzalvane.core.limit.MemoryAccount;
 
 /**
- * HTTP/1.1 server that passes each complete request to a handler.
+ * HTTP/1.1 server that passes each complete request to a handler, and at once one whose body cannot be held.
  *
  * <p>Confined to the event loop, except for {@link #listen}.
  */
@@ -31,15 +32,32 @@
 
     private final NettyEventLoop loop;
     private final Supplier<ServerLimits> limits;
+    private final MemoryAccount memory;
     private final Consumer<ServerExchange> handler;
     private final Set<ServerConnection> connections = new HashSet<>();
     private Channel serverChannel;
     private boolean draining;
     private boolean accepting = true;
 
+    /** Creates a server with a memory account of its own, for tests and small services. */
     public HttpServer(NettyEventLoop loop, Supplier<ServerLimits> limits, Consumer<ServerExchange> handler) {
+        this(loop, limits, MemoryAccount.ofHeap(Runtime.getRuntime().maxMemory()), handler);
+    }
+
+    /**
+     * Creates a server.
+     *
+     * @param memory account that the bodies of requests are charged to
+     * @param handler must refuse a request whose body was refused
+     */
+    public HttpServer(
+            NettyEventLoop loop,
+            Supplier<ServerLimits> limits,
+            MemoryAccount memory,
+            Consumer<ServerExchange> handler) {
         this.loop = loop;
         this.limits = limits;
+        this.memory = memory;
         this.handler = handler;
     }
 
@@ -98,6 +116,15 @@
         return draining;
     }
 
+    MemoryAccount memory() {
+        return memory;
+    }
+
+    /** Bytes of responses that clients have not read yet. */
+    public long unsentBytes() {
+        return connections.stream().mapToLong(ServerConnection::unsentBytes).sum();
+    }
+
     void handle(ServerExchange exchange) {
         handler.accept(exchange);
     }
--- a/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
@@ -1,17 +1,16 @@
 package org.quetzalvane.transport;
 
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Supplier;
 
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -25,11 +24,13 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import org.quetzalvane.core.limit.MemoryAccount;
 import org.quetzalvane.core.time.Scheduler;
 
 /**
  * One accepted connection: reads complete requests, passes on one at a time, and closes after a request that it
- * rejects.
+ * rejects. A request whose body cannot be held is passed on at once without its body, which is discarded as it arrives,
+ * so that the client reads the response and may go on using the connection.
  *
  * <p>Confined to the event loop.
  */
@@ -46,10 +47,14 @@
     private final Deque<ServerExchange> queued = new ArrayDeque<>();
     private ChannelHandlerContext ctx;
     private HttpRequest requestHead;
-    private ByteArrayOutputStream body;
+    private RequestBody body;
+    /** Whether the rest of the present request's body is discarded, since it cannot be held. */
+    private boolean discarding;
+
+    private boolean closeAfterDiscarded;
     private ServerExchange current;
     private ChannelFuture lastResponse;
-    private long unsentBytes;
+    private long lastUnsentBytes;
     private int stalledChecks;
     private Scheduler.Timer timer;
     private long idleSince;
@@ -76,6 +81,12 @@
         };
     }
 
+    /** Bytes of responses that the client has not read yet. */
+    long unsentBytes() {
+        ChannelOutboundBuffer b = ctx.channel().unsafe().outboundBuffer();
+        return b == null ? 0 : b.totalPendingWriteBytes();
+    }
+
     boolean busy() {
         return current != null || !queued.isEmpty();
     }
@@ -121,6 +132,8 @@
         }
         if (o instanceof HttpContent && requestHead != null) {
             handleBody((HttpContent) o);
+        } else if (o instanceof LastHttpContent && discarding) {
+            discarded();
         }
     }
 
@@ -137,7 +150,11 @@
             return;
         }
         requestHead = r;
-        body = new ByteArrayOutputStream();
+        body = new RequestBody(server.memory().open(MemoryAccount.Kind.REQUEST_BODY));
+        if (!body.reserve((int) HttpUtil.getContentLength(r, 0L))) {
+            refuseBody();
+            return;
+        }
         startTimer(limits.get().idleTimeoutMs(), () -> reject(HttpResponseStatus.REQUEST_TIMEOUT));
         if (HttpUtil.is100ContinueExpected(r)) {
             ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -145,15 +162,22 @@
     }
 
     private void handleBody(HttpContent chunk) {
-        body.writeBytes(ByteBufUtil.getBytes(chunk.content()));
-        if (body.size() > limits.get().maxBodyBytes()) {
+        if (body.size() + chunk.content().readableBytes() > limits.get().maxBodyBytes()) {
+            body.close();
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
+        if (!body.add(chunk.content())) {
+            refuseBody();
+            if (chunk instanceof LastHttpContent) {
+                discarded();
+            }
+            return;
+        }
         if (chunk instanceof LastHttpContent) {
             stopTimer();
             firstByteReceived = false;
-            queued.add(new ServerExchange(this, ctx, requestHead, body.toByteArray()));
+            queued.add(new ServerExchange(this, ctx, requestHead, body, true));
             requestHead = null;
             body = null;
             if (queued.size() > MAX_QUEUED_REQUESTS) {
@@ -163,6 +187,25 @@
         }
     }
 
+    /** Passes the request on without its body. */
+    private void refuseBody() {
+        body.close();
+        queued.add(new ServerExchange(this, ctx, requestHead, body, false));
+        requestHead = null;
+        body = null;
+        discarding = true;
+        handleNext();
+    }
+
+    /** The body of a request that was refused has ended. */
+    private void discarded() {
+        discarding = false;
+        firstByteReceived = false;
+        if (closeAfterDiscarded) {
+            lastResponse.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
     private void handleNext() {
         if (current != null || queued.isEmpty()) {
             return;
@@ -173,7 +216,9 @@
 
     /** Whether the response to a request is the last one; the whole requests behind it are answered first. */
     boolean closesAfterResponse(HttpRequest r) {
-        return server.draining() && queued.isEmpty() && rejection == null || !HttpUtil.isKeepAlive(r);
+        return server.draining() && queued.isEmpty() && rejection == null
+                || !HttpUtil.isKeepAlive(r)
+                || discarding && HttpUtil.is100ContinueExpected(r);
     }
 
     /**
@@ -182,9 +227,18 @@
      * @param written done when the response has been sent
      */
     void responseCompleted(boolean close, ChannelFuture written) {
+        current.releaseBody();
         current = null;
         lastResponse = written;
+        if (close && discarding) {
+            // A socket that is closed with unread bytes is reset, which can discard the response.
+            closeAfterDiscarded = true;
+            ctx.channel().config().setAutoRead(true);
+            startIdleTimer();
+            return;
+        }
         if (close) {
+            written.addListener(ChannelFutureListener.CLOSE);
             return;
         }
         if (queued.isEmpty() && rejection != null) {
@@ -232,11 +286,16 @@
     public void channelInactive(ChannelHandlerContext c) {
         stopTimer();
         server.connectionClosed(this);
+        if (body != null) {
+            body.close();
+        }
+        queued.forEach(ServerExchange::releaseBody);
         queued.clear();
         if (current != null) {
             ServerExchange e = current;
             current = null;
             e.disconnected();
+            e.releaseBody();
         }
     }
 
@@ -268,9 +327,9 @@
 
     /** Whether the client has read something at one of the last {@link #MAX_STALLED_CHECKS} checks. */
     private boolean clientReads() {
-        long unsent = ctx.channel().unsafe().outboundBuffer().totalPendingWriteBytes();
-        stalledChecks = unsent == unsentBytes ? stalledChecks + 1 : 0;
-        unsentBytes = unsent;
+        long unsent = unsentBytes();
+        stalledChecks = unsent == lastUnsentBytes ? stalledChecks + 1 : 0;
+        lastUnsentBytes = unsent;
         return stalledChecks < MAX_STALLED_CHECKS;
     }
 
--- a/transport/src/main/java/org/quetzalvane/transport/ServerExchange.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerExchange.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -17,8 +16,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * A complete request and its response. The response is sent once; calls after the client has disconnected have no
- * effect.
+ * A complete request, or one whose body was refused, and its response. The response is sent once; calls after the
+ * client has disconnected have no effect.
  *
  * <p>Confined to the event loop.
  */
@@ -26,18 +25,27 @@
     private final ServerConnection connection;
     private final ChannelHandlerContext ctx;
     private final HttpRequest head;
+    private final RequestBody held;
     private final byte[] body;
+    private final boolean complete;
     private Runnable onDisconnect = () -> {};
     private Runnable onWritable = () -> {};
     private ChannelFuture begun;
     private boolean finished;
     private boolean closeAfterResponse;
 
-    ServerExchange(ServerConnection connection, ChannelHandlerContext ctx, HttpRequest head, byte[] body) {
+    ServerExchange(
+            ServerConnection connection,
+            ChannelHandlerContext ctx,
+            HttpRequest head,
+            RequestBody body,
+            boolean complete) {
         this.connection = connection;
         this.ctx = ctx;
         this.head = head;
-        this.body = body;
+        this.held = body;
+        this.body = body.complete();
+        this.complete = complete;
     }
 
     public HttpRequest head() {
@@ -48,6 +56,15 @@
         return body;
     }
 
+    /** Whether the request is refused, because the memory of the node cannot hold its body; the body is then empty. */
+    public boolean bodyRefused() {
+        return !complete;
+    }
+
+    void releaseBody() {
+        held.close();
+    }
+
     /** Sets the callback for a client that disconnects before the response is complete. */
     public void onDisconnect(Runnable callback) {
         onDisconnect = callback;
@@ -135,9 +152,6 @@
 
     private void finish(ChannelFuture last) {
         finished = true;
-        if (closeAfterResponse) {
-            last.addListener(ChannelFutureListener.CLOSE);
-        }
         connection.responseCompleted(closeAfterResponse, last);
     }
 
