Keep the event loop running after an Error outside of a task

An Error that a handler of the selector throws, such as an OutOfMemoryError, ended the only thread of the event loop and with it the process and all requests that it held. GuardedIoHandler reports it and goes on; the I/O that was not handled is selected again.

--- a/transport/src/main/java/org/quetzalvane/transport/NettyEventLoop.java
+++ b/transport/src/main/java/org/quetzalvane/transport/NettyEventLoop.java
@@ -9,6 +9,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioChannelOption;
@@ -35,7 +36,9 @@
     /** Length of the accept queue, connections; a restart causes a burst of a few hundred. */
     private static final int ACCEPT_BACKLOG = 1_024;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final IoHandlerFactory nio = NioIoHandler.newFactory();
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(
+            1, executor -> new GuardedIoHandler(nio.newHandler(executor), this::reportFailure));
     private final EventLoop loop = group.next();
     private volatile Consumer<Throwable> failureListener = t -> t.printStackTrace(System.err);
 
@@ -68,7 +71,7 @@
                 .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES);
     }
 
-    /** Sets the listener for exceptions of tasks and handlers, which are not handled otherwise. */
+    /** Sets the listener for exceptions and errors of tasks and handlers, which are not handled otherwise. */
     public void onFailure(Consumer<Throwable> listener) {
         failureListener = listener;
     }
