Free a partial event as soon as its attempt has ended

The account got the bytes back at the end of the attempt, but the buffer was kept until the next attempt began. Tests of what a request does when the memory for responses is full: a stream within an event is resumed elsewhere, a buffered body is streamed, and a caller that disconnects gives everything back.

--- a/core/src/main/java/org/quetzalvane/core/limit/MemoryAccount.java
+++ b/core/src/main/java/org/quetzalvane/core/limit/MemoryAccount.java
@@ -136,6 +136,11 @@
             shedBeyondShare(kind);
         }
 
+        /** Bytes held now. */
+        public long bytes() {
+            return bytes;
+        }
+
         /** Gives all bytes back. */
         public void close() {
             Usage u = usages.get(kind);
--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -299,6 +299,7 @@
         } else {
             context.log().log(
                     EventCode.INPUT_TOO_LARGE, endpoint.id(), "input", "events held", "request", request.id());
+            handler.responseStream().discardPartialEvent();
             failed(false, "memory for partial events is full");
         }
     }
@@ -423,6 +424,9 @@
     private void close(boolean cancelCall) {
         open = false;
         silence.stop();
+        if (held.bytes() > 0 && buffer == null) {
+            handler.responseStream().discardPartialEvent();
+        }
         held.close();
         context.endpointLoads()
                 .requestEnded(
--- a/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
@@ -70,6 +70,11 @@
         return splitter.hasPartialEvent() || !delimited && !splitter.attemptHasEvents();
     }
 
+    /** Frees the memory of a partial event, once the attempt that sent it has ended. */
+    void discardPartialEvent() {
+        splitter.beginAttempt();
+    }
+
     /** Bytes of memory that the partial event occupies. */
     long heldBytes() {
         return splitter == null ? 0 : splitter.heldBytes();
--- a/core/src/test/java/org/quetzalvane/core/serve/LargeEventTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/LargeEventTest.java
@@ -6,6 +6,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalvane.core.event.EventCode;
+import org.quetzalvane.core.limit.MemoryAccount.Holding;
+import org.quetzalvane.core.limit.MemoryAccount.Kind;
 import org.quetzalvane.core.routes.RouteKind;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -49,6 +51,51 @@
         assertThat(logged).containsOnlyOnce(EventCode.INPUT_TOO_LARGE);
     }
 
+    /** The stream with the largest partial event is resumed elsewhere, within the retry budget. */
+    @Test
+    void streamWithinAnEventIsResumedElsewhereWhenTheNodesMemoryIsFull() {
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        client.last().head(head(200, false));
+        client.last().body(EVENT.getBytes());
+        client.last().body(filled(CHUNK_BYTES));
+        assertThat(memory.held(Kind.RESPONSE_PART)).isGreaterThanOrEqualTo(CHUNK_BYTES);
+        memory.open(Kind.RESPONSE_PART).hold(memory.share(Kind.RESPONSE_PART));
+        assertThat(client.cancelled).isEqualTo(1);
+        assertThat(memory.held(Kind.RESPONSE_PART)).isEqualTo(memory.share(Kind.RESPONSE_PART));
+        assertThat(client.requests.get(1).lastEventId()).isEqualTo("1");
+        client.last().head(head(200, false));
+        client.last().body("id: 2\ndata: b\n\n".getBytes());
+        client.last().end();
+        assertThat(response.body).hasToString(EVENT + "id: 2\ndata: b\n\n");
+        assertThat(logged).containsOnlyOnce(EventCode.INPUT_TOO_LARGE);
+    }
+
+    @Test
+    void bufferedResponseIsStreamedWhenTheNodesMemoryIsFull() {
+        start(RouteKind.IDEMPOTENT, null);
+        client.last().head(plainHead(200));
+        client.last().body("first".getBytes());
+        assertThat(response.body).hasToString("");
+        Holding other = memory.open(Kind.RESPONSE_PART);
+        other.hold(memory.share(Kind.RESPONSE_PART));
+        assertThat(response.body).hasToString("first");
+        client.last().body("second".getBytes());
+        client.last().end();
+        assertThat(response.body).hasToString("firstsecond");
+        assertThat(response.ended).isTrue();
+        assertThat(memory.held(Kind.RESPONSE_PART)).isEqualTo(other.bytes());
+    }
+
+    @Test
+    void memoryIsGivenBackWhenTheCallerDisconnects() {
+        RequestFlow flow = start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        client.last().head(head(200, false));
+        client.last().body(filled(CHUNK_BYTES));
+        assertThat(memory.held(Kind.RESPONSE_PART)).isPositive();
+        flow.callerDisconnected();
+        assertThat(memory.held(Kind.RESPONSE_PART)).isZero();
+    }
+
     @Test
     void streamIsBrokenOffWhenEachAttemptSendsAnEventWithoutEnd() {
         start(RouteKind.STREAMING, RESIDENT_ADAPTER);
