--- a/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ResponseStream.java
@@ -70,6 +70,16 @@
         return splitter.hasPartialEvent() || !delimited && !splitter.attemptHasEvents();
     }
 
+    /** Frees the memory of a partial event, once the attempt that sent it has ended. */
+    void discardPartialEvent() {
+        splitter.beginAttempt();
+    }
+
+    /** Bytes of memory that the partial event occupies. */
+    long heldBytes() {
+        return splitter == null ? 0 : splitter.heldBytes();
+    }
+
     /** Whether the stream is within an event that is too large to be withheld until its end. */
     boolean isEventTooLarge() {
         return splitter != null && splitter.isEventTooLarge();
