Install the signal handlers before the node starts

Cause: the handlers were installed last, after the start. SIGHUP before that ended the process with 129; SIGTERM ended it with 143, which counts as a failure, without draining callers that were already connected.

Change: ProcessSignals is installed first. A SIGTERM waits for a start that is under way and drains; before the settings are read there is nothing to drain, and the process ends with 0. A signal before the main method runs still ends the process.

--- a/entry/src/main/java/org/quetzalvane/entry/EntryMain.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryMain.java
@@ -8,7 +8,6 @@
 import com.beust.jcommander.ParameterException;
 import org.quetzalvane.core.exc.QuetzalvaneException;
 import org.quetzalvane.platform.BootSettings;
-import sun.misc.Signal;
 
 /**
  * Main class of the entry host daemon. The settings are read from the file that the environment variable {@link
@@ -37,6 +36,8 @@
     @Parameter(names = "--help", description = "Show this help", help = true)
     private boolean help;
 
+    private final ProcessSignals signals = new ProcessSignals();
+
     private EntryMain() {}
 
     /** Starts a node and serves until the process is stopped. */
@@ -44,6 +45,8 @@
         // Netty otherwise derives the machine id from the network interfaces at every start; nothing here uses it.
         System.setProperty("io.netty.machineId", "00:00:00:00:00:01");
         EntryMain main = new EntryMain();
+        // First, since until then a signal ends the process.
+        main.signals.install();
         JCommander commander = JCommander.newBuilder()
                 .programName("quetzalvane-entry")
                 .addObject(main)
@@ -77,26 +80,12 @@
             System.out.println("settings of node " + settings.nodeName() + " hold");
             return;
         }
+        signals.nodeStarting();
         EntryNode node = new EntryNode(settings);
         node.start();
         if (metricsPort > 0) {
             node.listenMetrics(metricsPort);
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "shutdown"));
-        // The settings of a running node do not change. The handler only keeps SIGHUP from ending the process.
-        Signal.handle(new Signal("HUP"), s -> {});
-    }
-
-    /**
-     * Runs on SIGTERM: drains the node and halts the process with exit code 0, since the exit code that the JVM gives
-     * after a signal counts as a failure.
-     */
-    private static void stop(EntryNode node) {
-        try {
-            node.stop();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        Runtime.getRuntime().halt(0);
+        signals.nodeStarted(node);
     }
 }
--- a/entry/src/test/java/org/quetzalvane/entry/EntryProcess.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EntryProcess.java
@@ -44,6 +44,11 @@
     void start() throws IOException {
         Path file = directory.resolve(settings.nodeName() + ".json");
         SettingsFile.write(file, settings);
+        process = launch(file, directory.resolve(settings.nodeName() + ".log"), heapMb);
+    }
+
+    /** Starts a process of a node that appends its output to a file. */
+    static Process launch(Path settingsFile, Path output, int heapMb) throws IOException {
         ProcessBuilder command = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC",
@@ -52,29 +57,37 @@
                 "-cp",
                 System.getProperty("java.class.path"),
                 EntryMain.class.getName());
-        command.environment().put(BootSettings.PATH_VARIABLE, file.toString());
-        Path output = directory.resolve(settings.nodeName() + ".log");
-        process = command.redirectErrorStream(true)
+        command.environment().put(BootSettings.PATH_VARIABLE, settingsFile.toString());
+        return command.redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
                 .start();
     }
 
     /** Waits until the node is ready; fails with its output if it exits. */
     void awaitReady() throws IOException, InterruptedException {
-        while (!ready()) {
+        awaitReadiness("HTTP/1.1 200");
+    }
+
+    /** Waits until the node answers whether it is ready; fails with its output if it exits. */
+    void awaitListening() throws IOException, InterruptedException {
+        awaitReadiness("HTTP/1.1 ");
+    }
+
+    private void awaitReadiness(String answer) throws IOException, InterruptedException {
+        while (!readiness().startsWith(answer)) {
             if (!process.isAlive()) {
-                throw new IllegalStateException(Files.readString(directory.resolve(settings.nodeName() + ".log")));
+                throw new IllegalStateException("exit code " + process.exitValue() + "\n" + Files.readString(output()));
             }
             TimeUnit.MILLISECONDS.sleep(20);
         }
     }
 
-    private boolean ready() {
+    private String readiness() {
         try {
-            return CallerClient.readiness(settings.readinessAddress()).startsWith("HTTP/1.1 200");
+            return CallerClient.readiness(settings.readinessAddress());
         } catch (IOException e) {
             // The process does not listen yet.
-            return false;
+            return "";
         }
     }
 
@@ -109,6 +122,21 @@
         }
     }
 
+    /** Whether the process runs. */
+    boolean alive() {
+        return process.isAlive();
+    }
+
+    /** Exit code of a process that has ended. */
+    int exitCode() {
+        return process.exitValue();
+    }
+
+    /** Output of all processes of this node. */
+    Path output() {
+        return directory.resolve(settings.nodeName() + ".log");
+    }
+
     /** Sends SIGHUP. */
     void hangUp() throws IOException, InterruptedException {
         signal("-HUP");
