Answer messages of peers that arrive during the start

Cause: a node listened to its peers before the event loop had the connections to them. A message that wants an answer failed with a NullPointerException in between (TASK_FAILED), and its connection was closed: the starting node lost its peer.

Change: the connections to peers are set when the node is created.

--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -100,6 +100,7 @@
     private final AssignmentLease lease;
     private final AssignedEngines assignedEngines;
     private final PeerService peerService;
+    private final PeerTransport transport;
     private final StreamOriginArchive originArchive;
     private final AssignmentMember assignmentMember;
     private final EndpointGateway gateway;
@@ -149,6 +150,9 @@
                 relay,
                 m -> notices.markDraining(m.endpoint(), m.bornMs(), m.from()),
                 settings.quota());
+        transport =
+                new PeerTransport(loop, settings.peerAddress(), peerService::receive, peerService::connectionChanged);
+        peerService.setTransport(transport);
         originArchive = new StreamOriginArchive(
                 loop,
                 store.streamOrigins(),
@@ -177,8 +181,6 @@
     void start() {
         lineLog.start();
         log.log(EventCode.NODE_STARTED, settings.nodeName(), "peers", settings.peerAddress());
-        PeerTransport transport =
-                new PeerTransport(loop, settings.peerAddress(), peerService::receive, peerService::connectionChanged);
         transport.listen(Addresses.parse(settings.peerAddress()));
         callerServer.listen(Addresses.parse(settings.callerAddress()));
         readinessServer.listen(Addresses.parse(settings.readinessAddress()));
@@ -186,7 +188,7 @@
         loop.execute(() -> {
             platform.start();
             assignmentMember.start();
-            peerService.start(transport);
+            peerService.start();
             originArchive.start();
         });
     }
--- a/entry/src/main/java/org/quetzalvane/entry/PeerService.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerService.java
@@ -114,8 +114,12 @@
         this.allowances = new AllowanceExchange(scheduler, log, links, nodes, quota);
     }
 
-    void start(PeerTransport peerTransport) {
+    /** Sets the connections to peers; to be called before they listen, since messages are answered from then on. */
+    void setTransport(PeerTransport peerTransport) {
         transport = peerTransport;
+    }
+
+    void start() {
         exchange.start();
         startupRecords.start();
         quarantine.start();
