Let a new process use the margin of the retry budget

A process that has just started had no retry until 25 of its requests had arrived, which two tests of EntryNodeTest showed (single nodes, right after their start). In its first window it now uses the fifth that is left as a margin: of the ratio, and a quarter of it of the extra, since a node may start several times in a window.

--- a/core/src/main/java/org/quetzalvane/core/choice/RetryBudgetShare.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/RetryBudgetShare.java
@@ -10,9 +10,9 @@
  * This node's share, by service, of the retry budget that all nodes have in common.
  *
  * <p>In each window a node grants at most {@link #USED_FRACTION} of {@code ratio} times the requests that it received
- * itself plus an equal part of the fixed extra retries. Until a window has passed since its start, it uses nothing of
- * the extra and a smaller fraction of the rest, because the process before it or the nodes whose load it takes over may
- * have used theirs. The nodes together stay within the budget without coordination, also when an endpoint fails under
+ * itself plus an equal part of the fixed extra retries. Until a window has passed since its start, it uses
+ * the margin instead, because the process before it or the nodes whose load it takes over may have used their share.
+ * The nodes together stay within the budget without coordination, also when an endpoint fails under
  * full load and every request needs a retry. Confined to the event loop.
  */
 public final class RetryBudgetShare {
@@ -20,8 +20,8 @@
     private static final int ASSUMED_NODES = 64;
     /** Fraction of the budget that is granted; the rest is a margin for windows of nodes that do not coincide. */
     private static final double USED_FRACTION = 0.8;
-    /** Fraction of {@code ratio} that is granted in the first window of a process. */
-    private static final double FIRST_WINDOW_FRACTION = 0.2;
+    /** Starts of the processes of one node within a window that stay within the budget. */
+    private static final int STARTS_PER_WINDOW = 4;
 
     private final Scheduler scheduler;
     private final double ratio;
@@ -92,11 +92,11 @@
     }
 
     private double allowed(long requests, long now) {
-        if (now - startNanos < windowNanos) {
-            return FIRST_WINDOW_FRACTION * ratio * requests;
-        }
         int nodeCount = nodes.getAsInt();
         double extraShare = extra / (nodeCount <= 0 ? ASSUMED_NODES : nodeCount);
+        if (now - startNanos < windowNanos) {
+            return (1 - USED_FRACTION) * (ratio * requests + extraShare / STARTS_PER_WINDOW);
+        }
         return USED_FRACTION * (ratio * requests + extraShare);
     }
 
