Let a test that needs ten retries wait until its node has its whole share

EntryNodeTest.requestForReplacedInstanceRunsOnlyOnExpectedInstance sends 20 requests to a node that has just started, about half of which must be repeated. A process has few retries in its first window since the budget is kept across restarts.

--- a/entry/src/test/java/org/quetzalvane/entry/EntryNodeTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EntryNodeTest.java
@@ -208,6 +208,8 @@
         // The outdated entry of plain-1 names the address at which plain-2 listens now.
         store.writeEndpoint("plain-1", replacement.entry());
         start();
+        // In its first window, 10 s, a process has fewer retries than this test needs.
+        Thread.sleep(10_500);
         for (int i = 0; i < 20; i++) {
             assertThat(CallerClient.send(settings.callerAddress(), "POST", "/once/x", "id-" + i, null))
                     .startsWith("HTTP/1.1 200");
