Judge lost requests in a soak over processes that stop, hang up and start

Callers keep their connections and send plain requests and streams, some with bodies that arrive slowly, while nodes are stopped (two at once, right after the start, with SIGHUP, frozen meanwhile), killed and frozen, and the configuration and the store change. LostJudge finds requests that ended without a complete response, from what callers and sound endpoints saw; the soak also reports processes that end by themselves or with a failure, and failures in their output.

--- /dev/null
+++ b/entry/src/test/java/org/quetzalvane/entry/KeptConnection.java
@@ -0,0 +1,150 @@
+package org.quetzalvane.entry;
+
+import java.io.BufferedInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+import org.quetzalvane.platform.standin.CallerClient;
+
+/** Connection of a caller that sends requests on it for as long as it is open. Not thread-safe. */
+final class KeptConnection implements AutoCloseable {
+    private static final int READ_TIMEOUT_MS = 20_000;
+    private static final int PARTS = 8;
+    private static final String NO_BODY = "Content-Length: 0";
+    private static final String LENGTH = "\r\ncontent-length:";
+
+    private final Socket socket;
+    private final InputStream in;
+    private boolean open = true;
+    private long sentNanos;
+    private int status;
+
+    /**
+     * A request.
+     *
+     * @param id its id
+     * @param path its path
+     * @param adapter name of an adapter, or null
+     * @param bodyBytes length of its body
+     * @param sendMs time in which the body is sent
+     */
+    record Request(String id, String path, String adapter, int bodyBytes, long sendMs) {}
+
+    /** Connects to IP:PORT. */
+    KeptConnection(String node) throws IOException {
+        int colon = node.indexOf(':');
+        socket = new Socket(node.substring(0, colon), Integer.parseInt(node.substring(colon + 1)));
+        socket.setTcpNoDelay(true);
+        socket.setSoTimeout(READ_TIMEOUT_MS);
+        in = new BufferedInputStream(socket.getInputStream());
+    }
+
+    /** Whether the next request may be sent. */
+    boolean open() {
+        return open;
+    }
+
+    /** Sends a request and reads until its response is complete or the connection has ended. */
+    LostJudge.Outcome call(String node, Request r) throws InterruptedException {
+        status = 0;
+        boolean sent = send(r);
+        boolean complete = false;
+        try {
+            complete = readResponse();
+        } catch (SocketTimeoutException e) {
+            status = -1;
+        } catch (IOException e) {
+            open = false;
+        }
+        open &= complete && sent;
+        long end = System.nanoTime();
+        // A request that was not sent whole was not read whole either.
+        return new LostJudge.Outcome(r.id(), node, r.path(), sent ? sentNanos : end, end, status, complete);
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+
+    private boolean send(Request r) throws InterruptedException {
+        String head = CallerClient.request("POST", r.path(), r.id(), r.adapter(), "")
+                .replace(NO_BODY, "Content-Length: " + r.bodyBytes());
+        try {
+            OutputStream out = socket.getOutputStream();
+            // Taken before the last write, since the node may answer before that returns.
+            sentNanos = System.nanoTime();
+            out.write(head.getBytes(StandardCharsets.ISO_8859_1));
+            for (int i = 0; i < PARTS && r.bodyBytes() > 0; i++) {
+                TimeUnit.MILLISECONDS.sleep(r.sendMs() / PARTS);
+                sentNanos = System.nanoTime();
+                int from = r.bodyBytes() * i / PARTS;
+                out.write(new byte[r.bodyBytes() * (i + 1) / PARTS - from]);
+            }
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private boolean readResponse() throws IOException {
+        String head = readUntilBlankLine();
+        status = Integer.parseInt(head.split(" ", 3)[1]);
+        int at = head.indexOf(LENGTH);
+        boolean delimited = true;
+        if (at >= 0) {
+            int length = Integer.parseInt(value(head, at + LENGTH.length()));
+            if (in.readNBytes(length).length < length) {
+                return false;
+            }
+        } else if (head.contains("\r\ntransfer-encoding: chunked")) {
+            readChunks();
+        } else {
+            in.readAllBytes();
+            delimited = false;
+        }
+        open = delimited && !head.contains("\r\nconnection: close");
+        return true;
+    }
+
+    private void readChunks() throws IOException {
+        int length;
+        do {
+            length = Integer.parseInt(readLine(), 16);
+            if (in.readNBytes(length).length < length) {
+                throw new EOFException();
+            }
+            readLine();
+        } while (length > 0);
+    }
+
+    private String readUntilBlankLine() throws IOException {
+        StringBuilder head = new StringBuilder();
+        for (String line = readLine(); !line.isEmpty(); line = readLine()) {
+            head.append(line).append("\r\n");
+        }
+        return head.toString().toLowerCase(Locale.ROOT);
+    }
+
+    private String readLine() throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int b = in.read(); b != '\n'; b = in.read()) {
+            if (b < 0) {
+                throw new EOFException();
+            }
+            line.append((char) b);
+        }
+        return line.toString().trim();
+    }
+
+    private static String value(String head, int from) {
+        return head.substring(from, head.indexOf("\r\n", from)).trim();
+    }
+}
