Fail a call whose response was read as part of another one

Callers got a 200 where the endpoint answered 500 or 503, or their own body under the headers of another response. An endpoint wrote a second response to an earlier request on a kept connection and broke it off without a close; the decoder read it and the response to the present request as one head. In other forms the own response was discarded with the one before, and the call ended at its deadline.

Up to the head that is accepted for a call, each status line among the bytes must now be the beginning of a head that was read; else the call fails at once. The idle connections to the address are closed, those opened before are not kept, and for 10 s requests with a bounded idle time go on new connections. Bytes that arrive while no call is in progress close the connection also if they are less than a line. The cause of a failed call says whether the connection was new or kept.

--- a/transport/src/main/java/org/quetzalvane/transport/ClientConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ClientConnection.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -27,7 +26,11 @@
  *
  * <p>The connection returns to the pool only after a complete response to a request that was written completely. It is
  * closed when data arrives while no call is in progress. A response that the listener does not match, such as a second
- * one to an earlier call, is discarded, up to a bound in bytes. Confined to the event loop.
+ * one to an earlier call, is discarded, up to a bound in bytes.
+ *
+ * <p>Up to the end of the head that is accepted as that of the call, every status line among the bytes is the beginning
+ * of a head that was read. A call whose own response was swallowed by another one, which broke off in its head or body,
+ * therefore fails: the status line of its own response is within something else. Confined to the event loop.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     /** Subtracted from the idle timeout that a server states, ms, to allow for the network delay of a request. */
@@ -43,13 +46,18 @@
     private final long defaultIdleTimeoutMs;
     private final Consumer<ClientConnection> onIdle;
     private final ClosedListener onClosed;
-    private final Decoder decoder = new Decoder();
+    private final Consumer<String> onForeign;
+    private final ResponseDecoder decoder = new ResponseDecoder(this::countBytes, this::afterRead);
     private ChannelHandlerContext ctx;
     private HttpResponseListener listener;
     private ChannelFuture written;
     /** Whether no response was complete before that of the present call. */
     private boolean firstCall = true;
 
+    private final long openedNanos;
+    /** Whether bytes arrived that are no part of the response to the present call. */
+    private boolean foreign;
+
     private boolean discarding;
     private long bytesWithoutProgress;
     private boolean keepAlive;
@@ -71,11 +79,14 @@
             NettyEventLoop loop,
             long defaultIdleTimeoutMs,
             Consumer<ClientConnection> onIdle,
-            ClosedListener onClosed) {
+            ClosedListener onClosed,
+            Consumer<String> onForeign) {
         this.loop = loop;
         this.defaultIdleTimeoutMs = defaultIdleTimeoutMs;
         this.onIdle = onIdle;
         this.onClosed = onClosed;
+        this.onForeign = onForeign;
+        this.openedNanos = loop.nanoTime();
     }
 
     HttpResponseDecoder decoder() {
@@ -86,6 +97,10 @@
         return listener == null && ctx != null && ctx.channel().isActive();
     }
 
+    long openedNanos() {
+        return openedNanos;
+    }
+
     long idleMs() {
         return (loop.nanoTime() - idleSince) / 1_000_000;
     }
@@ -96,7 +111,7 @@
         discarding = false;
         bytesWithoutProgress = 0;
         keepAlive = false;
-        decoder.headRequest = request.method().equals(HttpMethod.HEAD);
+        decoder.startCall(request.method().equals(HttpMethod.HEAD));
         written = ctx.writeAndFlush(request);
         written.addListener(f -> {
             if (!f.isSuccess()) {
@@ -154,14 +169,22 @@
             Throwable cause = o.decoderResult().cause();
             if (cause instanceof TooLongFrameException) {
                 reportTooLarge("head, chunk line or trailers");
+            } else {
+                reportForeign("invalid HTTP response");
             }
             fail("invalid HTTP response: " + cause);
             return;
         }
         if (listener == null) {
+            reportForeign("bytes after a response");
             close();
             return;
         }
+        if (!decoder.isInOrder(o)) {
+            reportForeign("status line within another response");
+            fail("status line within another response");
+            return;
+        }
         if (o instanceof HttpResponse) {
             handleHead((HttpResponse) o);
         }
@@ -174,8 +197,12 @@
         boolean interim = head.status().code() < 200;
         discarding = interim || !listener.matches(head, firstCall);
         if (discarding) {
+            if (!interim) {
+                reportForeign("response to another call");
+            }
             return;
         }
+        decoder.acceptHead();
         bytesWithoutProgress = 0;
         keepAlive = HttpUtil.isKeepAlive(head) && isDelimited(head);
         idleTimeoutMs = idleTimeout(head);
@@ -208,7 +235,15 @@
         HttpResponseListener r = listener;
         listener = null;
         firstCall = false;
-        if (keepAlive && written.isSuccess() && ctx.channel().isActive()) {
+        boolean moreBytes = decoder.hasBytes();
+        if (moreBytes) {
+            reportForeign("bytes after a response");
+        }
+        if (keepAlive
+                && !moreBytes
+                && !foreign
+                && written.isSuccess()
+                && ctx.channel().isActive()) {
             ctx.channel().config().setAutoRead(true);
             startIdle();
         } else {
@@ -250,6 +285,18 @@
         fail(String.valueOf(cause.getMessage()));
     }
 
+    private void countBytes(int arrived) {
+        bytesWithoutProgress += arrived;
+    }
+
+    private void afterRead() {
+        if (listener == null && decoder.hasBytes()) {
+            reportForeign("bytes after a response");
+            close();
+        }
+        failIfWithoutProgress();
+    }
+
     private void failIfWithoutProgress() {
         if (listener != null && bytesWithoutProgress > MAX_BYTES_WITHOUT_PROGRESS) {
             reportTooLarge("bytes without a response");
@@ -257,6 +304,18 @@
         }
     }
 
+    /** What was still read of a connection that either side has closed says nothing about other calls. */
+    private void reportForeign(String what) {
+        if (ctx.channel().isActive()) {
+            foreign = true;
+            onForeign.accept(what + connectionKind());
+        }
+    }
+
+    private String connectionKind() {
+        return firstCall ? ", new connection" : ", kept connection";
+    }
+
     private void reportTooLarge(String input) {
         if (listener != null) {
             listener.onTooLarge(input);
@@ -268,7 +327,7 @@
         listener = null;
         close();
         if (r != null) {
-            r.onFailure(false, cause);
+            r.onFailure(false, cause + connectionKind() + (foreign ? " with bytes of another response" : ""));
         }
     }
 
@@ -293,21 +352,4 @@
         }
         return Math.min(defaultIdleTimeoutMs, Math.max(0, Long.parseLong(digits) * 1_000 - IDLE_MARGIN_MS));
     }
-
-    /** Response decoder that expects no body after a HEAD request and counts the bytes that arrive. */
-    private final class Decoder extends HttpResponseDecoder {
-        private boolean headRequest;
-
-        @Override
-        public void channelRead(ChannelHandlerContext c, Object msg) throws Exception {
-            bytesWithoutProgress += ((ByteBuf) msg).readableBytes();
-            super.channelRead(c, msg);
-            failIfWithoutProgress();
-        }
-
-        @Override
-        protected boolean isContentAlwaysEmpty(HttpMessage msg) {
-            return headRequest && !msg.headers().contains(HttpHeaderNames.UPGRADE) || super.isContentAlwaysEmpty(msg);
-        }
-    }
 }
--- a/transport/src/main/java/org/quetzalvane/transport/HttpClient.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpClient.java
@@ -1,11 +1,13 @@
 package org.quetzalvane.transport;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
@@ -29,11 +31,21 @@
     /** Longest idle time that no pooled connection has, so that a new one carries the request. */
     public static final long NEW_CONNECTION = -1;
 
+    /**
+     * Time after bytes that belong to no call within which a request with a bounded idle time is sent on a new
+     * connection, ms.
+     */
+    private static final long NEW_CONNECTIONS_MS = 10_000;
+
     private final NettyEventLoop loop;
     private final Bootstrap bootstrap;
     private final Map<InetSocketAddress, Deque<ClientConnection>> idle = new HashMap<>();
     private final Map<InetSocketAddress, Integer> open = new HashMap<>();
+    /** Time of the last bytes that belong to no call, by address; entries are removed after a time. */
+    private final Map<InetSocketAddress, Long> foreignNanos = new HashMap<>();
+
     private Consumer<InetSocketAddress> connectionLost = to -> {};
+    private BiConsumer<InetSocketAddress, String> foreignResponse = (to, what) -> {};
 
     public HttpClient(NettyEventLoop loop, int connectTimeoutMs) {
         this.loop = loop;
@@ -48,6 +60,14 @@
         connectionLost = listener;
     }
 
+    /**
+     * Sets the listener for bytes from an address that belong to no call, such as a second response to an earlier one;
+     * it gets what was seen, for the log.
+     */
+    public void onForeignResponse(BiConsumer<InetSocketAddress, String> listener) {
+        foreignResponse = listener;
+    }
+
     /** A call in progress. */
     public interface Call {
         /** Cancels the call and closes its connection; the listener is not called any more. */
@@ -86,8 +106,12 @@
             call.sendOn(idleConnection);
             return call;
         }
-        ClientConnection opened =
-                new ClientConnection(loop, DEFAULT_IDLE_TIMEOUT_MS, c -> addIdle(to, c), broken -> closed(to, broken));
+        ClientConnection opened = new ClientConnection(
+                loop,
+                DEFAULT_IDLE_TIMEOUT_MS,
+                c -> addIdle(to, c),
+                broken -> closed(to, broken),
+                what -> foreign(to, what));
         ChannelFuture f = bootstrap
                 .clone()
                 .handler(new ChannelInitializer<>() {
@@ -125,7 +149,7 @@
 
     private ClientConnection takeIdle(InetSocketAddress to, long maxIdleMs) {
         Deque<ClientConnection> q = idle.get(to);
-        if (q == null) {
+        if (q == null || maxIdleMs < Long.MAX_VALUE && foreignNanos.containsKey(to)) {
             return null;
         }
         for (Iterator<ClientConnection> i = q.iterator(); i.hasNext(); ) {
@@ -149,7 +173,21 @@
         }
     }
 
+    /** The server may owe such bytes on its other connections as well, so that these are not used again. */
+    private void foreign(InetSocketAddress to, String what) {
+        long now = loop.nanoTime();
+        foreignNanos.put(to, now);
+        loop.schedule(Duration.ofMillis(NEW_CONNECTIONS_MS), () -> foreignNanos.remove(to, now));
+        closeIdle(to);
+        foreignResponse.accept(to, what);
+    }
+
     private void addIdle(InetSocketAddress to, ClientConnection c) {
+        Long foreign = foreignNanos.get(to);
+        if (foreign != null && c.openedNanos() - foreign < 0) {
+            c.close();
+            return;
+        }
         idle.computeIfAbsent(to, a -> new ArrayDeque<>()).addFirst(c);
     }
 
--- a/transport/src/test/java/org/quetzalvane/transport/HttpClientTest.java
+++ b/transport/src/test/java/org/quetzalvane/transport/HttpClientTest.java
@@ -121,6 +121,70 @@
         assertThat(second.get()).isEqualTo("two");
     }
 
+    /** A server that wrote a second response may owe one on its other connections too. */
+    @Test
+    void idleConnectionsAreClosedAfterAResponseToAnotherCall() throws Exception {
+        List<Socket> sockets = new ArrayList<>();
+        List<CompletableFuture<String>> calls = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            calls.add(call("" + i));
+            sockets.add(accept());
+            readRequest(sockets.get(i));
+        }
+        for (int i = 0; i < 2; i++) {
+            write(sockets.get(i), response("" + i, "done"));
+            calls.get(i).get();
+        }
+        CompletableFuture<String> seen = new CompletableFuture<>();
+        loop.execute(() -> client.onForeignResponse((from, what) -> seen.complete(what)));
+        CompletableFuture<String> third = call("3");
+        readRequest(sockets.get(1));
+        write(sockets.get(1), response("1", "done") + response("3", "three"));
+        assertThat(third.get()).isEqualTo("three");
+        assertThat(seen.get()).isEqualTo("response to another call, kept connection");
+        for (Socket s : sockets) {
+            s.setSoTimeout(5_000);
+            assertThat(s.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+
+    /** The rest of a response whose call was cancelled is no second response. */
+    @Test
+    void restOfACancelledResponseIsNotReportedAsForeign() throws Exception {
+        CompletableFuture<String> seen = new CompletableFuture<>();
+        loop.execute(() -> client.onForeignResponse((from, what) -> seen.complete(what)));
+        CompletableFuture<Boolean> cancelled = new CompletableFuture<>();
+        HttpClient.Call[] sent = new HttpClient.Call[1];
+        HttpResponseListener r = new HttpResponseListener() {
+            @Override
+            public void onHead(HttpResponse head) {
+                sent[0].cancel();
+                cancelled.complete(true);
+            }
+
+            @Override
+            public void onBody(byte[] chunk) {}
+
+            @Override
+            public void onComplete() {}
+
+            @Override
+            public void onFailure(boolean notSent, String cause) {}
+        };
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/1");
+        InetSocketAddress to = new InetSocketAddress("127.0.0.1", server.getLocalPort());
+        loop.execute(() -> sent[0] = client.send(to, request, Long.MAX_VALUE, r));
+        Socket s = accept();
+        readRequest(s);
+        write(s, response("1", "a body"));
+        assertThat(cancelled.get()).isTrue();
+        assertThat(s.getInputStream().read()).isEqualTo(-1);
+        CompletableFuture<Void> handled = new CompletableFuture<>();
+        loop.execute(() -> handled.complete(null));
+        handled.get();
+        assertThat(seen).isNotDone();
+    }
+
     /** A reset shows the end of a server, also on an idle connection beside others; an orderly close does not. */
     @ParameterizedTest
     @CsvSource({"RESET, 2, true", "CLOSE, 2, false", "CLOSE, 1, true", "CLOSE_WITHIN_CALL, 2, true"})
