--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -117,6 +117,7 @@
         log = this::logEvent;
         loop.onFailure(this::logTaskFailure);
         HttpClient http = new HttpClient(loop, CONNECT_TIMEOUT_MS);
+        http.onForeignResponse((from, what) -> log.log(EventCode.FOREIGN_RESPONSE, from.toString(), "what", what));
         StoreClient store = new StoreClient(
                 http,
                 loop,
--- a/transport/src/main/java/org/quetzalvane/transport/HttpClient.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpClient.java
@@ -31,11 +31,8 @@
     /** Longest idle time that no pooled connection has, so that a new one carries the request. */
     public static final long NEW_CONNECTION = -1;
 
-    /**
-     * Time after bytes that belong to no call within which a request with a bounded idle time is sent on a new
-     * connection, ms.
-     */
-    private static final long NEW_CONNECTIONS_MS = 10_000;
+    /** Time after bytes that belong to no call within which connections opened before are closed after their call. */
+    private static final long FOREIGN_REMEMBERED_MS = 60_000;
 
     private final NettyEventLoop loop;
     private final Bootstrap bootstrap;
@@ -149,7 +146,7 @@
 
     private ClientConnection takeIdle(InetSocketAddress to, long maxIdleMs) {
         Deque<ClientConnection> q = idle.get(to);
-        if (q == null || maxIdleMs < Long.MAX_VALUE && foreignNanos.containsKey(to)) {
+        if (q == null) {
             return null;
         }
         for (Iterator<ClientConnection> i = q.iterator(); i.hasNext(); ) {
@@ -177,7 +174,7 @@
     private void foreign(InetSocketAddress to, String what) {
         long now = loop.nanoTime();
         foreignNanos.put(to, now);
-        loop.schedule(Duration.ofMillis(NEW_CONNECTIONS_MS), () -> foreignNanos.remove(to, now));
+        loop.schedule(Duration.ofMillis(FOREIGN_REMEMBERED_MS), () -> foreignNanos.remove(to, now));
         closeIdle(to);
         foreignResponse.accept(to, what);
     }
