Give nodes of two tests a retry budget that suffices in their first window

EndpointNoticesTest and MixedVersionStreamTest send requests that must be repeated to nodes that have just started. Since the budget is kept across restarts, a process uses only the margin of it in its first window, and 2 of 10 and 1 of 12 cases failed for lack of a retry. Their nodes now have a larger extra; what the tests require is unchanged. 10 of 10 and 12 of 12 pass.

--- a/entry/src/test/java/org/quetzalvane/entry/EndpointNoticesTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EndpointNoticesTest.java
@@ -153,8 +153,8 @@
 
     private void startNodes() throws Exception {
         store.writeConfig(SampleConfig.withVersion(1));
-        first = cluster.startNode();
-        second = cluster.startNode();
+        first = cluster.startNodeWithRetries();
+        second = cluster.startNodeWithRetries();
         cluster.node(1).listenMetrics(Integer.parseInt(metricsAddress.substring(metricsAddress.indexOf(':') + 1)));
         cluster.awaitNodesKnowEachOther();
     }
--- a/entry/src/test/java/org/quetzalvane/entry/LoopbackCluster.java
+++ b/entry/src/test/java/org/quetzalvane/entry/LoopbackCluster.java
@@ -19,6 +19,7 @@
  */
 final class LoopbackCluster implements AfterEachCallback {
     private static final long POLL_MS = 20;
+    private static final int RETRIES = 10_000;
 
     private final PlatformStoreStandIn store = new PlatformStoreStandIn();
     private final List<AutoCloseable> endpoints = new ArrayList<>();
@@ -37,8 +38,20 @@
 
     /** Starts a node, which knows all earlier ones, and waits until it is ready. */
     BootSettings startNode() throws IOException, InterruptedException {
-        Set<String> seeds = settings.stream().map(BootSettings::peerAddress).collect(Collectors.toSet());
-        return startNode(TestSettings.of("n" + (nodes.size() + 1), seeds, store.address()));
+        return startNode(TestSettings.of(nextName(), peers(), store.address()));
+    }
+
+    /** The same with a retry budget of which the small part that a process may use at first suffices for a test. */
+    BootSettings startNodeWithRetries() throws IOException, InterruptedException {
+        return startNode(TestSettings.withRetryBudget(nextName(), peers(), store.address(), 0.2, RETRIES));
+    }
+
+    private String nextName() {
+        return "n" + (nodes.size() + 1);
+    }
+
+    private Set<String> peers() {
+        return settings.stream().map(BootSettings::peerAddress).collect(Collectors.toSet());
     }
 
     /** Starts a node and waits until it is ready; returns the settings. */
--- a/entry/src/test/java/org/quetzalvane/entry/MixedVersionStreamTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/MixedVersionStreamTest.java
@@ -271,8 +271,8 @@
     }
 
     private void startNodes() throws Exception {
-        first = cluster.startNode();
-        second = cluster.startNode();
+        first = cluster.startNodeWithRetries();
+        second = cluster.startNodeWithRetries();
         cluster.awaitNodesKnowEachOther();
     }
 }
