Count a repeat in the retry budget when it is written

Callers saw nothing of it; endpoints got more repeats than the users' rule BUDGET allows.

Cause: a repeat was counted when it was granted, while the rule counts arrivals. In between it may wait for an adapter's load, an owner, a permit, a report of the endpoint and a connection, so that repeats that were granted more than a window apart arrive within one.

Change: a repeat is reserved when it is decided on (RetryBudgetShare.Reservation) and counts immediately before its bytes are written, on a new or a kept connection (EndpointClient.Listener.beforeWrite). Reserved and counted ones together stay within the share. RetryBudgetShareTest and RetryBudgetOverNodesTest take a retry by reserving and using it; their checks and bounds are unchanged.

--- a/core/src/main/java/org/quetzalvane/core/choice/RetryBudgetShare.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/RetryBudgetShare.java
@@ -13,7 +13,11 @@
  * itself plus an equal part of the fixed extra retries. Until a window has passed since its start, it uses
  * the margin instead, because the process before it or the nodes whose load it takes over may have used their share.
  * The nodes together stay within the budget without coordination, also when an endpoint fails under
- * full load and every request needs a retry. Confined to the event loop.
+ * full load and every request needs a retry.
+ *
+ * <p>A retry is reserved when it is decided on and counts from the moment at which it is sent, as the budget limits
+ * arrivals at endpoints. The reserved and the counted ones together stay within the share whenever one is reserved; the
+ * counted ones alone whenever one is sent. Confined to the event loop.
  */
 public final class RetryBudgetShare {
     /** Number of nodes assumed while it is unknown, so that a node that knows no peers takes the smallest share. */
@@ -53,42 +57,15 @@
         counts(service).requests.add(scheduler.nanoTime());
     }
 
-    /** Takes one retry from the budget; returns false if none is left. */
-    public boolean tryAcquire(String service) {
-        boolean left = hasRetry(service);
-        if (left) {
-            counts(service).retries.add(scheduler.nanoTime());
-        }
-        return left;
-    }
-
-    /**
-     * Reserves one retry, to be used or returned later; returns false if none is left. A reserved retry is left to no
-     * other request.
-     */
-    public boolean tryReserve(String service) {
-        boolean left = hasRetry(service);
-        if (left) {
-            counts(service).reserved++;
-        }
-        return left;
-    }
-
-    /** Takes a reserved retry from the budget. */
-    public void useReserved(String service) {
-        counts(service).reserved--;
-        counts(service).retries.add(scheduler.nanoTime());
-    }
-
-    /** Returns a reserved retry that is not needed. */
-    public void returnReserved(String service) {
-        counts(service).reserved--;
+    /** Reserves one retry, which is left to no other request; returns null if none is left. */
+    public Reservation tryReserve(String service) {
+        Counts c = counts(service);
+        return hasRetry(c, c.reserved) ? new Reservation(c) : null;
     }
 
-    private boolean hasRetry(String service) {
-        Counts c = counts(service);
+    private boolean hasRetry(Counts c, int reserved) {
         long now = scheduler.nanoTime();
-        return c.retries.count(now) + c.reserved + 1 <= allowed(c.requests.count(now), now);
+        return c.retries.count(now) + reserved + 1 <= allowed(c.requests.count(now), now);
     }
 
     private double allowed(long requests, long now) {
@@ -104,6 +81,44 @@
         return byService.computeIfAbsent(service, s -> new Counts(windowNanos));
     }
 
+    /** A retry of one request that may still be sent. Confined to the event loop. */
+    public final class Reservation {
+        private final Counts counts;
+        private final long reservedNanos = scheduler.nanoTime();
+        private boolean open = true;
+
+        private Reservation(Counts counts) {
+            this.counts = counts;
+            counts.reserved++;
+        }
+
+        /** Time since the retry was reserved, ms. */
+        public long ageMs() {
+            return (scheduler.nanoTime() - reservedNanos) / 1_000_000;
+        }
+
+        /**
+         * Counts the retry, which is sent now; returns false if it must not be sent, because the share has shrunk since
+         * it was reserved or the reservation has ended.
+         */
+        public boolean use() {
+            boolean left = open && hasRetry(counts, 0);
+            release();
+            if (left) {
+                counts.retries.add(scheduler.nanoTime());
+            }
+            return left;
+        }
+
+        /** Ends the reservation of a retry that is not sent; has no effect afterwards. */
+        public void release() {
+            if (open) {
+                open = false;
+                counts.reserved--;
+            }
+        }
+    }
+
     private static final class Counts {
         private final SlidingWindowCounter requests;
         private final SlidingWindowCounter retries;
--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.core.serve;
 
 import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.choice.RetryBudgetShare;
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.limit.MemoryAccount;
@@ -28,8 +29,8 @@
     /**
      * Receives the outcome of an attempt and decides on retries; implemented by the request.
      *
-     * <p>At most one of {@code refused}, {@code unreachable}, {@code failed} and {@code completed} is called per
-     * attempt, none of them after {@link #cancel()}.
+     * <p>At most one of {@code refused}, {@code unreachable}, {@code withheld}, {@code failed} and {@code completed} is
+     * called per attempt, none of them after {@link #cancel()}.
      */
     interface Handler {
         /** The endpoint stated that it did not run the request. */
@@ -38,11 +39,14 @@
         /** The connection failed before any byte of the request can have reached the endpoint. */
         void unreachable(Attempt a, String cause);
 
+        /** The request was not sent, since the retry budget has shrunk meanwhile. */
+        void withheld(Attempt a);
+
         /**
-         * The request may have run and its response is incomplete; {@code retryAcquired} if the budget has already
-         * granted a retry.
+         * The request may have run and its response is incomplete; {@code retryReserved} if a retry has already been
+         * reserved.
          */
-        void failed(Attempt a, ResultCode code, String cause, boolean retryAcquired);
+        void failed(Attempt a, ResultCode code, String cause, boolean retryReserved);
 
         /**
          * The attempt has made no progress within its timeout. Its endpoint may still go on, so the attempt stays open
@@ -65,8 +69,8 @@
         /** Whether the route allows another attempt after this one. */
         boolean mayRetryAfterThis();
 
-        /** Takes one retry from the retry budget, if there is one left. */
-        boolean tryAcquireRetry();
+        /** Reserves a retry for the next attempt, if there is one left. */
+        boolean tryReserveRetry();
 
         /**
          * Streamed response to the caller, shared by all attempts. If it is not null, the response to the caller has
@@ -88,10 +92,12 @@
     private final Handler handler;
     private final Endpoint endpoint;
     private final boolean endpointIsEngine;
+    private final RetryBudgetShare.Reservation retry;
     private final long sentNanos;
     private final long pendingTokens;
     private EndpointClient.Call call;
     private boolean open = true;
+    private boolean withheld;
     private boolean reading = true;
     private boolean silenceCounted;
     private boolean firstByteReceived;
@@ -112,8 +118,12 @@
             CallerResponse response,
             Handler handler) {}
 
-    /** Counts the attempt in the endpoint load; {@link #send} sends the request. */
-    Attempt(Shared shared, Endpoint endpoint, boolean endpointIsEngine) {
+    /**
+     * Counts the attempt in the endpoint load; {@link #send} sends the request.
+     *
+     * @param retry the retry that the attempt uses when it is written, or null if it is the first one to be written
+     */
+    Attempt(Shared shared, Endpoint endpoint, boolean endpointIsEngine, RetryBudgetShare.Reservation retry) {
         this.context = shared.context();
         this.request = shared.request();
         this.route = shared.route();
@@ -121,6 +131,7 @@
         this.handler = shared.handler();
         this.endpoint = endpoint;
         this.endpointIsEngine = endpointIsEngine;
+        this.retry = retry;
         this.sentNanos = context.scheduler().nanoTime();
         this.held = context.memory().open(MemoryAccount.Kind.RESPONSE_PART, this::shed);
         this.beginning = new ResponseBeginning(context, shared.content(), endpoint);
@@ -148,6 +159,11 @@
         return endpoint;
     }
 
+    /** The retry that the attempt uses or has used, or null if it is the first one. */
+    RetryBudgetShare.Reservation retry() {
+        return retry;
+    }
+
     /** Head of the response; null before it arrives. */
     ResponseHead head() {
         return head;
@@ -214,6 +230,18 @@
         }
     }
 
+    @Override
+    public boolean beforeWrite() {
+        if (!open || retry == null) {
+            return open;
+        }
+        long waitedMs = retry.ageMs();
+        withheld = !retry.use();
+        EventCode event = withheld ? EventCode.RETRY_WITHHELD : EventCode.RETRY_SENT;
+        context.log().log(event, request.id(), "endpoint", endpoint.id(), "waited_ms", waitedMs);
+        return !withheld;
+    }
+
     @Override
     public void head(ResponseHead h) {
         if (!open) {
@@ -234,7 +262,7 @@
                     false);
         } else if (!handler.accept(this, h)) {
             close(true);
-        } else if (h.serverError() && !callerResponseBegun() && hasAlternative() && handler.tryAcquireRetry()) {
+        } else if (h.serverError() && !callerResponseBegun() && hasAlternative() && handler.tryReserveRetry()) {
             close(true);
             handler.failed(this, ResultCode.ENDPOINT_FAILED, "status=" + h.status(), true);
         } else if (callerResponseBegun() && !handler.responseStream().isContinuedBy(h)) {
@@ -341,7 +369,7 @@
         close(true);
         if (notSent) {
             beginning.unreachable();
-            handler.unreachable(this, cause);
+            reportNotSent(cause);
             return;
         }
         beginning.broken();
@@ -349,6 +377,14 @@
                 this, callerResponseBegun() ? ResultCode.STREAM_BROKEN : ResultCode.OUTCOME_UNKNOWN, cause, false);
     }
 
+    private void reportNotSent(String cause) {
+        if (withheld) {
+            handler.withheld(this);
+        } else {
+            handler.unreachable(this, cause);
+        }
+    }
+
     /** Whether the attempt has had no outcome yet. */
     boolean isOpen() {
         return open;
--- a/core/src/main/java/org/quetzalvane/core/serve/AttemptReplacement.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/AttemptReplacement.java
@@ -35,6 +35,7 @@
     private final ServiceSpec service;
     private final Handler handler;
     private final Attempt silent;
+    private final RetryBudgetShare.Reservation retry;
     private final Set<String> excluded;
     private final EngineAcquisition acquisition;
     private Attempt candidate;
@@ -51,7 +52,7 @@
         String requiredSoftwareVersion();
 
         /** Creates an attempt at another endpoint beside the silent one; null if none may be sent any more. */
-        Attempt createCandidate(Endpoint e);
+        Attempt createCandidate(Endpoint e, RetryBudgetShare.Reservation retry);
 
         void sendCandidate(Attempt candidate, int version);
 
@@ -60,17 +61,25 @@
     }
 
     /**
-     * Creates a replacement; {@link #selectNext} starts the search. A retry must have been reserved.
+     * Creates a replacement; {@link #selectNext} starts the search.
      *
+     * @param retry the retry that the candidate uses; released if there is none, or if it is not written
      * @param waitsSince time since which the caller has received nothing
      */
-    AttemptReplacement(Attempt.Shared shared, ServiceSpec service, Handler handler, Attempt silent, long waitsSince) {
+    AttemptReplacement(
+            Attempt.Shared shared,
+            ServiceSpec service,
+            Handler handler,
+            Attempt silent,
+            RetryBudgetShare.Reservation retry,
+            long waitsSince) {
         this.context = shared.context();
         this.request = shared.request();
         this.route = shared.route();
         this.service = service;
         this.handler = handler;
         this.silent = silent;
+        this.retry = retry;
         this.excluded = new HashSet<>(handler.triedEndpoints());
         excluded.add(silent.endpoint().id());
         acquisition = new EngineAcquisition(context, request, route, this);
@@ -95,12 +104,11 @@
         if (ended) {
             return null;
         }
-        if (candidate == null) {
-            budget().returnReserved(service.name());
-        } else {
+        if (candidate != null) {
             candidate.cancel();
             acceptance.cancel();
         }
+        retry.release();
         ended = true;
         return candidate;
     }
@@ -108,6 +116,7 @@
     /** The endpoint of the candidate has refused or failed. */
     void candidateFailed() {
         acceptance.cancel();
+        retry.release();
         ended = true;
     }
 
@@ -166,12 +175,11 @@
     /** Sends the candidate; returns false if none may be sent any more. */
     private boolean sendPermitted(Endpoint e, int version) {
         boolean mayAsk = !ended && context.endpoints().backoffMs(e) == 0;
-        Attempt created = mayAsk ? handler.createCandidate(e) : null;
+        Attempt created = mayAsk ? handler.createCandidate(e, retry) : null;
         if (created == null) {
             return false;
         }
         candidate = created;
-        budget().useReserved(service.name());
         acceptance = context.scheduler().schedule(Duration.ofMillis(ACCEPTANCE_MS), this::accept);
         handler.sendCandidate(candidate, version);
         return true;
@@ -182,10 +190,6 @@
         withdraw();
     }
 
-    private RetryBudgetShare budget() {
-        return context.retryBudget();
-    }
-
     private boolean canTakeRequest(Endpoint e) {
         return !excluded.contains(e.id())
                 && !context.outlierDetector().isSuspended(e.id())
--- a/core/src/main/java/org/quetzalvane/core/serve/AttemptSender.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/AttemptSender.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 
+import org.quetzalvane.core.choice.RetryBudgetShare;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.routes.Route;
 import org.quetzalvane.core.routes.RouteKind;
@@ -35,9 +36,13 @@
         return deadline.remainingMs() - NETWORK_MARGIN_MS;
     }
 
-    /** An attempt at an endpoint, not sent yet; null if no time is left. */
-    Attempt createAttempt(Endpoint e) {
-        return remainingMs() <= 0 ? null : new Attempt(shared, e, service.servesModels());
+    /**
+     * An attempt at an endpoint, not sent yet; null if no time is left.
+     *
+     * @param retry the retry that it uses, or null if it is the first one to be written
+     */
+    Attempt createAttempt(Endpoint e, RetryBudgetShare.Reservation retry) {
+        return remainingMs() <= 0 ? null : new Attempt(shared, e, service.servesModels(), retry);
     }
 
     /**
--- a/core/src/main/java/org/quetzalvane/core/serve/EndpointClient.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EndpointClient.java
@@ -6,7 +6,10 @@
 @FunctionalInterface
 public interface EndpointClient {
 
-    /** Sends a request; the listener is called later on the event loop, never from within this call. */
+    /**
+     * Sends a request; the listener is called later on the event loop, never from within this call, except for {@link
+     * Listener#beforeWrite}.
+     */
     Call send(Endpoint endpoint, EndpointRequest request, Listener listener);
 
     /** A request in flight. */
@@ -23,6 +26,12 @@
      * point.
      */
     interface Listener {
+        /**
+         * The connection is ready, and the request is written next. Called once at most, possibly from within {@link
+         * EndpointClient#send}; returns whether to write it. A request that is not written fails as not sent.
+         */
+        boolean beforeWrite();
+
         void head(ResponseHead head);
 
         void body(byte[] chunk);
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 
 import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.choice.RetryBudgetShare;
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.limit.Permit;
@@ -25,6 +26,8 @@
      */
     static final long DEFAULT_RETRY_AFTER_MS = 300;
 
+    private static final String NO_RETRY_LEFT = "no retry left";
+
     private final ServingContext context;
     private final CallerRequest request;
     private final CallerResponse response;
@@ -41,6 +44,9 @@
     private ResponseStream responseStream;
     private StreamVersion streamVersion;
     private final AttemptHistory history;
+    /** Retry that the next attempt to be written uses; null for the first one. */
+    private RetryBudgetShare.Reservation retry;
+
     private EngineAcquisition acquisition;
     private EndpointSelection selection;
     private PermitGate permits;
@@ -171,7 +177,7 @@
             context.permits().giveBack(e);
             return;
         }
-        current = sender.createAttempt(e);
+        current = sender.createAttempt(e, retry);
         if (current == null) {
             context.permits().giveBack(e);
             deadline.reached();
@@ -181,9 +187,9 @@
     }
 
     @Override
-    public Attempt createCandidate(Endpoint e) {
+    public Attempt createCandidate(Endpoint e, RetryBudgetShare.Reservation candidateRetry) {
         boolean maySend = account.check(route) == null && quarantine.check().maySend();
-        return maySend ? sender.createAttempt(e) : null;
+        return maySend ? sender.createAttempt(e, candidateRetry) : null;
     }
 
     @Override
@@ -206,7 +212,7 @@
             silentAttempts.candidateFailed(a, "status=" + head.status());
             return;
         }
-        boolean again = mayAskAnother && tryAcquireRetry();
+        boolean again = mayAskAnother && tryReserveRetry();
         log(EventCode.REQUEST_RETRIED, "endpoint", e.id(), "status", head.status(), "not_run", true, "again", again);
         if (again && lacksAdapter && acquisition.repeatLoad(e, history.triedEndpoints())) {
             return;
@@ -239,7 +245,19 @@
     }
 
     @Override
-    public void failed(Attempt a, ResultCode code, String cause, boolean retryAcquired) {
+    public void withheld(Attempt a) {
+        clearCurrent(a);
+        account.notRun(a);
+        if (silentAttempts.isCandidate(a)) {
+            silentAttempts.candidateFailed(a, NO_RETRY_LEFT);
+        } else if (!silentAttempts.accept()) {
+            silentAttempts.withdraw(NO_RETRY_LEFT);
+            giveUp(ResultCode.ENDPOINT_REJECTED, NO_RETRY_LEFT);
+        }
+    }
+
+    @Override
+    public void failed(Attempt a, ResultCode code, String cause, boolean retryReserved) {
         if (silentAttempts.isCandidate(a)) {
             history.recordFailure(a, cause);
             silentAttempts.candidateFailed(a, cause);
@@ -249,9 +267,9 @@
             return;
         }
         silentAttempts.withdraw("broken off");
-        boolean retry = retryAcquired || mayRetryAfterThis() && streamResumable() && tryAcquireRetry();
+        boolean again = retryReserved || mayRetryAfterThis() && streamResumable() && tryReserveRetry();
         recordFailedAttempt(a, cause);
-        if (retry) {
+        if (again) {
             requestLog.logRetry(a.endpoint(), responseStream != null, cause);
             selectNext();
         } else {
@@ -278,8 +296,10 @@
                 && sender.remainingMs() >= route.objectiveMs()
                 && mayRetryAfterThis()
                 && streamResumable();
-        if (replaceable && context.retryBudget().tryReserve(service.name())) {
-            silentAttempts.replace(() -> new AttemptReplacement(shared, service, this, a, waitsSince(a)));
+        RetryBudgetShare.Reservation reserved =
+                replaceable ? context.retryBudget().tryReserve(service.name()) : null;
+        if (reserved != null) {
+            silentAttempts.replace(() -> new AttemptReplacement(shared, service, this, a, reserved, waitsSince(a)));
         }
     }
 
@@ -296,6 +316,8 @@
         recordFailedAttempt(silent, "silent");
         requestLog.logRetry(silent.endpoint(), responseStream != null, "silent");
         current = candidate;
+        releaseRetry();
+        retry = candidate.retry();
     }
 
     private void candidateKept(Attempt candidate, boolean withdrawn, String why) {
@@ -330,8 +352,16 @@
     }
 
     @Override
-    public boolean tryAcquireRetry() {
-        return context.retryBudget().tryAcquire(service.name());
+    public boolean tryReserveRetry() {
+        releaseRetry();
+        retry = context.retryBudget().tryReserve(service.name());
+        return retry != null;
+    }
+
+    private void releaseRetry() {
+        if (retry != null) {
+            retry.release();
+        }
     }
 
     @Override
@@ -448,6 +478,7 @@
             deadline.close();
         }
         silentAttempts.close();
+        releaseRetry();
         if (current != null) {
             current.cancel();
         }
--- a/core/src/test/java/org/quetzalvane/core/choice/RetryBudgetShareTest.java
+++ b/core/src/test/java/org/quetzalvane/core/choice/RetryBudgetShareTest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.quetzalvane.core.time.ManualScheduler;
@@ -30,7 +31,7 @@
             for (RetryBudgetShare s : shares) {
                 for (int i = 0; i < requestsPerNodeAndSecond; i++) {
                     s.recordRequest("service");
-                    grantedNow += s.tryAcquire("service") ? 1 : 0;
+                    grantedNow += sendRetry(s) ? 1 : 0;
                 }
             }
             granted.add(grantedNow);
@@ -56,9 +57,33 @@
         assertThat(takeAll(share)).isEqualTo(expected);
     }
 
+    /** A retry counts from when it is sent, and is left to no other request from when it is reserved. */
+    @Test
+    void reservedRetryCountsWhenItIsUsed() {
+        ManualScheduler clock = new ManualScheduler();
+        RetryBudgetShare share = new RetryBudgetShare(clock, RATIO, EXTRA, WINDOW_S * 1_000, () -> 9);
+        clock.advance(Duration.ofSeconds(WINDOW_S));
+        RetryBudgetShare.Reservation released = share.tryReserve("service");
+        RetryBudgetShare.Reservation used = share.tryReserve("service");
+        assertThat(takeAll(share)).isEqualTo(3);
+        released.release();
+        released.release();
+        assertThat(released.use()).isFalse();
+        clock.advance(Duration.ofSeconds(WINDOW_S - 1));
+        assertThat(used.use()).isTrue();
+        assertThat(used.use()).isFalse();
+        clock.advance(Duration.ofSeconds(2));
+        assertThat(takeAll(share)).isEqualTo(4);
+    }
+
+    private static boolean sendRetry(RetryBudgetShare share) {
+        RetryBudgetShare.Reservation retry = share.tryReserve("service");
+        return retry != null && retry.use();
+    }
+
     private static int takeAll(RetryBudgetShare share) {
         int granted = 0;
-        while (share.tryAcquire("service")) {
+        while (sendRetry(share)) {
             granted++;
         }
         return granted;
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -2,11 +2,13 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 import org.junit.jupiter.api.BeforeEach;
@@ -65,12 +67,15 @@
     final GracePeriod gracePeriod = new GracePeriod(clock);
     boolean keysVerifiable = true;
     final FakeCallerResponse response = new FakeCallerResponse();
-    private final RetryBudgetShare retryBudget = retryBudgetAfterItsFirstWindow(clock);
+    /** Number of nodes that share the retry budget. */
+    int retryBudgetNodes = 1;
+
+    private final RetryBudgetShare retryBudget = retryBudgetAfterItsFirstWindow();
     final List<EventCode> logged = new ArrayList<>();
     private final ServingContext context = context();
 
-    private static RetryBudgetShare retryBudgetAfterItsFirstWindow(ManualScheduler clock) {
-        RetryBudgetShare share = new RetryBudgetShare(clock, 0.2, 50, 10_000, () -> 1);
+    private RetryBudgetShare retryBudgetAfterItsFirstWindow() {
+        RetryBudgetShare share = new RetryBudgetShare(clock, 0.2, 50, 10_000, () -> retryBudgetNodes);
         clock.advance(Duration.ofSeconds(10));
         return share;
     }
@@ -173,8 +178,12 @@
     }
 
     static CallerRequest request(RouteKind kind, AdapterRef adapter, String lastEventId, String resumes) {
+        return request("id", kind, adapter, lastEventId, resumes);
+    }
+
+    static CallerRequest request(String id, RouteKind kind, AdapterRef adapter, String lastEventId, String resumes) {
         return new CallerRequest(
-                "id",
+                id,
                 "POST",
                 "h",
                 "/" + kind + "/x",
@@ -214,21 +223,19 @@
     void spendRetryBudget(String service, int left) {
         int available = availableRetries(service);
         for (int i = left; i < available; i++) {
-            retryBudget.tryReserve(service);
-            retryBudget.useReserved(service);
+            retryBudget.tryReserve(service).use();
         }
     }
 
     /** Retries that are left to a service. */
     int availableRetries(String service) {
-        int available = 0;
-        while (retryBudget.tryReserve(service)) {
-            available++;
+        List<RetryBudgetShare.Reservation> available = new ArrayList<>();
+        for (RetryBudgetShare.Reservation r = retryBudget.tryReserve(service); r != null; ) {
+            available.add(r);
+            r = retryBudget.tryReserve(service);
         }
-        for (int i = 0; i < available; i++) {
-            retryBudget.returnReserved(service);
-        }
-        return available;
+        available.forEach(RetryBudgetShare.Reservation::release);
+        return available.size();
     }
 
     void advance(long ms) {
@@ -241,8 +248,16 @@
         final List<String> asked = new ArrayList<>();
         final List<Integer> ranks = new ArrayList<>();
         final List<String> returned = new ArrayList<>();
+        final List<Consumer<Permit>> pending = new ArrayList<>();
         Consumer<Permit> last;
 
+        /** Decides on every request that waits for a permit. */
+        void decideAll(Permit permit) {
+            List<Consumer<Permit>> waiting = List.copyOf(pending);
+            pending.clear();
+            waiting.forEach(done -> done.accept(permit));
+        }
+
         @Override
         public long waitMs(Endpoint e) {
             return waits.getOrDefault(e.id(), 0L);
@@ -262,6 +277,7 @@
             asked.add(e.id());
             ranks.add(rank);
             last = done;
+            pending.add(done);
         }
 
         @Override
@@ -270,7 +286,7 @@
         }
     }
 
-    /** Fake that keeps each request open until the test responds to it. */
+    /** Fake that writes each request at once, or when the test connects, and keeps it open until the test responds. */
     static final class FakeEndpointClient implements EndpointClient {
         final List<String> sent = new ArrayList<>();
         final List<EndpointRequest> requests = new ArrayList<>();
@@ -280,6 +296,34 @@
 
         int cancelled;
         boolean reading = true;
+        /** Whether requests wait for their connections. */
+        boolean connecting;
+
+        /** Listeners of the requests that were not written, which the test tells so. */
+        final List<Listener> withheld = new ArrayList<>();
+
+        private final List<Runnable> unconnected = new ArrayList<>();
+        private BiConsumer<String, String> onWritten = (endpoint, requestId) -> {};
+
+        /** Sets the listener for requests that are written, which receives the ids of endpoint and request. */
+        void onWritten(BiConsumer<String, String> listener) {
+            onWritten = listener;
+        }
+
+        /** Makes the connections that requests wait for. */
+        void connect() {
+            List<Runnable> waiting = List.copyOf(unconnected);
+            unconnected.clear();
+            waiting.forEach(Runnable::run);
+        }
+
+        private void write(Endpoint endpoint, EndpointRequest request, Listener listener) {
+            if (listener.beforeWrite()) {
+                onWritten.accept(endpoint.id(), request.request().id());
+            } else {
+                withheld.add(listener);
+            }
+        }
 
         Listener last() {
             return listeners.get(listeners.size() - 1);
@@ -292,6 +336,12 @@
             int number = listeners.size();
             listeners.add(listener);
             open.add(number);
+            Runnable write = () -> write(endpoint, request, listener);
+            if (connecting) {
+                unconnected.add(write);
+            } else {
+                write.run();
+            }
             return new Call() {
                 @Override
                 public void cancel() {
@@ -313,6 +363,13 @@
         final Map<Integer, Consumer<Outcome>> open = new HashMap<>();
         LoadRequest lastRequest;
 
+        /** Completes every load that requests wait for, and those that are requested meanwhile. */
+        void completeAll(Outcome outcome) {
+            while (!open.isEmpty()) {
+                open.remove(Collections.min(open.keySet())).accept(outcome);
+            }
+        }
+
         void complete(Outcome outcome) {
             Consumer<Outcome> last = open.remove(engines.size());
             if (last != null) {
--- a/core/src/test/java/org/quetzalvane/core/team/RetryBudgetOverNodesTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/RetryBudgetOverNodesTest.java
@@ -130,13 +130,18 @@
         }
         int granted = 0;
         for (Node n : up) {
-            while (failing && n.share.tryAcquire("service")) {
+            while (failing && sendRetry(n.share)) {
                 granted++;
             }
         }
         return granted;
     }
 
+    private static boolean sendRetry(RetryBudgetShare share) {
+        RetryBudgetShare.Reservation retry = share.tryReserve("service");
+        return retry != null && retry.use();
+    }
+
     private static int sum(List<Integer> counts, int from) {
         int begin = Math.max(0, from);
         int end = Math.max(begin, from + WINDOW_STEPS);
--- a/transport/src/main/java/org/quetzalvane/transport/HttpClient.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpClient.java
@@ -34,6 +34,8 @@
     /** Time after bytes that belong to no call within which connections opened before are closed after their call. */
     private static final long FOREIGN_REMEMBERED_MS = 60_000;
 
+    private static final String EXPIRED = "expired before it was sent";
+
     private final NettyEventLoop loop;
     private final Bootstrap bootstrap;
     private final Map<InetSocketAddress, Deque<ClientConnection>> idle = new HashMap<>();
@@ -89,7 +91,8 @@
      * The same for a request that may expire while the connection is made, which after a pause of the process can be
      * much longer than the timeout.
      *
-     * @param valid asked when a new connection is ready; if false, nothing is sent and the call fails as not sent
+     * @param valid asked once, when a connection is ready and the request is written next, possibly within this call;
+     *     if false, nothing is sent and the call fails as not sent
      */
     public Call send(
             InetSocketAddress to,
@@ -100,7 +103,12 @@
         PendingCall call = new PendingCall(request, listener);
         ClientConnection idleConnection = takeIdle(to, maxIdleMs);
         if (idleConnection != null) {
-            call.sendOn(idleConnection);
+            if (valid.getAsBoolean()) {
+                call.sendOn(idleConnection);
+            } else {
+                addIdle(to, idleConnection);
+                loop.execute(() -> call.connectFailed(EXPIRED));
+            }
             return call;
         }
         ClientConnection opened = new ClientConnection(
@@ -126,7 +134,7 @@
             }
             if (done.isSuccess() && !call.cancelled && !valid.getAsBoolean()) {
                 opened.returnUnused();
-                call.connectFailed("expired before the connection was made");
+                call.connectFailed(EXPIRED);
             } else if (done.isSuccess()) {
                 call.sendOn(opened);
             } else {
