Judge the repeats that arrive at engines over processes

FaultSoak judged the order of streams, but nothing of the retry budget: no judge of the rule BUDGET stood over processes. RepeatJudge counts the arrivals of all engines in every window against the users' own count of requests (that window, the one before, the one half a window before; RetryBudgetJudge, shared with the tests of core), the engines that one attempt runs on, and the time that late repeats are handed. FaultSoakTest asserts that it finds nothing.

--- a/entry/src/test/java/org/quetzalvane/entry/FaultSoak.java
+++ b/entry/src/test/java/org/quetzalvane/entry/FaultSoak.java
@@ -30,6 +30,9 @@
     /** Streams with events of two software versions that the platform's pages allow. */
     static final int MIXED_ALLOWED = 2;
 
+    /** Engines that an attempt of a caller may run on, as the route says. */
+    private static final int MAX_ATTEMPTS = 2;
+
     private static final int ENGINES = 6;
     private static final int MIN_ENGINES = 2;
     private static final int ADAPTERS = 8;
@@ -40,6 +43,7 @@
     private final Random random;
     private final Path directory;
     private final EngineResponses responses;
+    private final RepeatJudge repeats = new RepeatJudge(MAX_ATTEMPTS);
     private final PlatformStoreStandIn store = new PlatformStoreStandIn();
     private final List<EntryProcess> nodes = new ArrayList<>();
     private final List<Thread> repairs = new CopyOnWriteArrayList<>();
@@ -143,6 +147,11 @@
         return found;
     }
 
+    /** Ways in which repeats broke the rules of the retry budget, as text. */
+    List<String> repeats() {
+        return repeats.findings();
+    }
+
     /** Number of streams that callers received whole. */
     long completeStreams() {
         return outcomes.stream().filter(StreamCaller.Outcome::complete).count();
@@ -156,7 +165,7 @@
         return "streams " + outcomes.size() + ", complete " + completeStreams() + ", resumed by callers " + resumed
                 + ", out of order "
                 + outOfOrder().size() + ", mixed " + mixed().size() + ", foreign "
-                + foreign().size() + ", orders " + violations + ", faults "
+                + foreign().size() + ", " + repeats.summary() + ", orders " + violations + ", faults "
                 + faults.stream().collect(Collectors.groupingBy(f -> f, TreeMap::new, Collectors.counting()));
     }
 
@@ -188,7 +197,7 @@
     private Thread startCaller(String name) {
         Random own = new Random(random.nextLong());
         StreamCaller caller = new StreamCaller(
-                name, () -> nodes.get(own.nextInt(nodes.size())).settings().callerAddress());
+                name, () -> nodes.get(own.nextInt(nodes.size())).settings().callerAddress(), repeats::requested);
         return start(() -> {
             for (int n = 0; !ended; n++) {
                 outcomes.add(
@@ -249,7 +258,9 @@
 
     /** An engine that is to be replaced. */
     private StreamingEngineStandIn takeEngine() {
-        return engines.remove(random.nextInt(engines.size()));
+        StreamingEngineStandIn e = engines.remove(random.nextInt(engines.size()));
+        repeats.ended(e.identity());
+        return e;
     }
 
     private void replaceCrashed(long downMs) {
@@ -293,8 +304,8 @@
     }
 
     private void startEngine(Identity identity, int port) throws IOException {
-        StreamingEngineStandIn e =
-                new StreamingEngineStandIn(identity, port, Set.of("a1", "a2"), responses, violations::add);
+        StreamingEngineStandIn e = new StreamingEngineStandIn(
+                identity, port, Set.of("a1", "a2"), repeats.observing(identity, responses), violations::add);
         engines.add(e);
         // An engine serves before its first heartbeat; until then, one that starts again is listed as it was before.
         repair(
--- a/entry/src/test/java/org/quetzalvane/entry/FaultSoakMain.java
+++ b/entry/src/test/java/org/quetzalvane/entry/FaultSoakMain.java
@@ -31,6 +31,7 @@
                 soak.outOfOrder().forEach(FaultSoakMain::print);
                 soak.mixed().forEach(FaultSoakMain::print);
                 soak.foreign().forEach(f -> System.out.println("  " + f));
+                soak.repeats().forEach(r -> System.out.println("  " + r));
             }
         }
         System.exit(0);
--- a/entry/src/test/java/org/quetzalvane/entry/FaultSoakTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/FaultSoakTest.java
@@ -47,6 +47,7 @@
             soak.run(nodes, SECONDS, List.copyOf(kinds));
             assertThat(soak.foreign()).as(soak.summary()).isEmpty();
             assertThat(soak.outOfOrder()).as(soak.summary()).isEmpty();
+            assertThat(soak.repeats()).as(soak.summary()).isEmpty();
             assertThat(soak.completeStreams()).as(soak.summary()).isPositive();
         }
     }
@@ -57,6 +58,7 @@
             assertThat(soak.violations()).isEmpty();
             assertThat(soak.outOfOrder()).as(soak.summary()).isEmpty();
             assertThat(soak.mixed()).as(soak.summary()).hasSizeLessThanOrEqualTo(FaultSoak.MIXED_ALLOWED);
+            assertThat(soak.repeats()).as(soak.summary()).isEmpty();
             assertThat(soak.completeStreams()).as(soak.summary()).isPositive();
         }
     }
--- a/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
+++ b/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
@@ -7,11 +7,18 @@
 
 /** Settings of nodes on loopback. Stateless. */
 final class TestSettings {
+    /** Part of the requests that all nodes may repeat in a window. */
+    static final double RETRY_RATIO = 0.2;
+    /** Repeats that all nodes may send in a window beyond that. */
+    static final double RETRY_EXTRA = 50;
+    /** Length of the window, ms. */
+    static final long RETRY_WINDOW_MS = 10_000;
+
     private TestSettings() {}
 
     /** Settings with free addresses for a node that uses the given peers and store. */
     static BootSettings of(String name, Set<String> seeds, String storeAddress) {
-        return withRetryBudget(name, seeds, storeAddress, 0.2, 50);
+        return withRetryBudget(name, seeds, storeAddress, RETRY_RATIO, RETRY_EXTRA);
     }
 
     /** Settings with another grace period, ms. */
@@ -72,7 +79,7 @@
                 true,
                 ratio,
                 extra,
-                10_000,
+                RETRY_WINDOW_MS,
                 5,
                 BootSettings.Revocation.LENIENT,
                 QuotaBounds.DEFAULT);
