Answer all requests that were read together in a planned stop

A caller that had pipelined requests on one connection got a response with Connection: close to the first one, and none to the others, although the node had read them and passed them to its handler: LOST.

Cause: while a server drains, a response is the last one of its connection if no whole request is queued behind it. A request that is answered at once is answered while the bytes behind it are read but not decoded, so that nothing is queued yet. The class: a decision on the end of a connection from what is decoded, not from what was read.

Change: a response is the last one only if nothing has been read behind it either (RequestDecoder.hasBytes).

--- a/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
@@ -11,8 +11,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.quetzalvane.core.limit.MemoryAccount;
 
@@ -135,30 +133,15 @@
 
     private void initConnection(Channel ch) {
         ServerLimits l = limits.get();
-        ServerConnection c = new ServerConnection(this, loop, limits);
-        connections.add(c);
         HttpDecoderConfig config = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
                 .setMaxHeaderSize(l.maxHeaderBytes())
                 .setMaxChunkSize(MAX_CHUNK_BYTES)
                 .setAllowDuplicateContentLengths(false)
                 .setStrictLineParsing(true);
-        ch.pipeline().addLast(new HttpResponseEncoder(), c.firstByteHandler(), new StrictDecoder(config), c);
-    }
-
-    /**
-     * Request decoder that rejects a request with both a content length and chunked encoding, which could hide another
-     * request in its body (request smuggling).
-     */
-    private static final class StrictDecoder extends HttpRequestDecoder {
-
-        StrictDecoder(HttpDecoderConfig config) {
-            super(config);
-        }
-
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-            throw new IllegalArgumentException("request has both Content-Length and chunked Transfer-Encoding");
-        }
+        RequestDecoder decoder = new RequestDecoder(config);
+        ServerConnection c = new ServerConnection(this, loop, limits, decoder);
+        connections.add(c);
+        ch.pipeline().addLast(new HttpResponseEncoder(), c.firstByteHandler(), decoder, c);
     }
 }
--- a/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
@@ -44,6 +44,7 @@
     private final HttpServer server;
     private final NettyEventLoop loop;
     private final Supplier<ServerLimits> limits;
+    private final RequestDecoder decoder;
     private final Deque<ServerExchange> queued = new ArrayDeque<>();
     private ChannelHandlerContext ctx;
     private HttpRequest requestHead;
@@ -61,10 +62,11 @@
     private HttpResponseStatus rejection;
     private boolean firstByteReceived;
 
-    ServerConnection(HttpServer server, NettyEventLoop loop, Supplier<ServerLimits> limits) {
+    ServerConnection(HttpServer server, NettyEventLoop loop, Supplier<ServerLimits> limits, RequestDecoder decoder) {
         this.server = server;
         this.loop = loop;
         this.limits = limits;
+        this.decoder = decoder;
     }
 
     /** Starts the header timeout of a request at its first byte, unless another request is in progress. */
@@ -214,9 +216,12 @@
         server.handle(current);
     }
 
-    /** Whether the response to a request is the last one; the whole requests behind it are answered first. */
+    /**
+     * Whether the response to a request is the last one; what has been read behind it is answered first, also if it is
+     * not decoded yet.
+     */
     boolean closesAfterResponse(HttpRequest r) {
-        return server.draining() && queued.isEmpty() && rejection == null
+        return server.draining() && queued.isEmpty() && !decoder.hasBytes() && rejection == null
                 || !HttpUtil.isKeepAlive(r)
                 || discarding && HttpUtil.is100ContinueExpected(r);
     }
