Discard requests behind the last response of a connection

A request that arrived behind a response with Connection: close, while that response was still being written to a slow reader, was passed on to an endpoint and then cut with the connection: LOST, and for a request that must not be repeated an unknown outcome.

Cause: the connection closes once the last response has been written; until then, requests were still taken. The class: work is accepted on something whose end has been decided.

Change: from the moment at which the last response is complete, what is read is discarded. Reading goes on, since a socket that is closed with unread bytes is reset, which can discard the response.

Measured: PipelinedStopTest.requestBehindTheLastResponseIsNotHandled failed in one of two cases before (32 MB response) and passes; the 164 tests of transport and PlannedStop*Test, EntryNodeTest, HeldMemoryTest pass.

--- a/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
@@ -53,6 +53,9 @@
     private boolean discarding;
 
     private boolean closeAfterDiscarded;
+    /** Whether the connection ends with a response that is complete; what is read from then on is discarded. */
+    private boolean closing;
+
     private ServerExchange current;
     private ChannelFuture lastResponse;
     private long lastUnsentBytes;
@@ -116,7 +119,7 @@
     @Override
     public void channelRead(ChannelHandlerContext c, Object msg) {
         try {
-            if (rejection == null) {
+            if (rejection == null && !closing) {
                 handle((HttpObject) msg);
             }
         } finally {
@@ -204,10 +207,15 @@
         discarding = false;
         firstByteReceived = false;
         if (closeAfterDiscarded) {
-            lastResponse.addListener(ChannelFutureListener.CLOSE);
+            closeAfter(lastResponse);
         }
     }
 
+    private void closeAfter(ChannelFuture written) {
+        closing = true;
+        written.addListener(ChannelFutureListener.CLOSE);
+    }
+
     private void handleNext() {
         if (current != null || queued.isEmpty()) {
             return;
@@ -243,7 +251,7 @@
             return;
         }
         if (close) {
-            written.addListener(ChannelFutureListener.CLOSE);
+            closeAfter(written);
             return;
         }
         if (queued.isEmpty() && rejection != null) {
