Check again before a request is written whether its endpoint asked to wait

Cause: whether an endpoint asked to wait was checked up to the permit. Between that and the write, a request may wait for the report of the instance (150 ms) and for a connection (400 ms, longer when the process stands still).

Change: Attempt.beforeWrite checks it too; the request selects another endpoint, and nothing counts against the first one.

Measured: RepeatedArrivalsTest.requestIsNotSentToAnEndpointThatAskedToWaitBeforeItsConnection failed in three of three cases before and passes, with the tests of requests, attempts and streams of core.

--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -26,6 +26,14 @@
      */
     private static final long NEXT_CHUNK_TIMEOUT_MS = 1_200;
 
+    /** Why a request is not written. */
+    enum Withheld {
+        /** The retry budget has shrunk since the retry was reserved. */
+        NO_RETRY_LEFT,
+        /** The endpoint has asked to be sent nothing for a time. */
+        ENDPOINT_BACKS_OFF
+    }
+
     /**
      * Receives the outcome of an attempt and decides on retries; implemented by the request.
      *
@@ -39,8 +47,8 @@
         /** The connection failed before any byte of the request can have reached the endpoint. */
         void unreachable(Attempt a, String cause);
 
-        /** The request was not sent, since the retry budget has shrunk meanwhile. */
-        void withheld(Attempt a);
+        /** The request was not written, although its connection was ready. */
+        void withheld(Attempt a, Withheld why);
 
         /**
          * The request may have run and its response is incomplete; {@code retryReserved} if a retry has already been
@@ -97,7 +105,7 @@
     private final long pendingTokens;
     private EndpointClient.Call call;
     private boolean open = true;
-    private boolean withheld;
+    private Withheld withheld;
     private boolean reading = true;
     private boolean silenceCounted;
     private boolean firstByteReceived;
@@ -232,14 +240,20 @@
 
     @Override
     public boolean beforeWrite() {
-        if (!open || retry == null) {
-            return open;
+        if (context.endpoints().backoffMs(endpoint) > 0) {
+            withheld = Withheld.ENDPOINT_BACKS_OFF;
+        } else if (retry != null && !useRetry()) {
+            withheld = Withheld.NO_RETRY_LEFT;
         }
+        return open && withheld == null;
+    }
+
+    private boolean useRetry() {
         long waitedMs = retry.ageMs();
-        withheld = !retry.use();
-        EventCode event = withheld ? EventCode.RETRY_WITHHELD : EventCode.RETRY_SENT;
+        boolean used = retry.use();
+        EventCode event = used ? EventCode.RETRY_SENT : EventCode.RETRY_WITHHELD;
         context.log().log(event, request.id(), "endpoint", endpoint.id(), "waited_ms", waitedMs);
-        return !withheld;
+        return used;
     }
 
     @Override
@@ -378,8 +392,8 @@
     }
 
     private void reportNotSent(String cause) {
-        if (withheld) {
-            handler.withheld(this);
+        if (withheld != null) {
+            handler.withheld(this, withheld);
         } else {
             handler.unreachable(this, cause);
         }
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -26,8 +26,6 @@
      */
     static final long DEFAULT_RETRY_AFTER_MS = 300;
 
-    private static final String NO_RETRY_LEFT = "no retry left";
-
     private final ServingContext context;
     private final CallerRequest request;
     private final CallerResponse response;
@@ -245,14 +243,21 @@
     }
 
     @Override
-    public void withheld(Attempt a) {
+    public void withheld(Attempt a, Attempt.Withheld why) {
         clearCurrent(a);
         account.notRun(a);
         if (silentAttempts.isCandidate(a)) {
-            silentAttempts.candidateFailed(a, NO_RETRY_LEFT);
-        } else if (!silentAttempts.accept()) {
-            silentAttempts.withdraw(NO_RETRY_LEFT);
-            giveUp(ResultCode.ENDPOINT_REJECTED, NO_RETRY_LEFT);
+            silentAttempts.candidateFailed(a, why.name());
+            return;
+        }
+        if (silentAttempts.accept()) {
+            return;
+        }
+        silentAttempts.withdraw(why.name());
+        if (why == Attempt.Withheld.ENDPOINT_BACKS_OFF) {
+            selectNext();
+        } else {
+            giveUp(ResultCode.ENDPOINT_REJECTED, why.name());
         }
     }
 
--- a/core/src/test/java/org/quetzalvane/core/serve/RepeatedArrivalsTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RepeatedArrivalsTest.java
@@ -1,6 +1,8 @@
 package org.quetzalvane.core.serve;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
@@ -10,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.limit.Permit;
 import org.quetzalvane.core.residency.AdapterLoader;
 import org.quetzalvane.core.routes.RouteKind;
@@ -116,6 +119,23 @@
         assertThat(loader.engines).hasSize(2).last().isNotEqualTo(engine);
     }
 
+    /** Guards against requests to an endpoint that asked to wait while they were connecting to it. */
+    @ParameterizedTest
+    @EnumSource(RouteKind.class)
+    void requestIsNotSentToAnEndpointThatAskedToWaitBeforeItsConnection(RouteKind kind) {
+        List<String> written = new ArrayList<>();
+        client.onWritten((endpoint, id) -> written.add(endpoint));
+        client.connecting = true;
+        start(kind, kind == RouteKind.STREAMING ? RESIDENT_ADAPTER : null);
+        String first = client.sent.get(0);
+        endpoints.backOff(endpoint(first, first.split("-")[0].replace("engine", "engines"), "v1", Map.of()), 4_000);
+        client.connecting = false;
+        client.connect();
+        client.withheld.forEach(l -> l.failed(true, "expired"));
+        assertThat(written).hasSize(1).doesNotContain(first);
+        assertThat(logged).doesNotContain(EventCode.ENDPOINT_SUSPENDED, EventCode.REQUEST_RETRIED);
+    }
+
     @ParameterizedTest
     @EnumSource(RouteKind.class)
     void requestIsNotSentToAnEndpointThatAskedToWaitBeforeItsPermit(RouteKind kind) {
