Keep to the retry budget in every window when requests come in bursts

Callers saw nothing of it; endpoints got more repeats than BUDGET allows after bursts of requests.

Cause: a node allowed repeats by the requests of its last window. The rule counts those of a window, of the one before it or of the one half a window before it, whichever has most; two bursts less than a window apart may lie in a node's last window together while each of those windows holds one. The class: a bound on every window, kept for one window only.

Change: a repeat is reserved and sent only if the node keeps to its part in every window that contains the present moment, with the requests that count for it so far. A node that gets requests evenly is allowed what it was before.

--- a/core/src/main/java/org/quetzalvane/core/choice/AdapterDemand.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/AdapterDemand.java
@@ -26,7 +26,8 @@
         if (counts.size() > SWEEP_THRESHOLD_ADAPTERS) {
             counts.values().removeIf(c -> c.count(now) == 0);
         }
-        counts.computeIfAbsent(ref, r -> new SlidingWindowCounter(WINDOW_NANOS)).add(now);
+        counts.computeIfAbsent(ref, r -> new SlidingWindowCounter(WINDOW_NANOS, 1))
+                .add(now);
     }
 
     /** Requests for the adapter within the sliding window. */
--- a/core/src/main/java/org/quetzalvane/core/choice/RetryBudgetShare.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/RetryBudgetShare.java
@@ -15,6 +15,10 @@
  * The nodes together stay within the budget without coordination, also when an endpoint fails under
  * full load and every request needs a retry.
  *
+ * <p>The budget counts the requests of a window, of the one before it or of the one half a window before it, whichever
+ * has most. A node keeps to it in each window that contains the present moment, so that two bursts of requests which no
+ * such window holds together do not add up.
+ *
  * <p>A retry is reserved when it is decided on and counts from the moment at which it is sent, as the budget limits
  * arrivals at endpoints. The reserved and the counted ones together stay within the share whenever one is reserved; the
  * counted ones alone whenever one is sent. Confined to the event loop.
@@ -65,7 +69,24 @@
 
     private boolean hasRetry(Counts c, int reserved) {
         long now = scheduler.nanoTime();
-        return c.retries.count(now) + reserved + 1 <= allowed(c.requests.count(now), now);
+        if (c.retries.count(now) + reserved + 1 > allowed(c.requests.count(now), now)) {
+            return false;
+        }
+        for (int oldest = 0; oldest < SlidingWindowCounter.BUCKETS; oldest++) {
+            if (c.retries.count(now, oldest, 0) + reserved + 1 > allowed(countedRequests(c, oldest, now), now)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** The requests that count for the window that begins with a bucket, as far as they are known. */
+    private static long countedRequests(Counts c, int oldest, long now) {
+        int window = SlidingWindowCounter.BUCKETS;
+        long within = c.requests.count(now, oldest, oldest - window + 1);
+        long halfBefore = c.requests.count(now, oldest + window / 2, oldest - window / 2 + 1);
+        long before = c.requests.count(now, oldest + window, oldest + 1);
+        return Math.max(within, Math.max(halfBefore, before));
     }
 
     private double allowed(long requests, long now) {
@@ -125,8 +146,8 @@
         private int reserved;
 
         Counts(long windowNanos) {
-            requests = new SlidingWindowCounter(windowNanos);
-            retries = new SlidingWindowCounter(windowNanos);
+            requests = new SlidingWindowCounter(windowNanos, 2);
+            retries = new SlidingWindowCounter(windowNanos, 1);
         }
     }
 }
