Disturb the nodes of RetryBudgetOverNodesTest while requests come in bursts

The test that kills, cuts and restarts nodes from a seed had constant rates. The same with rates drawn between 0 and 60 in 100 ms; the cases before draw what they drew.

--- a/core/src/test/java/org/quetzalvane/core/team/RetryBudgetOverNodesTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/RetryBudgetOverNodesTest.java
@@ -6,10 +6,13 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalvane.core.choice.RetryBudgetShare;
 import org.quetzalvane.core.time.ManualScheduler;
@@ -254,10 +257,26 @@
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
     void restartsCutsAndOutagesDrawnFromASeed(int seed) {
+        disturb(seed, random -> new double[] {0.3, 1, 3, 10}[seed % 4]);
+    }
+
+    /** The same while the requests come in bursts. */
+    @ParameterizedTest
+    @MethodSource("burstSeeds")
+    void restartsCutsAndOutagesWithBurstsDrawnFromASeed(int seed) {
+        disturb(seed, random -> random.nextInt(2) * random.nextInt(60));
+    }
+
+    static IntStream burstSeeds() {
+        return IntStream.range(0, 100);
+    }
+
+    private void disturb(int seed, ToDoubleFunction<Random> rate) {
         Random random = new Random(seed);
-        requestsPerStep = new double[] {0.3, 1, 3, 10}[seed % 4];
+        requestsPerStep = rate.applyAsDouble(random);
         startNodes(NODES);
         for (int i = 0; i < 60; i++) {
+            requestsPerStep = rate.applyAsDouble(random);
             failing = random.nextInt(3) > 0;
             Node n = nodes.get(random.nextInt(NODES));
             switch (random.nextInt(5)) {
