Show how clients that do not behave end or hang a node

ClientCrowdTest runs a node as a process with 64 MB of heap and 600 descriptors, and crowds of clients: requests of legal size of very many short, distinct or folded header lines, trailers, pipelined ones, chunked bodies that stop just short of their end, and very many connections at each listener for callers. It checks that the process lives, that its memory and descriptors stay within the machine's (a process with 160 MB of heap on the smallest machine, 282 MB, has 122 MB beyond its heap), and that ordinary requests and the readiness check are answered.

--- a/entry/src/test/java/org/quetzalvane/entry/EntryProcess.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EntryProcess.java
@@ -3,7 +3,10 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import org.quetzalvane.platform.BootSettings;
 import org.quetzalvane.platform.standin.CallerClient;
@@ -16,9 +19,17 @@
 
     private final BootSettings settings;
     private final Path directory;
-    private final int heapMb;
+    private final Limits limits;
     private Process process;
 
+    /**
+     * Limits of a process.
+     *
+     * @param heapMb largest heap, MB
+     * @param descriptors most open descriptors; 0 for those of this process
+     */
+    record Limits(int heapMb, int descriptors) {}
+
     /**
      * Starts a node.
      *
@@ -30,9 +41,14 @@
 
     /** Starts a node whose heap is at most {@code heapMb}, MB. */
     EntryProcess(BootSettings settings, Path directory, int heapMb) throws IOException {
+        this(settings, directory, new Limits(heapMb, 0));
+    }
+
+    /** Starts a node with limits. */
+    EntryProcess(BootSettings settings, Path directory, Limits limits) throws IOException {
         this.settings = settings;
         this.directory = directory;
-        this.heapMb = heapMb;
+        this.limits = limits;
         start();
     }
 
@@ -44,19 +60,28 @@
     void start() throws IOException {
         Path file = directory.resolve(settings.nodeName() + ".json");
         SettingsFile.write(file, settings);
-        process = launch(file, directory.resolve(settings.nodeName() + ".log"), heapMb);
+        process = launch(file, directory.resolve(settings.nodeName() + ".log"), limits);
     }
 
     /** Starts a process of a node that appends its output to a file. */
     static Process launch(Path settingsFile, Path output, int heapMb) throws IOException {
-        ProcessBuilder command = new ProcessBuilder(
+        return launch(settingsFile, output, new Limits(heapMb, 0));
+    }
+
+    private static Process launch(Path settingsFile, Path output, Limits limits) throws IOException {
+        List<String> words = new ArrayList<>();
+        if (limits.descriptors > 0) {
+            words.addAll(List.of("sh", "-c", "ulimit -n " + limits.descriptors + " && exec \"$0\" \"$@\""));
+        }
+        words.addAll(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
-                "-Xmx" + heapMb + "m",
+                "-Xmx" + limits.heapMb + "m",
                 "-cp",
                 System.getProperty("java.class.path"),
-                EntryMain.class.getName());
+                EntryMain.class.getName()));
+        ProcessBuilder command = new ProcessBuilder(words);
         command.environment().put(BootSettings.PATH_VARIABLE, settingsFile.toString());
         return command.redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
@@ -127,6 +152,21 @@
         return process.isAlive();
     }
 
+    /** Memory that the process has in use, MB. */
+    long residentMb() throws IOException {
+        try (Stream<String> lines = Files.lines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
+            String line = lines.filter(l -> l.startsWith("VmRSS:")).findFirst().orElseThrow();
+            return Long.parseLong(line.replaceAll("\\D", "")) / 1_024;
+        }
+    }
+
+    /** Number of descriptors that the process has open. */
+    long openDescriptors() throws IOException {
+        try (Stream<Path> open = Files.list(Path.of("/proc", Long.toString(process.pid()), "fd"))) {
+            return open.count();
+        }
+    }
+
     /** Exit code of a process that has ended. */
     int exitCode() {
         return process.exitValue();
