Charge the header lines of requests to the memory of the node

A few hundred clients with requests of legal size, of thousands of short header lines, ended a node: all requests that it held got no answer.

Cause: a header line of four bytes takes a hundred or more as it is held, in the request that was read and in the one that is sent on, and the limit of the configuration is in bytes. Heads and trailers were outside of the account of the node's memory. The class: what a client makes the node hold is bounded as it is on the wire, and only once it is complete.

Change: AccountedHeaders charges each line as it is read, to a kind of its own in MemoryAccount (a tenth of the heap); a request that would hold more than half of what is left to it gets 503 with Retry-After and its connection is closed, and what it held is given back at once. The rule of the half counts what a request holds already, for all kinds, since lines come one by one. Bodies and withheld parts of responses keep their bytes: the account is half of the heap now, with other parts.

--- a/core/src/main/java/org/quetzalvane/core/ResultCode.java
+++ b/core/src/main/java/org/quetzalvane/core/ResultCode.java
@@ -62,11 +62,7 @@
 
     ALLOWANCE_EXCEEDED(
             215, 429, true, "The client account has used its allowance over all nodes. The request was not run."),
-    NODE_MEMORY_FULL(
-            216,
-            503,
-            true,
-            "The request body cannot be held beside those of the requests in progress. The request was not run."),
+    NODE_MEMORY_FULL(216, 503, true, "The request cannot be held beside those in progress. The request was not run."),
 
     OUTCOME_UNKNOWN(301, 502, false, "The request was dispatched and its outcome is unknown."),
     STREAM_BROKEN(302, 502, false, "The response broke off before its end mark and is incomplete."),
--- a/core/src/main/java/org/quetzalvane/core/limit/MemoryAccount.java
+++ b/core/src/main/java/org/quetzalvane/core/limit/MemoryAccount.java
@@ -11,26 +11,28 @@
  * Accounts for the bytes that a node holds for callers and endpoints, so that inputs which are each within their own
  * bound do not exhaust the heap together.
  *
- * <p>Load pattern: many requests with bodies while endpoints read slowly, and many streams that stop within an event.
- * Each {@link Kind} has its own share, so that one cannot displace the other. A request body is admitted if it takes at
- * most half of what is left of its share; small requests are therefore admitted long after large ones are refused. A
- * response is not refused, since its request has run: past the share, the largest one is shed.
+ * <p>Load pattern: many requests with bodies while endpoints read slowly, many streams that stop within an event, and
+ * requests of very many header lines. Each {@link Kind} has its own share, so that one cannot displace the other. Of a
+ * share, a request may hold at most half of what is left to it; small requests are therefore admitted long after large
+ * ones are refused. A response is not refused, since its request has run: past the share, the largest one is shed.
  *
  * <p>Invariant: the sum of a kind never exceeds its share after a call, unless nothing is left to shed. Confined to the
  * event loop; a holding is closed before its shed callback runs.
  */
 public final class MemoryAccount {
     /** Part of the largest heap that may be held; the copies that are written to sockets are outside of the heap. */
-    private static final double HEAP_SHARE = 0.4;
-    /** A request body may take one in this many of the bytes that are left. */
+    private static final double HEAP_SHARE = 0.5;
+    /** A request may hold one in this many of the bytes that are left to it, of each kind. */
     private static final int FREE_PARTS = 2;
 
     /** What is held. */
     public enum Kind {
         /** Bodies of requests, from their first byte to the end of the response. */
-        REQUEST_BODY(2.0 / 3),
+        REQUEST_BODY(8.0 / 15),
         /** Parts of responses that cannot be passed on yet. */
-        RESPONSE_PART(1.0 / 3);
+        RESPONSE_PART(4.0 / 15),
+        /** Header lines of requests, from the first one to the end of the response. */
+        REQUEST_HEAD(3.0 / 15);
 
         private final double share;
 
@@ -114,8 +116,8 @@
 
         /** Raises the bytes held to the given number if they may be held; returns whether they are held now. */
         public boolean tryHold(long newBytes) {
-            long left = share(kind) - held(kind);
-            if ((newBytes - bytes) * FREE_PARTS > left) {
+            long left = share(kind) - held(kind) + bytes;
+            if (newBytes * FREE_PARTS > left) {
                 usages.get(kind).refused++;
                 return false;
             }
--- a/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
@@ -45,7 +45,7 @@
     /**
      * Creates a server.
      *
-     * @param memory account that the bodies of requests are charged to
+     * @param memory account that the headers and bodies of requests are charged to
      * @param handler must refuse a request whose body was refused
      */
     public HttpServer(
@@ -133,14 +133,17 @@
 
     private void initConnection(Channel ch) {
         ServerLimits l = limits.get();
+        AccountedHeaders headers = new AccountedHeaders(memory);
         HttpDecoderConfig config = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
                 .setMaxHeaderSize(l.maxHeaderBytes())
                 .setMaxChunkSize(MAX_CHUNK_BYTES)
                 .setAllowDuplicateContentLengths(false)
-                .setStrictLineParsing(true);
+                .setStrictLineParsing(true)
+                .setHeadersFactory(headers.heads())
+                .setTrailersFactory(headers.trailers());
         RequestDecoder decoder = new RequestDecoder(config);
-        ServerConnection c = new ServerConnection(this, loop, limits, decoder);
+        ServerConnection c = new ServerConnection(this, loop, limits, decoder, headers);
         connections.add(c);
         ch.pipeline().addLast(new HttpResponseEncoder(), c.firstByteHandler(), decoder, c);
     }
--- a/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Locale;
 import java.util.function.Supplier;
 
 import io.netty.buffer.Unpooled;
@@ -25,6 +26,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import org.quetzalvane.core.limit.MemoryAccount;
+import org.quetzalvane.core.serve.RetryAfter;
 import org.quetzalvane.core.time.Scheduler;
 
 /**
@@ -41,10 +43,14 @@
     /** Checks, one idle limit apart, after which a client that has read nothing of its response counts as gone. */
     private static final int MAX_STALLED_CHECKS = 2;
 
+    /** Retry time of requests whose header lines cannot be held, ms. */
+    private static final long REFUSED_RETRY_AFTER_MS = 1_000;
+
     private final HttpServer server;
     private final NettyEventLoop loop;
     private final Supplier<ServerLimits> limits;
     private final RequestDecoder decoder;
+    private final AccountedHeaders headers;
     private final Deque<ServerExchange> queued = new ArrayDeque<>();
     private ChannelHandlerContext ctx;
     private HttpRequest requestHead;
@@ -65,11 +71,17 @@
     private HttpResponseStatus rejection;
     private boolean firstByteReceived;
 
-    ServerConnection(HttpServer server, NettyEventLoop loop, Supplier<ServerLimits> limits, RequestDecoder decoder) {
+    ServerConnection(
+            HttpServer server,
+            NettyEventLoop loop,
+            Supplier<ServerLimits> limits,
+            RequestDecoder decoder,
+            AccountedHeaders headers) {
         this.server = server;
         this.loop = loop;
         this.limits = limits;
         this.decoder = decoder;
+        this.headers = headers;
     }
 
     /** Starts the header timeout of a request at its first byte, unless another request is in progress. */
@@ -168,7 +180,6 @@
 
     private void handleBody(HttpContent chunk) {
         if (body.size() + chunk.content().readableBytes() > limits.get().maxBodyBytes()) {
-            body.close();
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
@@ -182,7 +193,7 @@
         if (chunk instanceof LastHttpContent) {
             stopTimer();
             firstByteReceived = false;
-            queued.add(new ServerExchange(this, ctx, requestHead, body, true));
+            queued.add(new ServerExchange(this, ctx, requestHead, headers.takeHolding(), body, true));
             requestHead = null;
             body = null;
             if (queued.size() > MAX_QUEUED_REQUESTS) {
@@ -195,7 +206,7 @@
     /** Passes the request on without its body. */
     private void refuseBody() {
         body.close();
-        queued.add(new ServerExchange(this, ctx, requestHead, body, false));
+        queued.add(new ServerExchange(this, ctx, requestHead, headers.takeHolding(), body, false));
         requestHead = null;
         body = null;
         discarding = true;
@@ -240,7 +251,7 @@
      * @param written done when the response has been sent
      */
     void responseCompleted(boolean close, ChannelFuture written) {
-        current.releaseBody();
+        current.release();
         current = null;
         lastResponse = written;
         if (close && discarding) {
@@ -276,15 +287,29 @@
     private void reject(HttpResponseStatus status) {
         rejection = status;
         stopTimer();
+        releaseUnfinished();
         if (!busy()) {
             sendRejection();
         }
     }
 
+    /** Gives back what the request holds that is being read. */
+    private void releaseUnfinished() {
+        headers.close();
+        if (body != null) {
+            body.close();
+        }
+    }
+
     private void sendRejection() {
         DefaultFullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, rejection, Unpooled.EMPTY_BUFFER);
         HttpUtil.setContentLength(r, 0);
         HttpUtil.setKeepAlive(r, false);
+        if (rejection.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            long ms =
+                    RetryAfter.spread(REFUSED_RETRY_AFTER_MS, ctx.channel().id().asShortText());
+            r.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", ms / 1_000.0));
+        }
         ctx.writeAndFlush(r).addListener(ChannelFutureListener.CLOSE);
     }
 
@@ -299,16 +324,14 @@
     public void channelInactive(ChannelHandlerContext c) {
         stopTimer();
         server.connectionClosed(this);
-        if (body != null) {
-            body.close();
-        }
-        queued.forEach(ServerExchange::releaseBody);
+        releaseUnfinished();
+        queued.forEach(ServerExchange::release);
         queued.clear();
         if (current != null) {
             ServerExchange e = current;
             current = null;
             e.disconnected();
-            e.releaseBody();
+            e.release();
         }
     }
 
@@ -363,6 +386,9 @@
     }
 
     private static HttpResponseStatus statusOf(Throwable cause) {
+        if (cause instanceof HeadRefusedException) {
+            return HttpResponseStatus.SERVICE_UNAVAILABLE;
+        }
         if (cause instanceof TooLongHttpLineException) {
             return HttpResponseStatus.REQUEST_URI_TOO_LONG;
         }
--- a/transport/src/main/java/org/quetzalvane/transport/ServerExchange.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerExchange.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.quetzalvane.core.limit.MemoryAccount;
 
 /**
  * A complete request, or one whose body was refused, and its response. The response is sent once; calls after the
@@ -25,7 +26,8 @@
     private final ServerConnection connection;
     private final ChannelHandlerContext ctx;
     private final HttpRequest head;
-    private final RequestBody held;
+    private final MemoryAccount.Holding heldHead;
+    private final RequestBody heldBody;
     private final byte[] body;
     private final boolean complete;
     private Runnable onDisconnect = () -> {};
@@ -38,12 +40,14 @@
             ServerConnection connection,
             ChannelHandlerContext ctx,
             HttpRequest head,
+            MemoryAccount.Holding heldHead,
             RequestBody body,
             boolean complete) {
         this.connection = connection;
         this.ctx = ctx;
         this.head = head;
-        this.held = body;
+        this.heldHead = heldHead;
+        this.heldBody = body;
         this.body = body.complete();
         this.complete = complete;
     }
@@ -61,8 +65,10 @@
         return !complete;
     }
 
-    void releaseBody() {
-        held.close();
+    /** Gives the memory of the request back to the account, once nothing uses it any more. */
+    void release() {
+        heldHead.close();
+        heldBody.close();
     }
 
     /** Sets the callback for a client that disconnects before the response is complete. */
