Bound the connections of clients at each listener

Clients that opened more connections than a node has descriptors kept everybody out: neither the readiness check nor an ordinary request was answered, until the idle limit closed them. Sockets to sound endpoints could not be made either, which counted as a failure of theirs.

Cause: nothing bounded the connections of clients but the descriptors of the process, which endpoints, store and peers need too. The class: a resource that the node needs for itself is given out to clients without a bound.

Change: each listener for clients has a share of the descriptors (ConnectionCapacities). At its bound a new connection displaces one that waits for its client, first one that has not brought a request yet, the one with the oldest bytes (ConnectionTable); a connection with a request in progress stays. Gauges show open, displaced and refused connections.

--- a/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
+++ b/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
@@ -61,7 +61,8 @@
                 10_000,
                 5,
                 BootSettings.Revocation.LENIENT,
-                QuotaBounds.DEFAULT);
+                QuotaBounds.DEFAULT,
+                BootSettings.DEFAULT_DESCRIPTORS);
         EntryNode node = new EntryNode(settings);
         node.start();
         exercisePeerCodec();
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -16,6 +16,7 @@
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.limit.ConnectionCapacities;
 import org.quetzalvane.core.limit.EndpointPermits;
 import org.quetzalvane.core.limit.MemoryAccount;
 import org.quetzalvane.core.residency.AdapterUsage;
@@ -94,6 +95,7 @@
     private final MemoryAccount memory =
             MemoryAccount.ofHeap(Runtime.getRuntime().maxMemory());
 
+    private final ListenerConnections connections;
     private final PlatformState platform;
     private final EndpointLoads endpointLoads = new EndpointLoads();
     private final AdapterUsage adapterUsage = new AdapterUsage(loop);
@@ -120,6 +122,7 @@
 
     EntryNode(BootSettings settings) {
         this.settings = settings;
+        connections = ListenerConnections.of(ConnectionCapacities.of(ProcessLimits.openFiles(settings.descriptors())));
         lineLog = new JsonLineLog(settings.nodeName(), loop::wallMillis, System.out);
         log = this::logEvent;
         loop.onFailure(this::logTaskFailure);
@@ -177,11 +180,13 @@
                 new AssignmentMember.Membership(settings.peerAddress(), ASSIGNMENT_TTL_MS),
                 new AssignmentMember.Listeners(this::assignmentChanged, peerService::resumeHub));
         servingContext = createServingContext();
-        callerServer = new HttpServer(loop, this::callerLimits, memory, this::serveCaller);
+        callerServer = new HttpServer(loop, this::callerLimits, memory, connections.callers(), this::serveCaller);
         plannedStop = new PlannedStop(loop, callerServer, gracePeriod, settings.gracePeriodMs());
         CallerDirectory directory = new CallerDirectory(peerTable, peerService::self, settings.maxDirectoryTtlS());
-        readinessServer = new HttpServer(loop, this::callerLimits, memory, directory::serveReadiness);
-        directoryServer = new HttpServer(loop, this::callerLimits, memory, directory::serveAddresses);
+        readinessServer =
+                new HttpServer(loop, this::callerLimits, memory, connections.readiness(), directory::serveReadiness);
+        directoryServer =
+                new HttpServer(loop, this::callerLimits, memory, connections.directory(), directory::serveAddresses);
         platform.endpoints().onNewInstance(this::dropPreviousInstanceState);
     }
 
@@ -382,6 +387,7 @@
     /** Serves the metrics as text on a port of the IP address for callers; waits until the port is bound. */
     void listenMetrics(int port) {
         NodeGauges.registerMemory(metrics, callerServer, memory);
+        NodeGauges.registerConnections(metrics, connections);
         NodeGauges.register(metrics, callerServer, platform, peerTable, peerService, lease, loadTimes);
         InetSocketAddress own = Addresses.parse(settings.callerAddress());
         new HttpServer(loop, this::callerLimits, memory, this::serveMetrics)
--- a/entry/src/main/java/org/quetzalvane/entry/NodeGauges.java
+++ b/entry/src/main/java/org/quetzalvane/entry/NodeGauges.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 
+import org.quetzalvane.core.limit.ConnectionTable;
 import org.quetzalvane.core.limit.MemoryAccount;
 import org.quetzalvane.core.residency.LoadTimeEstimator;
 import org.quetzalvane.core.team.AssignmentLease;
@@ -38,6 +39,20 @@
         metrics.gauge("duty_generation", lease::generation);
     }
 
+    /** Registers the gauges of the connections of clients, by listener. */
+    static void registerConnections(EntryMetrics metrics, ListenerConnections connections) {
+        registerConnections(metrics, "callers", connections.callers());
+        registerConnections(metrics, "directory", connections.directory());
+        registerConnections(metrics, "readiness", connections.readiness());
+    }
+
+    private static void registerConnections(EntryMetrics metrics, String listener, ConnectionTable table) {
+        String label = "{listener=\"" + listener + "\"}";
+        metrics.gauge("connections_open" + label, table::open);
+        metrics.gauge("connections_refused" + label, table::refused);
+        metrics.gauge("connections_displaced" + label, table::displaced);
+    }
+
     /** Registers the gauges of the memory that requests and responses hold. */
     static void registerMemory(EntryMetrics metrics, HttpServer callerServer, MemoryAccount memory) {
         metrics.gauge("response_bytes_unsent", callerServer::unsentBytes);
--- a/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
+++ b/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
@@ -52,7 +52,8 @@
                 s.retryWindowMs(),
                 s.maxDirectoryTtlS(),
                 revocation,
-                s.quota());
+                s.quota(),
+                s.descriptors());
     }
 
     /** The same with the given part of the requests, and number beyond it, that all nodes may retry in a window. */
@@ -82,6 +83,7 @@
                 RETRY_WINDOW_MS,
                 5,
                 BootSettings.Revocation.LENIENT,
-                QuotaBounds.DEFAULT);
+                QuotaBounds.DEFAULT,
+                BootSettings.DEFAULT_DESCRIPTORS);
     }
 }
--- a/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.quetzalvane.core.limit.ConnectionTable;
 import org.quetzalvane.core.limit.MemoryAccount;
 
 /**
@@ -31,6 +32,7 @@
     private final NettyEventLoop loop;
     private final Supplier<ServerLimits> limits;
     private final MemoryAccount memory;
+    private final ConnectionTable table;
     private final Consumer<ServerExchange> handler;
     private final Set<ServerConnection> connections = new HashSet<>();
     private Channel serverChannel;
@@ -42,20 +44,32 @@
         this(loop, limits, MemoryAccount.ofHeap(Runtime.getRuntime().maxMemory()), handler);
     }
 
+    /** Creates a server without a limit of its connections. */
+    public HttpServer(
+            NettyEventLoop loop,
+            Supplier<ServerLimits> limits,
+            MemoryAccount memory,
+            Consumer<ServerExchange> handler) {
+        this(loop, limits, memory, ConnectionTable.unlimited(), handler);
+    }
+
     /**
      * Creates a server.
      *
      * @param memory account that the headers and bodies of requests are charged to
+     * @param table which connections are kept when there are too many
      * @param handler must refuse a request whose body was refused
      */
     public HttpServer(
             NettyEventLoop loop,
             Supplier<ServerLimits> limits,
             MemoryAccount memory,
+            ConnectionTable table,
             Consumer<ServerExchange> handler) {
         this.loop = loop;
         this.limits = limits;
         this.memory = memory;
+        this.table = table;
         this.handler = handler;
     }
 
@@ -132,6 +146,11 @@
     }
 
     private void initConnection(Channel ch) {
+        ConnectionTable.Entry entry = table.add(ch::close);
+        if (entry == null) {
+            ch.close();
+            return;
+        }
         ServerLimits l = limits.get();
         AccountedHeaders headers = new AccountedHeaders(memory);
         HttpDecoderConfig config = new HttpDecoderConfig()
@@ -143,7 +162,7 @@
                 .setHeadersFactory(headers.heads())
                 .setTrailersFactory(headers.trailers());
         RequestDecoder decoder = new RequestDecoder(config);
-        ServerConnection c = new ServerConnection(this, loop, limits, decoder, headers);
+        ServerConnection c = new ServerConnection(this, loop, limits, entry, decoder, headers);
         connections.add(c);
         ch.pipeline().addLast(new HttpResponseEncoder(), c.firstByteHandler(), decoder, c);
     }
--- a/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import org.quetzalvane.core.limit.ConnectionTable;
 import org.quetzalvane.core.limit.MemoryAccount;
 import org.quetzalvane.core.serve.RetryAfter;
 import org.quetzalvane.core.time.Scheduler;
@@ -49,6 +50,7 @@
     private final HttpServer server;
     private final NettyEventLoop loop;
     private final Supplier<ServerLimits> limits;
+    private final ConnectionTable.Entry entry;
     private final RequestDecoder decoder;
     private final AccountedHeaders headers;
     private final Deque<ServerExchange> queued = new ArrayDeque<>();
@@ -75,11 +77,13 @@
             HttpServer server,
             NettyEventLoop loop,
             Supplier<ServerLimits> limits,
+            ConnectionTable.Entry entry,
             RequestDecoder decoder,
             AccountedHeaders headers) {
         this.server = server;
         this.loop = loop;
         this.limits = limits;
+        this.entry = entry;
         this.decoder = decoder;
         this.headers = headers;
     }
@@ -89,6 +93,7 @@
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext c, Object msg) {
+                entry.bytesArrived();
                 if (!firstByteReceived && current == null) {
                     firstByteReceived = true;
                     startTimer(limits.get().headerTimeoutMs(), ServerConnection.this::headerTimeout);
@@ -232,6 +237,7 @@
             return;
         }
         current = queued.poll();
+        entry.requestArrived();
         server.handle(current);
     }
 
@@ -254,6 +260,11 @@
         current.release();
         current = null;
         lastResponse = written;
+        written.addListener(f -> {
+            if (!busy()) {
+                entry.requestsDone();
+            }
+        });
         if (close && discarding) {
             // A socket that is closed with unread bytes is reset, which can discard the response.
             closeAfterDiscarded = true;
@@ -324,6 +335,7 @@
     public void channelInactive(ChannelHandlerContext c) {
         stopTimer();
         server.connectionClosed(this);
+        entry.remove();
         releaseUnfinished();
         queued.forEach(ServerExchange::release);
         queued.clear();
