Refuse requests for adapter names that no adapter can have

A client may name an adapter with as many characters as a head holds. The node kept the name beyond the request, in the demand of the last seconds and in load requests, and sent it to its peers with each status, whose connections are closed beyond 1 MiB.

Cause: what a client writes became the key of tables and of messages without a bound on its length.

Change: a name of more than 256 characters, model and adapter together, is refused at once with 104, not run. Published names have at most 20 characters.

No run with processes showed the effect on peers.

--- a/core/src/main/java/org/quetzalvane/core/ResultCode.java
+++ b/core/src/main/java/org/quetzalvane/core/ResultCode.java
@@ -16,7 +16,11 @@
     MALFORMED_REQUEST(101, 400, false, "The request could not be parsed or lacks a required field."),
     UNAUTHENTICATED(102, 401, false, "The caller's token is missing or unknown."),
     ACCESS_DENIED(103, 403, false, "No access rule lets this caller use the adapter, version or service."),
-    UNKNOWN_ADAPTER(104, 404, false, "The adapter does not exist in the configuration in force."),
+    UNKNOWN_ADAPTER(
+            104,
+            404,
+            false,
+            "The adapter does not exist in the configuration in force, or no adapter can have its name."),
     UNKNOWN_VERSION(105, 404, false, "The adapter exists but the named version does not."),
     UNKNOWN_SERVICE(106, 404, false, "The service does not exist in the configuration in force."),
     REQUEST_TOO_LARGE(107, 413, false, "The request body exceeds the configured limit."),
--- a/core/src/main/java/org/quetzalvane/core/routes/AdapterRef.java
+++ b/core/src/main/java/org/quetzalvane/core/routes/AdapterRef.java
@@ -7,6 +7,13 @@
  * @param adapter name of the adapter, or empty for the base model itself
  */
 public record AdapterRef(String model, String adapter) {
+    /** Longest name, of model and adapter together, characters. */
+    private static final int MAX_NAME_LENGTH = 256;
+
+    /** Whether an adapter may have this name. */
+    public boolean isValid() {
+        return model.length() + adapter.length() <= MAX_NAME_LENGTH;
+    }
 
     @Override
     public String toString() {
--- a/core/src/main/java/org/quetzalvane/core/serve/RouteMatch.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RouteMatch.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.core.serve;
 
 import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.routes.AdapterRef;
 import org.quetzalvane.core.routes.ConfigSource;
 import org.quetzalvane.core.routes.CurrentConfig;
 import org.quetzalvane.core.routes.Route;
@@ -34,6 +35,10 @@
             String cause = "the service of the route is missing in " + describe(c, config.source());
             return refused(route, ResultCode.UNKNOWN_SERVICE, -1, cause);
         }
+        AdapterRef adapter = request.adapter();
+        if (adapter != null && !adapter.isValid()) {
+            return refused(route, ResultCode.UNKNOWN_ADAPTER, -1, "the name of the adapter is too long");
+        }
         return new RouteMatch(route, service, null, -1, null);
     }
 
