End requests whose clients have stopped sending before others are refused

Clients that stated the length of a large body and then sent nothing kept the memory for bodies until the idle limit; requests with large bodies that did come were refused all the while.

Cause: room is reserved for a stated length before a byte has come, and only the idle limit ended a request that stopped. The class is that of the header lines: what a client makes the node hold is counted by what it states.

Change: before a request is refused for the memory of the node, unfinished requests of the same listener that have waited for bytes for a second are ended with 408, which promises that they have not run; the longest wait first. In calm nothing changes.

--- a/entry/src/test/java/org/quetzalvane/entry/ClientCrowd.java
+++ b/entry/src/test/java/org/quetzalvane/entry/ClientCrowd.java
@@ -58,6 +58,10 @@
         /** A body in chunks of one byte that stops short of its end. */
         SMALL_CHUNKS(i ->
                 head(i, "POST", "Transfer-Encoding: chunked\r\n", "") + "\r\n" + "1\r\nx\r\n".repeat(BODY_BYTES / 6)),
+        /** A whole request, whose response is not read. */
+        WHOLE(i -> head(i, "POST", "Content-Length: 0\r\n", "") + "\r\n"),
+        /** A length of a body that does not come. */
+        STATED_LENGTH(i -> head(i, "POST", "Content-Length: 4000000\r\n", "") + "\r\n"),
         /** Nothing. */
         SILENT(i -> ""),
         /** The beginning of a head. */
--- a/entry/src/test/java/org/quetzalvane/entry/ClientCrowdTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/ClientCrowdTest.java
@@ -1,14 +1,18 @@
 package org.quetzalvane.entry;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -36,13 +40,23 @@
     private static final int CLIENTS = 400;
     private static final int MAX_DESCRIPTORS = 600;
     private static final int CONNECTIONS = 900;
+    /** Together with the connections to endpoints within the descriptors. */
+    private static final int READERS = 250;
+
+    private static final int RESPONSE_BYTES = 1_000_000;
+    /** Less than half of the memory for bodies. */
+    private static final int LARGE_BODY_BYTES = 4_000_000;
+
+    private static final int TRIES = 5;
+    private static final Pattern RETRY_AFTER = Pattern.compile("(?i)\r\nretry-after: ([0-9.]+)\r\n");
 
     @TempDir
     private Path directory;
 
     private final PlatformStoreStandIn store = new PlatformStoreStandIn();
+    private volatile String content = "ok";
     private final EndpointStandIn endpoint =
-            new EndpointStandIn("plain-1", "plain", (self, x) -> self.respondComplete(x, "ok"));
+            new EndpointStandIn("plain-1", "plain", (self, x) -> self.respondComplete(x, content));
     private EntryProcess node;
 
     @BeforeEach
@@ -70,7 +84,7 @@
     @ParameterizedTest
     @EnumSource(
             value = Kind.class,
-            names = {"SILENT", "BEGUN_HEAD"},
+            names = {"SILENT", "BEGUN_HEAD", "WHOLE"},
             mode = EnumSource.Mode.EXCLUDE)
     void nodeSurvivesClientsWhoseRequestsAreNotComplete(Kind kind) throws Exception {
         try (ClientCrowd crowd = new ClientCrowd()) {
@@ -104,6 +118,46 @@
         assertThat(log()).doesNotContain("ENDPOINT_SUSPENDED");
     }
 
+    /** Guards against responses that fill the memory of a node because their clients do not read them. */
+    @Test
+    void nodeSurvivesClientsThatDoNotReadTheirResponses() throws Exception {
+        content = "x".repeat(RESPONSE_BYTES);
+        try (ClientCrowd crowd = new ClientCrowd()) {
+            crowd.join(node.settings().callerAddress(), Kind.WHOLE, READERS);
+            content = "ok";
+            assertThat(ordinaryRequest("meanwhile")).matches("(?s)HTTP/1.1 (200|503) .*");
+            assertWithinLimits();
+            crowd.leaveInPart();
+        }
+        assertThat(ordinaryRequest("afterwards")).startsWith("HTTP/1.1 200");
+        assertWithinLimits();
+    }
+
+    /** Guards against room that is kept for bodies which do not come, while those that come are refused. */
+    @Test
+    void nodeServesLargeBodiesBesideClientsThatStateALengthAndStop() throws Exception {
+        try (ClientCrowd crowd = new ClientCrowd()) {
+            crowd.join(node.settings().callerAddress(), Kind.STATED_LENGTH, READERS);
+            assertThat(largeRequest()).startsWith("HTTP/1.1 200");
+            assertWithinLimits();
+        }
+    }
+
+    /** Sends a request with a large body and comes back after each refusal, when the response says so. */
+    private String largeRequest() throws Exception {
+        String response = "";
+        for (int i = 0; i < TRIES && !response.startsWith("HTTP/1.1 200"); i++) {
+            byte[] request = CallerClient.requestWithBody("/once/x", "large-" + i, LARGE_BODY_BYTES);
+            response = CallerClient.sendRaw(
+                    node.settings().callerAddress(), new String(request, StandardCharsets.ISO_8859_1));
+            Matcher retryAfter = RETRY_AFTER.matcher(response);
+            if (retryAfter.find()) {
+                TimeUnit.MILLISECONDS.sleep((long) (1_000 * Double.parseDouble(retryAfter.group(1))));
+            }
+        }
+        return response;
+    }
+
     private String address(String listener) {
         return switch (listener) {
             case "directory" -> node.settings().directoryAddress();
--- a/transport/src/main/java/org/quetzalvane/transport/AccountedHeaders.java
+++ b/transport/src/main/java/org/quetzalvane/transport/AccountedHeaders.java
@@ -1,5 +1,7 @@
 package org.quetzalvane.transport;
 
+import java.util.function.BooleanSupplier;
+
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -18,10 +20,17 @@
     private static final int LINE_BYTES = 256;
 
     private final MemoryAccount memory;
+    private final BooleanSupplier makeRoom;
     private MemoryAccount.Holding holding;
 
-    AccountedHeaders(MemoryAccount memory) {
+    /**
+     * Creates the headers of a connection.
+     *
+     * @param makeRoom gives memory of another request back to the account; returns false if there is none to give back
+     */
+    AccountedHeaders(MemoryAccount memory, BooleanSupplier makeRoom) {
         this.memory = memory;
+        this.makeRoom = makeRoom;
         this.holding = memory.open(MemoryAccount.Kind.REQUEST_HEAD);
     }
 
@@ -48,9 +57,12 @@
     }
 
     private void charge(CharSequence name, Object value) {
-        int bytes = LINE_BYTES + name.length() + value.toString().length();
-        if (!holding.tryHold(holding.bytes() + bytes)) {
-            throw new HeadRefusedException();
+        long bytes =
+                holding.bytes() + LINE_BYTES + name.length() + value.toString().length();
+        while (!holding.tryHold(bytes)) {
+            if (!makeRoom.getAsBoolean()) {
+                throw new HeadRefusedException();
+            }
         }
     }
 
--- a/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
@@ -2,8 +2,10 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -25,6 +27,8 @@
     private static final int MAX_REQUEST_LINE_BYTES = 8_192;
 
     private static final int MAX_CHUNK_BYTES = 16_384;
+    /** Time without bytes after which an unfinished request is ended if the memory of the node is full, ms. */
+    private static final long STALLED_MS = 1_000;
 
     /** Shortest delay of a task that runs after the next pass of the event loop's selector. */
     private static final Duration SELECTOR_PASS = Duration.ofMillis(1);
@@ -145,6 +149,19 @@
         connections.remove(c);
     }
 
+    /**
+     * Ends the request that has waited longest for bytes of its client, because the memory of the node is full; returns
+     * false if none has waited for {@link #STALLED_MS}.
+     */
+    boolean endStalledRequest() {
+        long latestNanos = loop.nanoTime() - STALLED_MS * 1_000_000;
+        Optional<ServerConnection> longest = connections.stream()
+                .filter(c -> c.hasUnfinishedRequest() && c.lastReadNanos() - latestNanos < 0)
+                .min(Comparator.comparingLong(ServerConnection::lastReadNanos));
+        longest.ifPresent(ServerConnection::timeOut);
+        return longest.isPresent();
+    }
+
     private void initConnection(Channel ch) {
         ConnectionTable.Entry entry = table.add(ch::close);
         if (entry == null) {
@@ -152,7 +169,7 @@
             return;
         }
         ServerLimits l = limits.get();
-        AccountedHeaders headers = new AccountedHeaders(memory);
+        AccountedHeaders headers = new AccountedHeaders(memory, this::endStalledRequest);
         HttpDecoderConfig config = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
                 .setMaxHeaderSize(l.maxHeaderBytes())
--- a/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import io.netty.buffer.Unpooled;
@@ -72,6 +73,7 @@
     private long idleSince;
     private HttpResponseStatus rejection;
     private boolean firstByteReceived;
+    private long lastReadNanos;
 
     ServerConnection(
             HttpServer server,
@@ -94,6 +96,7 @@
             @Override
             public void channelRead(ChannelHandlerContext c, Object msg) {
                 entry.bytesArrived();
+                lastReadNanos = loop.nanoTime();
                 if (!firstByteReceived && current == null) {
                     firstByteReceived = true;
                     startTimer(limits.get().headerTimeoutMs(), ServerConnection.this::headerTimeout);
@@ -109,6 +112,21 @@
         return b == null ? 0 : b.totalPendingWriteBytes();
     }
 
+    /** Time at which bytes of the client arrived last, ns. */
+    long lastReadNanos() {
+        return lastReadNanos;
+    }
+
+    /** Whether a request has begun to arrive that is not whole. */
+    boolean hasUnfinishedRequest() {
+        return rejection == null && (requestHead != null || firstByteReceived && !discarding);
+    }
+
+    /** Ends a request that is not whole. */
+    void timeOut() {
+        reject(HttpResponseStatus.REQUEST_TIMEOUT);
+    }
+
     boolean busy() {
         return current != null || !queued.isEmpty();
     }
@@ -173,7 +191,8 @@
         }
         requestHead = r;
         body = new RequestBody(server.memory().open(MemoryAccount.Kind.REQUEST_BODY));
-        if (!body.reserve((int) HttpUtil.getContentLength(r, 0L))) {
+        int length = (int) HttpUtil.getContentLength(r, 0L);
+        if (!fits(() -> body.reserve(length))) {
             refuseBody();
             return;
         }
@@ -188,7 +207,7 @@
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        if (!body.add(chunk.content())) {
+        if (!fits(() -> body.add(chunk.content()))) {
             refuseBody();
             if (chunk instanceof LastHttpContent) {
                 discarded();
@@ -208,6 +227,16 @@
         }
     }
 
+    /** Whether the memory of the node holds what is to be held, for which stalled requests are ended if need be. */
+    private boolean fits(BooleanSupplier hold) {
+        while (!hold.getAsBoolean()) {
+            if (!server.endStalledRequest()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Passes the request on without its body. */
     private void refuseBody() {
         body.close();
