Split what arrives, and the check before a write, from their classes

ArrivingRequest holds what is read of a request and its memory, WriteCheck decides whether an attempt is still written, RequestDecoder names the status of a request that cannot be decoded. No change of behaviour.

Measured: 170 tests of transport and the tests of requests, attempts, retries and streams of core pass.

--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -26,14 +26,6 @@
      */
     private static final long NEXT_CHUNK_TIMEOUT_MS = 1_200;
 
-    /** Why a request is not written. */
-    enum Withheld {
-        /** The retry budget has shrunk since the retry was reserved. */
-        NO_RETRY_LEFT,
-        /** The endpoint has asked to be sent nothing for a time. */
-        ENDPOINT_BACKS_OFF
-    }
-
     /**
      * Receives the outcome of an attempt and decides on retries; implemented by the request.
      *
@@ -48,7 +40,7 @@
         void unreachable(Attempt a, String cause);
 
         /** The request was not written, although its connection was ready. */
-        void withheld(Attempt a, Withheld why);
+        void withheld(Attempt a, WriteCheck.Withheld why);
 
         /**
          * The request may have run and its response is incomplete; {@code retryReserved} if a retry has already been
@@ -100,12 +92,11 @@
     private final Handler handler;
     private final Endpoint endpoint;
     private final boolean endpointIsEngine;
-    private final RetryBudgetShare.Reservation retry;
+    private final WriteCheck writeCheck;
     private final long sentNanos;
     private final long pendingTokens;
     private EndpointClient.Call call;
     private boolean open = true;
-    private Withheld withheld;
     private boolean reading = true;
     private boolean silenceCounted;
     private boolean firstByteReceived;
@@ -139,7 +130,7 @@
         this.handler = shared.handler();
         this.endpoint = endpoint;
         this.endpointIsEngine = endpointIsEngine;
-        this.retry = retry;
+        this.writeCheck = new WriteCheck(context, request, endpoint, retry);
         this.sentNanos = context.scheduler().nanoTime();
         this.held = context.memory().open(MemoryAccount.Kind.RESPONSE_PART, this::shed);
         this.beginning = new ResponseBeginning(context, shared.content(), endpoint);
@@ -169,7 +160,7 @@
 
     /** The retry that the attempt uses or has used, or null if it is the first one. */
     RetryBudgetShare.Reservation retry() {
-        return retry;
+        return writeCheck.retry();
     }
 
     /** Head of the response; null before it arrives. */
@@ -240,20 +231,7 @@
 
     @Override
     public boolean beforeWrite() {
-        if (context.endpoints().backoffMs(endpoint) > 0) {
-            withheld = Withheld.ENDPOINT_BACKS_OFF;
-        } else if (retry != null && !useRetry()) {
-            withheld = Withheld.NO_RETRY_LEFT;
-        }
-        return open && withheld == null;
-    }
-
-    private boolean useRetry() {
-        long waitedMs = retry.ageMs();
-        boolean used = retry.use();
-        EventCode event = used ? EventCode.RETRY_SENT : EventCode.RETRY_WITHHELD;
-        context.log().log(event, request.id(), "endpoint", endpoint.id(), "waited_ms", waitedMs);
-        return used;
+        return open && writeCheck.passes();
     }
 
     @Override
@@ -383,7 +361,11 @@
         close(true);
         if (notSent) {
             beginning.unreachable();
-            reportNotSent(cause);
+            if (writeCheck.withheld() != null) {
+                handler.withheld(this, writeCheck.withheld());
+            } else {
+                handler.unreachable(this, cause);
+            }
             return;
         }
         beginning.broken();
@@ -391,14 +373,6 @@
                 this, callerResponseBegun() ? ResultCode.STREAM_BROKEN : ResultCode.OUTCOME_UNKNOWN, cause, false);
     }
 
-    private void reportNotSent(String cause) {
-        if (withheld != null) {
-            handler.withheld(this, withheld);
-        } else {
-            handler.unreachable(this, cause);
-        }
-    }
-
     /** Whether the attempt has had no outcome yet. */
     boolean isOpen() {
         return open;
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -243,7 +243,7 @@
     }
 
     @Override
-    public void withheld(Attempt a, Attempt.Withheld why) {
+    public void withheld(Attempt a, WriteCheck.Withheld why) {
         clearCurrent(a);
         account.notRun(a);
         if (silentAttempts.isCandidate(a)) {
@@ -254,7 +254,7 @@
             return;
         }
         silentAttempts.withdraw(why.name());
-        if (why == Attempt.Withheld.ENDPOINT_BACKS_OFF) {
+        if (why == WriteCheck.Withheld.ENDPOINT_BACKS_OFF) {
             selectNext();
         } else {
             giveUp(ResultCode.ENDPOINT_REJECTED, why.name());
--- a/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
@@ -132,10 +132,6 @@
         return draining;
     }
 
-    MemoryAccount memory() {
-        return memory;
-    }
-
     /** Bytes of responses that clients have not read yet. */
     public long unsentBytes() {
         return connections.stream().mapToLong(ServerConnection::unsentBytes).sum();
@@ -179,7 +175,8 @@
                 .setHeadersFactory(headers.heads())
                 .setTrailersFactory(headers.trailers());
         RequestDecoder decoder = new RequestDecoder(config);
-        ServerConnection c = new ServerConnection(this, loop, limits, entry, decoder, headers);
+        ArrivingRequest arriving = new ArrivingRequest(memory, headers, this::endStalledRequest);
+        ServerConnection c = new ServerConnection(this, loop, limits, entry, decoder, arriving);
         connections.add(c);
         ch.pipeline().addLast(new HttpResponseEncoder(), c.firstByteHandler(), decoder, c);
     }
--- a/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
@@ -4,7 +4,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import io.netty.buffer.Unpooled;
@@ -13,7 +12,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -23,11 +21,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import org.quetzalvane.core.limit.ConnectionTable;
-import org.quetzalvane.core.limit.MemoryAccount;
 import org.quetzalvane.core.serve.RetryAfter;
 import org.quetzalvane.core.time.Scheduler;
 
@@ -53,11 +48,9 @@
     private final Supplier<ServerLimits> limits;
     private final ConnectionTable.Entry entry;
     private final RequestDecoder decoder;
-    private final AccountedHeaders headers;
+    private final ArrivingRequest arriving;
     private final Deque<ServerExchange> queued = new ArrayDeque<>();
     private ChannelHandlerContext ctx;
-    private HttpRequest requestHead;
-    private RequestBody body;
     /** Whether the rest of the present request's body is discarded, since it cannot be held. */
     private boolean discarding;
 
@@ -81,13 +74,13 @@
             Supplier<ServerLimits> limits,
             ConnectionTable.Entry entry,
             RequestDecoder decoder,
-            AccountedHeaders headers) {
+            ArrivingRequest arriving) {
         this.server = server;
         this.loop = loop;
         this.limits = limits;
         this.entry = entry;
         this.decoder = decoder;
-        this.headers = headers;
+        this.arriving = arriving;
     }
 
     /** Starts the header timeout of a request at its first byte, unless another request is in progress. */
@@ -119,7 +112,7 @@
 
     /** Whether a request has begun to arrive that is not whole. */
     boolean hasUnfinishedRequest() {
-        return rejection == null && (requestHead != null || firstByteReceived && !discarding);
+        return rejection == null && (arriving.hasHead() || firstByteReceived && !discarding);
     }
 
     /** Ends a request that is not whole. */
@@ -164,13 +157,13 @@
 
     private void handle(HttpObject o) {
         if (o.decoderResult().isFailure()) {
-            reject(statusOf(o.decoderResult().cause()));
+            reject(RequestDecoder.statusOf(o.decoderResult().cause()));
             return;
         }
         if (o instanceof HttpRequest) {
             startRequest((HttpRequest) o);
         }
-        if (o instanceof HttpContent && requestHead != null) {
+        if (o instanceof HttpContent && arriving.hasHead()) {
             handleBody((HttpContent) o);
         } else if (o instanceof LastHttpContent && discarding) {
             discarded();
@@ -189,10 +182,7 @@
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        requestHead = r;
-        body = new RequestBody(server.memory().open(MemoryAccount.Kind.REQUEST_BODY));
-        int length = (int) HttpUtil.getContentLength(r, 0L);
-        if (!fits(() -> body.reserve(length))) {
+        if (!arriving.begin(r)) {
             refuseBody();
             return;
         }
@@ -203,11 +193,12 @@
     }
 
     private void handleBody(HttpContent chunk) {
-        if (body.size() + chunk.content().readableBytes() > limits.get().maxBodyBytes()) {
+        if (arriving.bodyBytes() + chunk.content().readableBytes()
+                > limits.get().maxBodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        if (!fits(() -> body.add(chunk.content()))) {
+        if (!arriving.add(chunk.content())) {
             refuseBody();
             if (chunk instanceof LastHttpContent) {
                 discarded();
@@ -217,9 +208,7 @@
         if (chunk instanceof LastHttpContent) {
             stopTimer();
             firstByteReceived = false;
-            queued.add(new ServerExchange(this, ctx, requestHead, headers.takeHolding(), body, true));
-            requestHead = null;
-            body = null;
+            queued.add(arriving.take(this, ctx, true));
             if (queued.size() > MAX_QUEUED_REQUESTS) {
                 ctx.channel().config().setAutoRead(false);
             }
@@ -227,22 +216,9 @@
         }
     }
 
-    /** Whether the memory of the node holds what is to be held, for which stalled requests are ended if need be. */
-    private boolean fits(BooleanSupplier hold) {
-        while (!hold.getAsBoolean()) {
-            if (!server.endStalledRequest()) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     /** Passes the request on without its body. */
     private void refuseBody() {
-        body.close();
-        queued.add(new ServerExchange(this, ctx, requestHead, headers.takeHolding(), body, false));
-        requestHead = null;
-        body = null;
+        queued.add(arriving.take(this, ctx, false));
         discarding = true;
         handleNext();
     }
@@ -315,7 +291,7 @@
     }
 
     private void headerTimeout() {
-        if (requestHead == null) {
+        if (!arriving.hasHead()) {
             reject(HttpResponseStatus.REQUEST_TIMEOUT);
         }
     }
@@ -327,20 +303,12 @@
     private void reject(HttpResponseStatus status) {
         rejection = status;
         stopTimer();
-        releaseUnfinished();
+        arriving.release();
         if (!busy()) {
             sendRejection();
         }
     }
 
-    /** Gives back what the request holds that is being read. */
-    private void releaseUnfinished() {
-        headers.close();
-        if (body != null) {
-            body.close();
-        }
-    }
-
     private void sendRejection() {
         DefaultFullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, rejection, Unpooled.EMPTY_BUFFER);
         HttpUtil.setContentLength(r, 0);
@@ -365,7 +333,7 @@
         stopTimer();
         server.connectionClosed(this);
         entry.remove();
-        releaseUnfinished();
+        arriving.release();
         queued.forEach(ServerExchange::release);
         queued.clear();
         if (current != null) {
@@ -425,17 +393,4 @@
             timer = null;
         }
     }
-
-    private static HttpResponseStatus statusOf(Throwable cause) {
-        if (cause instanceof HeadRefusedException) {
-            return HttpResponseStatus.SERVICE_UNAVAILABLE;
-        }
-        if (cause instanceof TooLongHttpLineException) {
-            return HttpResponseStatus.REQUEST_URI_TOO_LONG;
-        }
-        if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongFrameException) {
-            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
-        }
-        return HttpResponseStatus.BAD_REQUEST;
-    }
 }
