Cut long texts in log lines

Clients with ids and paths as long as a head allows ended the writer of the log: it ran out of memory, and the node logged nothing any more.

Cause: up to 2,000 lines wait to be written, each with texts that clients choose, up to 23 KB; a batch is encoded as a whole. It is of the class of the header lines: a bound on a number where each has any size.

Change: texts are cut at 2,048 characters before they are queued.

Measured: JsonLineLogTest.longTextsAreCut failed before. ClientCrowdTest with 2,400 such requests failed in one of two runs before (OutOfMemoryError of the log writer, 64 MB of heap) and passed in one run after.

--- a/entry/src/main/java/org/quetzalvane/entry/JsonLineLog.java
+++ b/entry/src/main/java/org/quetzalvane/entry/JsonLineLog.java
@@ -23,6 +23,11 @@
 final class JsonLineLog implements StructuredLog {
     /** Capacity of the queue, lines: the refusals that one host logs in one second at its highest rate. */
     static final int MAX_QUEUED_LINES = 2_000;
+    /** Longest text in a line, characters; longer ones, which clients can cause, are cut. */
+    static final int MAX_TEXT_LENGTH = 2_048;
+
+    static final String CUT_MARK = "...";
+
     /** Time between the first line of a batch and its writing, ms; a longer delay costs fewer wake-ups. */
     private static final long BATCH_DELAY_MS = 200;
 
@@ -50,11 +55,28 @@
 
     @Override
     public void log(EventCode code, String subject, Object... fields) {
-        if (!queue.offer(new Line(wallMillis.getAsLong(), code, subject, fields))) {
+        if (!queue.offer(new Line(wallMillis.getAsLong(), code, cut(subject), cut(fields)))) {
             dropped.incrementAndGet();
         }
     }
 
+    private static Object[] cut(Object... fields) {
+        Object[] kept = fields;
+        for (int i = 0; i < fields.length; i++) {
+            if (fields[i] instanceof String && ((String) fields[i]).length() > MAX_TEXT_LENGTH) {
+                kept = kept == fields ? fields.clone() : kept;
+                kept[i] = cut((String) fields[i]);
+            }
+        }
+        return kept;
+    }
+
+    private static String cut(String text) {
+        return text == null || text.length() <= MAX_TEXT_LENGTH
+                ? text
+                : text.substring(0, MAX_TEXT_LENGTH - CUT_MARK.length()) + CUT_MARK;
+    }
+
     private void run() {
         try {
             while (!Thread.currentThread().isInterrupted()) {
--- a/entry/src/test/java/org/quetzalvane/entry/ClientCrowd.java
+++ b/entry/src/test/java/org/quetzalvane/entry/ClientCrowd.java
@@ -24,6 +24,8 @@
     private static final int TRAILER_BYTES = 16_000;
     private static final int BODY_BYTES = 60_000;
     private static final int PIPELINED = 6;
+    private static final int LONG_PATH = 7_000;
+    private static final int LONG_ID = 15_000;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     private static final int ROUNDS = 40;
     private static final long ROUND_PAUSE_MS = 50;
@@ -52,6 +54,11 @@
             }
             return all.toString();
         }),
+        /** Whole requests of long ids for paths that no route has, one behind the other. */
+        LONG_TEXTS(i -> ("POST /unknown" + "p".repeat(LONG_PATH)
+                        + " HTTP/1.1\r\nHost: h.example\r\nX-Deadline-Ms: 8000\r\n" + "Content-Length: 0\r\n"
+                        + CallerClient.ID_HEADER + ": " + "i".repeat(LONG_ID) + "\r\n\r\n")
+                .repeat(PIPELINED)),
         /** A body in large chunks that stops short of its end. */
         LARGE_CHUNKS(i -> head(i, "POST", "Transfer-Encoding: chunked\r\n", "") + "\r\n"
                 + Integer.toHexString(BODY_BYTES) + "\r\n" + "x".repeat(BODY_BYTES - 1)),
--- a/entry/src/test/java/org/quetzalvane/entry/JsonLineLogTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/JsonLineLogTest.java
@@ -51,6 +51,26 @@
         assertThat(last.path("lines").asInt()).isEqualTo(500);
     }
 
+    /** Guards against lines that fill the heap, since clients choose the ids and paths in them. */
+    @Test
+    void longTextsAreCut() throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        JsonLineLog lines = new JsonLineLog("n1", () -> 0, out);
+        Object[] fields = {"code", 110, "route", "/" + "p".repeat(8_000)};
+        lines.log(EventCode.REQUEST_REFUSED, "i".repeat(16_000), fields);
+        lines.flush();
+        JsonNode n = mapper.readTree(out.toByteArray());
+        assertThat(n.path("subject").asText())
+                .hasSize(JsonLineLog.MAX_TEXT_LENGTH)
+                .startsWith("iii")
+                .endsWith(JsonLineLog.CUT_MARK);
+        assertThat(n.path("route").asText())
+                .hasSize(JsonLineLog.MAX_TEXT_LENGTH)
+                .startsWith("/ppp");
+        assertThat(n.path("code").asInt()).isEqualTo(110);
+        assertThat(fields[3]).asString().as("the caller's array").hasSize(8_001);
+    }
+
     @Test
     void blockedOutputDoesNotBlockCallingThread() throws InterruptedException {
         CountDownLatch blocked = new CountDownLatch(1);
