--- a/core/src/test/java/org/quetzalvane/core/team/RetryBudgetOverNodesTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/RetryBudgetOverNodesTest.java
@@ -226,6 +226,18 @@
         assertWithinBudget();
     }
 
+    /** Nodes that hear nothing of each other, from peers or the store, for longer than a silent node counts. */
+    @Test
+    void nodesThatAreCutForLongerThanTheyAreRemembered() {
+        startNodes(NODES);
+        storeReachable = false;
+        nodes.subList(0, NODES / 2).forEach(n -> n.part = 1);
+        run(330_000 / STEP_MS);
+        failing = true;
+        run(3 * WINDOW_STEPS);
+        assertWithinBudget();
+    }
+
     @Test
     void nodesThatJoinAndLeave() {
         startNodes(NODES / 2);
