Let the callers of LostSoak pipeline requests

LostSoak sent one request at a time on a connection and found nothing where the users found LOST. One in six times its callers send two requests together now.

--- a/entry/src/test/java/org/quetzalvane/entry/KeptConnection.java
+++ b/entry/src/test/java/org/quetzalvane/entry/KeptConnection.java
@@ -8,6 +8,8 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
@@ -53,11 +55,27 @@
 
     /** Sends a request and reads until its response is complete or the connection has ended. */
     LostJudge.Outcome call(String node, Request r) throws InterruptedException {
-        status = 0;
         boolean sent = send(r);
+        return read(node, r, sent);
+    }
+
+    /** The same for requests without bodies that are sent together. */
+    List<LostJudge.Outcome> callTogether(String node, List<Request> requests) throws InterruptedException {
+        StringBuilder heads = new StringBuilder();
+        requests.forEach(r -> heads.append(head(r)));
+        boolean sent = sendTogether(heads.toString());
+        List<LostJudge.Outcome> outcomes = new ArrayList<>();
+        for (Request r : requests) {
+            outcomes.add(read(node, r, sent));
+        }
+        return outcomes;
+    }
+
+    private LostJudge.Outcome read(String node, Request r, boolean sent) {
+        status = 0;
         boolean complete = false;
         try {
-            complete = readResponse();
+            complete = open && readResponse();
         } catch (SocketTimeoutException e) {
             status = -1;
         } catch (IOException e) {
@@ -74,9 +92,23 @@
         socket.close();
     }
 
-    private boolean send(Request r) throws InterruptedException {
-        String head = CallerClient.request("POST", r.path(), r.id(), r.adapter(), "")
+    private static String head(Request r) {
+        return CallerClient.request("POST", r.path(), r.id(), r.adapter(), "")
                 .replace(NO_BODY, "Content-Length: " + r.bodyBytes());
+    }
+
+    private boolean sendTogether(String heads) {
+        try {
+            sentNanos = System.nanoTime();
+            socket.getOutputStream().write(heads.getBytes(StandardCharsets.ISO_8859_1));
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private boolean send(Request r) throws InterruptedException {
+        String head = head(r);
         try {
             OutputStream out = socket.getOutputStream();
             // Taken before the last write, since the node may answer before that returns.
--- a/entry/src/test/java/org/quetzalvane/entry/LostSoak.java
+++ b/entry/src/test/java/org/quetzalvane/entry/LostSoak.java
@@ -40,6 +40,8 @@
     private static final long NEXT_EVENT_MS = 700;
     private static final long WATCH_MS = 50;
     private static final int LARGE_BYTES = 60_000;
+    /** One in this many times, a caller sends two requests together. */
+    private static final int PIPELINED_PART = 6;
 
     private final Random random;
     private final Path directory;
@@ -187,7 +189,13 @@
             while (!ended) {
                 try (KeptConnection c = new KeptConnection(address)) {
                     while (c.open() && !ended) {
-                        judge.add(c.call(node.settings().nodeName(), request(name + "-" + n++, own)));
+                        if (own.nextInt(PIPELINED_PART) == 0) {
+                            List<KeptConnection.Request> together =
+                                    List.of(withoutBody(name + "-" + n++, own), withoutBody(name + "-" + n++, own));
+                            c.callTogether(node.settings().nodeName(), together).forEach(judge::add);
+                        } else {
+                            judge.add(c.call(node.settings().nodeName(), request(name + "-" + n++, own)));
+                        }
                         TimeUnit.MILLISECONDS.sleep(own.nextInt(100));
                     }
                 } catch (IOException e) {
@@ -198,6 +206,11 @@
         });
     }
 
+    private static KeptConnection.Request withoutBody(String id, Random own) {
+        KeptConnection.Request r = request(id, own);
+        return new KeptConnection.Request(id, r.path(), r.adapter(), 0, 0);
+    }
+
     private static KeptConnection.Request request(String id, Random own) {
         int kind = own.nextInt(10);
         boolean slow = own.nextInt(6) == 0;
