--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -16,7 +16,6 @@
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.Endpoint;
-import org.quetzalvane.core.limit.ConnectionCapacities;
 import org.quetzalvane.core.limit.EndpointPermits;
 import org.quetzalvane.core.limit.MemoryAccount;
 import org.quetzalvane.core.residency.AdapterUsage;
@@ -82,8 +81,6 @@
     private static final long NON_RETRYABLE_MAX_IDLE_MS = 1_500;
     /** Retry time of requests whose body cannot be held, ms; slow endpoints take seconds for a body. */
     private static final long MEMORY_RETRY_AFTER_MS = 1_000;
-    /** Descriptors of a process whose limit neither the settings nor the operating system states. */
-    private static final int DEFAULT_DESCRIPTORS = 4_096;
     /** Partition whose owner records the software versions that serve. */
     private static final int SERVED_VERSIONS_PARTITION = 0;
     /** One in this many {@code REQUEST_DONE} events is logged, chosen by the hash of the request id. */
@@ -124,7 +121,7 @@
 
     EntryNode(BootSettings settings) {
         this.settings = settings;
-        connections = ListenerConnections.of(ConnectionCapacities.of(descriptors(settings)));
+        connections = ListenerConnections.of(settings);
         lineLog = new JsonLineLog(settings.nodeName(), loop::wallMillis, System.out);
         log = this::logEvent;
         loop.onFailure(this::logTaskFailure);
@@ -192,10 +189,6 @@
         platform.endpoints().onNewInstance(this::dropPreviousInstanceState);
     }
 
-    private static int descriptors(BootSettings s) {
-        return s.descriptors() > 0 ? s.descriptors() : ProcessLimits.openFiles(DEFAULT_DESCRIPTORS);
-    }
-
     void start() {
         lineLog.start();
         log.log(EventCode.NODE_STARTED, settings.nodeName(), "peers", settings.peerAddress());
--- a/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
+++ b/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
@@ -23,15 +23,21 @@
 
     /** Settings with another grace period, ms. */
     static BootSettings withGracePeriod(BootSettings s, long gracePeriodMs) {
-        return copy(s, gracePeriodMs, s.revocation());
+        return copy(s, gracePeriodMs, s.revocation(), s.descriptors());
+    }
+
+    /** Settings that state the most descriptors. */
+    static BootSettings withDescriptors(BootSettings s, int descriptors) {
+        return copy(s, s.gracePeriodMs(), s.revocation(), descriptors);
     }
 
     /** Settings with another behaviour while the configuration may be out of date. */
     static BootSettings withRevocation(BootSettings s, BootSettings.Revocation revocation) {
-        return copy(s, s.gracePeriodMs(), revocation);
+        return copy(s, s.gracePeriodMs(), revocation, s.descriptors());
     }
 
-    private static BootSettings copy(BootSettings s, long gracePeriodMs, BootSettings.Revocation revocation) {
+    private static BootSettings copy(
+            BootSettings s, long gracePeriodMs, BootSettings.Revocation revocation, int descriptors) {
         return new BootSettings(
                 s.nodeName(),
                 s.zone(),
@@ -53,7 +59,7 @@
                 s.maxDirectoryTtlS(),
                 revocation,
                 s.quota(),
-                s.descriptors());
+                descriptors);
     }
 
     /** The same with the given part of the requests, and number beyond it, that all nodes may retry in a window. */
