--- a/entry/src/test/java/org/quetzalvane/entry/ClientCrowd.java
+++ b/entry/src/test/java/org/quetzalvane/entry/ClientCrowd.java
@@ -56,7 +56,8 @@
         }),
         /** Whole requests of long ids for paths that no route has, one behind the other. */
         LONG_TEXTS(i -> ("POST /unknown" + "p".repeat(LONG_PATH)
-                        + " HTTP/1.1\r\nHost: h.example\r\nX-Deadline-Ms: 8000\r\n" + "Content-Length: 0\r\n"
+                        + " HTTP/1.1\r\nHost: h.example\r\n" + CallerClient.DEADLINE_HEADER + ": 8000\r\n"
+                        + "Content-Length: 0\r\n"
                         + CallerClient.ID_HEADER + ": " + "i".repeat(LONG_ID) + "\r\n\r\n")
                 .repeat(PIPELINED)),
         /** A body in large chunks that stops short of its end. */
@@ -158,7 +159,7 @@
     /** A head up to its blank line that repeats a line up to the published limit. */
     private static String head(int i, String method, String headers, String line) {
         String begin = method + " /once/x HTTP/1.1\r\nHost: h.example\r\n" + CallerClient.ID_HEADER + ": crowd-" + i
-                + "\r\nX-Deadline-Ms: 8000\r\n" + headers;
+                + "\r\n" + CallerClient.DEADLINE_HEADER + ": 8000\r\n" + headers;
         return line.isEmpty() ? begin : begin + line.repeat((HEAD_BYTES - begin.length()) / line.length());
     }
 
