--- a/core/src/main/java/org/quetzalvane/core/serve/RetryAfter.java
+++ b/core/src/main/java/org/quetzalvane/core/limit/RetryAfter.java
@@ -1,4 +1,4 @@
-package org.quetzalvane.core.serve;
+package org.quetzalvane.core.limit;
 
 import org.quetzalvane.core.cluster.RendezvousHash;
 
--- a/core/src/main/java/org/quetzalvane/core/serve/EndpointSelection.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EndpointSelection.java
@@ -4,6 +4,7 @@
 
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.limit.RetryAfter;
 import org.quetzalvane.core.routes.RequiredVersions;
 import org.quetzalvane.core.routes.ServiceSpec;
 
--- a/core/src/main/java/org/quetzalvane/core/serve/EngineAcquisition.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EngineAcquisition.java
@@ -7,6 +7,7 @@
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.choice.EngineSelector;
 import org.quetzalvane.core.fleet.Endpoint;
+import org.quetzalvane.core.limit.RetryAfter;
 import org.quetzalvane.core.residency.AdapterLoader;
 import org.quetzalvane.core.residency.LoadRequest;
 import org.quetzalvane.core.routes.Route;
--- a/core/src/main/java/org/quetzalvane/core/serve/PermitGate.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/PermitGate.java
@@ -3,6 +3,7 @@
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.limit.Permit;
+import org.quetzalvane.core.limit.RetryAfter;
 import org.quetzalvane.core.residency.LoadRequest;
 import org.quetzalvane.core.routes.Route;
 
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -7,6 +7,7 @@
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.limit.Permit;
+import org.quetzalvane.core.limit.RetryAfter;
 import org.quetzalvane.core.quarantine.RequestContent;
 import org.quetzalvane.core.routes.Route;
 import org.quetzalvane.core.routes.ServiceSpec;
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.limit.RetryAfter;
 import org.quetzalvane.core.residency.AdapterLoader;
 import org.quetzalvane.core.routes.RouteKind;
 
--- a/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
@@ -23,7 +23,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.quetzalvane.core.limit.ConnectionTable;
-import org.quetzalvane.core.serve.RetryAfter;
+import org.quetzalvane.core.limit.RetryAfter;
 import org.quetzalvane.core.time.Scheduler;
 
 /**
