Let records of served versions prove only the epoch of the store in which they were complete

Cause: a node that starts has only the list and the records of served versions, both from the copy, and took one version known for one version served. Waiting until endpoints have written their entries again would prove nothing, since those of the lost version may be gone.

The records now state the epoch of the store in which they are complete. In another epoch, after a gap in following the list, or after a restore that the node did not follow, a node does not know the history for 60 s: streams of unknown origin are refused unless archived, and instances are asked for their start before a stream begins. A node that followed the list through the restore writes its versions and the statement again. Event 2017 names each change.

--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -25,6 +25,8 @@
     STORE_BACK(2011, "The platform store responds again."),
     STORE_READ_OVERDUE(2016, "A read of the platform store was not answered in time; another one is sent beside it."),
     SERVED_VERSIONS(2014, "The software versions that serve each service were recorded in the platform store."),
+    VERSION_HISTORY(
+            2017, "This node knows all software versions that lasting streams may have begun at, or no longer does."),
     STREAM_ORIGINS_KEPT(2015, "This node began to keep the software versions of streams in the platform store."),
     STORE_RESTORED(2013, "The platform store came back from a copy; its records are read again."),
     BAD_RECORD(2012, "A record of the platform store is invalid and was skipped."),
--- a/core/src/main/java/org/quetzalvane/core/serve/AttemptSender.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/AttemptSender.java
@@ -78,7 +78,7 @@
         if (lastEventId != null) {
             return EndpointRequest.Confirmation.REQUIRED;
         }
-        return shared.context().servedVersions().mixed()
+        return shared.context().servedVersions().maySeveralServe()
                 ? EndpointRequest.Confirmation.UNLESS_SILENT
                 : EndpointRequest.Confirmation.NONE;
     }
--- a/core/src/main/java/org/quetzalvane/core/serve/ServedVersions.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ServedVersions.java
@@ -17,8 +17,8 @@
      */
     void find(String service, Consumer<Set<String>> done);
 
-    /** Whether a service has several software versions, as far as this node knows. */
-    default boolean mixed() {
+    /** Whether a service may have several software versions: this node knows them, or cannot rule them out. */
+    default boolean maySeveralServe() {
         return false;
     }
 }
--- a/core/src/main/java/org/quetzalvane/core/store/WritableTopic.java
+++ b/core/src/main/java/org/quetzalvane/core/store/WritableTopic.java
@@ -7,6 +7,9 @@
 /** Port to one keyed topic that the product itself writes. Responses arrive on the event loop, once each. */
 public interface WritableTopic extends KeyedTopic {
 
+    /** Number that the store's last answer stated and that rises each time the store comes back from a copy. */
+    long epoch();
+
     /**
      * Writes and removes records in one call, all or none of them.
      *
--- a/core/src/main/java/org/quetzalvane/core/team/ServedVersionTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/ServedVersionTable.java
@@ -1,6 +1,5 @@
 package org.quetzalvane.core.team;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -8,9 +7,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 
-import net.openhft.hashing.LongHashFunction;
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
 import org.quetzalvane.core.fleet.EndpointTable;
@@ -18,9 +15,9 @@
 import org.quetzalvane.core.serve.ServedVersions;
 import org.quetzalvane.core.store.KeyedTopic;
 import org.quetzalvane.core.store.SharedRead;
-import org.quetzalvane.core.store.StoreRecord;
 import org.quetzalvane.core.store.WritableTopic;
 import org.quetzalvane.core.time.Scheduler;
+import org.quetzalvane.core.time.Stopwatch;
 
 /**
  * The software versions that have served each service, kept in the platform's store beyond the life of all nodes.
@@ -29,16 +26,21 @@
  * the one that began a stream. One node, the writer, records each version when its first endpoint is listed, and
  * removes it once it has been missing for {@link EndpointTable#RETENTION_MS}, longer than any stream lasts. A node that
  * is asked for a stream of unknown origin reads the list and the records anew, unless it knows several versions: it may
- * have been frozen or cut off while another version joined. Confined to the event loop.
+ * have been frozen or cut off while another version joined.
+ *
+ * <p>Knowing one version proves nothing unless the history is complete, that is, unless no version that this node does
+ * not know can have begun a stream that still lasts. It is complete if the records state so for the current epoch of
+ * the store, if there are no records at all because no node has served before, or once the node has followed the list
+ * for the retention time. It is incomplete again after a gap in following the list, and after a restore of the store
+ * that the node did not follow. Confined to the event loop.
  */
 public final class ServedVersionTable implements ServedVersions {
     /** Interval at which the writer compares the list with what it has recorded, ms. */
     static final long CHECK_INTERVAL_MS = 500;
     /** Time after which a read of the list or of the records counts as failed, ms. */
     public static final long LOOKUP_TIMEOUT_MS = 300;
-
-    private static final LongHashFunction HASH = LongHashFunction.xx3();
-    private static final char SEPARATOR = '\n';
+    /** Shortest interval between reads of the records while the history is incomplete, ms. */
+    static final long REREAD_INTERVAL_MS = 2_000;
 
     private final Scheduler scheduler;
     private final WritableTopic topic;
@@ -48,14 +50,18 @@
     private final StructuredLog log;
     private final SharedRead listReads;
     private final SharedRead recordReads;
-    /** Time since which this node has followed the endpoints' list, or -1 before it knows the list. */
+    /** Time since which this node has followed the endpoints' list without a gap, or -1. */
     private long followedSinceNanos = -1;
-    /** Versions that the store held when this node first read them, or null. */
+    /** Whether this node knows all versions that streams which still last may have begun at. */
+    private boolean complete;
+    /** Versions that the store held when this node began to follow the list, or null. */
     private Set<ServiceVersion> recorded;
     /** Versions that the store held when a lookup last read them. */
     private Set<ServiceVersion> lastRead = Set.of();
     /** Listed versions that this node, as the writer, last found or wrote in the store; null if it must look again. */
     private Set<ServiceVersion> confirmed;
+    /** Runs since the records were last asked for because the history was incomplete; null before that. */
+    private Stopwatch sinceRead;
 
     private boolean writing;
 
@@ -91,9 +97,15 @@
         check();
     }
 
-    /** Looks again whether the store holds the records, because it came back from a copy that may lack them. */
+    /**
+     * Looks again whether the store holds the records, because it came back from a copy that may lack them. A node that
+     * did not follow the list until then may have missed versions that nobody can tell it of any more.
+     */
     public void storeRestored() {
         confirmed = null;
+        if (!listCurrent.getAsBoolean()) {
+            forget("restored while the list was not current");
+        }
     }
 
     @Override
@@ -104,7 +116,7 @@
         }
         listReads.then(listRead -> {
             if (listRead) {
-                recordReads.then(recordsRead -> done.accept(recordsRead ? withListed(service, lastRead) : Set.of()));
+                recordReads.then(recordsRead -> done.accept(recordsRead && complete ? versions(service) : Set.of()));
             } else {
                 done.accept(Set.of());
             }
@@ -112,17 +124,29 @@
     }
 
     @Override
-    public boolean mixed() {
-        Set<ServiceVersion> versions = new HashSet<>(endpoints.softwareVersions());
-        if (recorded != null && !followedLongEnough()) {
-            versions.addAll(recorded);
+    public boolean maySeveralServe() {
+        if (!complete) {
+            readRecords();
+            return true;
         }
+        Set<ServiceVersion> versions = served();
         return versions.stream().map(ServiceVersion::service).distinct().count() < versions.size();
     }
 
-    private Set<String> withListed(String service, Set<ServiceVersion> known) {
-        Set<String> versions = new HashSet<>(endpoints.softwareVersions(service));
-        known.stream().filter(v -> v.service().equals(service)).forEach(v -> versions.add(v.softwareVersion()));
+    private Set<String> versions(String service) {
+        Set<ServiceVersion> all = served();
+        all.addAll(lastRead);
+        Set<String> versions = new HashSet<>();
+        all.stream().filter(v -> v.service().equals(service)).forEach(v -> versions.add(v.softwareVersion()));
+        return versions;
+    }
+
+    /** Versions known to have served within the retention time. */
+    private Set<ServiceVersion> served() {
+        Set<ServiceVersion> versions = new HashSet<>(endpoints.softwareVersions());
+        if (recorded != null && !followedLongEnough()) {
+            versions.addAll(recorded);
+        }
         return versions;
     }
 
@@ -131,25 +155,76 @@
                 && scheduler.nanoTime() - followedSinceNanos >= EndpointTable.RETENTION_MS * 1_000_000;
     }
 
+    private void readRecords() {
+        if (sinceRead == null || sinceRead.elapsedMs() >= REREAD_INTERVAL_MS) {
+            sinceRead = Stopwatch.start(scheduler);
+            recordReads.then(read -> {});
+        }
+    }
+
     private void recordsRead(KeyedTopic.ReadResult result) {
-        Set<ServiceVersion> read = decode(result);
+        ServedVersionRecords read = ServedVersionRecords.decode(result, log);
         if (read != null) {
-            lastRead = read;
-            recorded = recorded == null ? read : recorded;
+            lastRead = read.versions();
+            apply(read);
+        }
+    }
+
+    private void apply(ServedVersionRecords read) {
+        if (recorded == null) {
+            recorded = read.versions();
+        }
+        if (read.completeEpoch() == topic.epoch()) {
+            complete("stated by the records");
+        } else if (read.isEmpty()) {
+            complete("no records");
+        }
+    }
+
+    private void complete(String why) {
+        if (!complete) {
+            complete = true;
+            confirmed = null;
+            logHistory(why);
         }
     }
 
+    /** Starts anew to follow the list: versions may have joined and left unseen. */
+    private void forget(String why) {
+        followedSinceNanos = -1;
+        recorded = null;
+        sinceRead = null;
+        if (complete) {
+            complete = false;
+            logHistory(why);
+        }
+    }
+
+    private void logHistory(String why) {
+        log.log(EventCode.VERSION_HISTORY, "store", "complete", complete, "why", why, "epoch", topic.epoch());
+    }
+
     private void check() {
         scheduler.schedule(Duration.ofMillis(CHECK_INTERVAL_MS), this::check);
-        boolean current = listCurrent.getAsBoolean();
-        if (followedSinceNanos < 0 && current) {
+        if (!listCurrent.getAsBoolean()) {
+            forget("list not current");
+            confirmed = null;
+            return;
+        }
+        if (followedSinceNanos < 0) {
             followedSinceNanos = scheduler.nanoTime();
         }
-        if (!current || !writer.getAsBoolean()) {
+        if (followedLongEnough()) {
+            complete("followed");
+        }
+        Set<ServiceVersion> listed = endpoints.softwareVersions();
+        if (!writer.getAsBoolean()) {
             confirmed = null;
+            if (!complete && !listed.isEmpty()) {
+                readRecords();
+            }
             return;
         }
-        Set<ServiceVersion> listed = endpoints.softwareVersions();
         if (!writing && !listed.isEmpty() && !listed.equals(confirmed)) {
             writing = true;
             topic.readNewest(result -> writeDifference(listed, result));
@@ -157,29 +232,39 @@
     }
 
     private void writeDifference(Set<ServiceVersion> listed, KeyedTopic.ReadResult result) {
-        Set<ServiceVersion> stored = decode(result);
+        ServedVersionRecords stored = ServedVersionRecords.decode(result, log);
         if (stored == null || !writer.getAsBoolean() || !listCurrent.getAsBoolean()) {
             writing = false;
             return;
         }
-        if (recorded == null) {
-            recorded = stored;
-        }
-        Set<ServiceVersion> missing = difference(listed, stored);
-        Set<ServiceVersion> obsolete = difference(stored, listed);
+        apply(stored);
+        Set<ServiceVersion> missing = difference(served(), stored.versions());
+        Set<ServiceVersion> obsolete = difference(stored.versions(), listed);
         if (!obsolete.isEmpty() && !followedLongEnough()) {
             obsolete = Set.of();
             scheduler.schedule(Duration.ofMillis(EndpointTable.RETENTION_MS), () -> confirmed = null);
         }
-        if (missing.isEmpty() && obsolete.isEmpty()) {
+        boolean states = complete && stored.completeEpoch() != topic.epoch();
+        if (missing.isEmpty() && obsolete.isEmpty() && !states) {
             written(listed, true);
             return;
         }
-        log.log(EventCode.SERVED_VERSIONS, "store", "added", missing, "removed", obsolete);
-        Map<String, byte[]> values = new HashMap<>();
-        missing.forEach(v -> values.put(key(v), encode(v)));
-        Set<String> removed = obsolete.stream().map(ServedVersionTable::key).collect(Collectors.toSet());
-        topic.write(values, removed, acknowledged -> written(listed, acknowledged));
+        log.log(
+                EventCode.SERVED_VERSIONS,
+                "store",
+                "added",
+                missing,
+                "removed",
+                obsolete,
+                "complete",
+                complete,
+                "epoch",
+                topic.epoch());
+        Map<String, byte[]> values = new HashMap<>(ServedVersionRecords.encode(missing));
+        if (states) {
+            values.putAll(ServedVersionRecords.encodeStatement(topic.epoch()));
+        }
+        topic.write(values, ServedVersionRecords.keys(obsolete), acknowledged -> written(listed, acknowledged));
     }
 
     private void written(Set<ServiceVersion> listed, boolean acknowledged) {
@@ -192,34 +277,4 @@
         rest.removeAll(without);
         return rest;
     }
-
-    private static String key(ServiceVersion v) {
-        return Long.toHexString(HASH.hashChars(text(v)));
-    }
-
-    private static byte[] encode(ServiceVersion v) {
-        return text(v).getBytes(StandardCharsets.UTF_8);
-    }
-
-    private static String text(ServiceVersion v) {
-        return v.service() + SEPARATOR + v.softwareVersion();
-    }
-
-    /** The versions in a listing, or null if it failed; a record that is not of this form is logged and skipped. */
-    private Set<ServiceVersion> decode(KeyedTopic.ReadResult result) {
-        if (result.outcome() != KeyedTopic.Outcome.OK) {
-            return null;
-        }
-        Set<ServiceVersion> versions = new HashSet<>();
-        for (StoreRecord r : result.records()) {
-            String text = r.value() == null ? "" : new String(r.value(), StandardCharsets.UTF_8);
-            int at = text.indexOf(SEPARATOR);
-            if (at > 0) {
-                versions.add(new ServiceVersion(text.substring(0, at), text.substring(at + 1)));
-            } else if (r.value() != null) {
-                log.log(EventCode.BAD_RECORD, r.key(), "offset", r.offset(), "cause", "no service and version");
-            }
-        }
-        return versions;
-    }
 }
--- a/core/src/test/java/org/quetzalvane/core/team/FakeWritableTopic.java
+++ b/core/src/test/java/org/quetzalvane/core/team/FakeWritableTopic.java
@@ -17,6 +17,9 @@
     /** Answers that the test gives later, or null to give them at once. */
     List<Runnable> held;
 
+    /** Rises when the store comes back from a copy. */
+    long epoch;
+
     int writes;
     int reads;
 
@@ -25,6 +28,11 @@
         return "fake";
     }
 
+    @Override
+    public long epoch() {
+        return epoch;
+    }
+
     @Override
     public void readNewest(Consumer<ReadResult> done) {
         reads++;
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -166,7 +166,7 @@
                 loop,
                 store.streamOrigins(),
                 peerService.streamOrigins(),
-                () -> recordsServedVersions() && platform.servedVersions().mixed(),
+                () -> recordsServedVersions() && platform.servedVersions().maySeveralServe(),
                 log);
         peerService.streamOrigins().setArchive(originArchive);
         platform.exchange(relay, peerService::relayRecords);
--- a/entry/src/test/java/org/quetzalvane/entry/MixedVersionStreamTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/MixedVersionStreamTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalvane.platform.BootSettings;
 import org.quetzalvane.platform.standin.CallerClient;
 import org.quetzalvane.platform.standin.EndpointStandIn;
@@ -194,6 +195,35 @@
         }
     }
 
+    /** Nodes that started after a restore took the only version in the copy for the one that had begun the streams. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void streamBrokenByTheLossOfAllNodesDoesNotGoOnAtTheOnlyVersionInACopy(boolean servesOn) throws Exception {
+        startEngines("v1");
+        startNodes();
+        begin("first");
+        awaitRecorded("v1");
+        store.takeCopy();
+        startEngine("engine-2", "v2");
+        awaitNewStreamsAt("v2");
+        for (int i = 0; i < STREAMS; i++) {
+            begin("broken-" + i);
+        }
+        cluster.closeNodes();
+        store.restoreCopy();
+        startNodes();
+        if (servesOn) {
+            store.writeEndpoint("engine-2", engines.get(1).entry());
+        }
+        for (int i = 0; i < STREAMS; i++) {
+            assertThat(requestResume(i % 2 == 0 ? first : second, "broken-" + i, "again-" + i))
+                    .startsWith("HTTP/1.1 503");
+            assertThat(ran("again-" + i)).isFalse();
+        }
+        awaitNewStreamsAt("v1");
+        assertThat(versions(begin("new"))).hasSize(1);
+    }
+
     /** Sends a request whose stream breaks off after its third event, at every attempt. */
     private String begin(String id) throws IOException {
         return CallerClient.send(first.callerAddress(), "POST", "/events/x", id, "m/a1");
