Take the first byte of an engine's response for its beginning

Cause: an attempt was reported with the parts of its prompt only once a complete head of a stream had arrived.

The client now reports the first bytes of a head, once and not beside a whole one. They count as the beginning of an engine's response, as does the head of one that is no stream; such a response clears its parts when complete.

The new cases of QuarantinedRequestTest and TruncatedResponseTest need the new report.

--- a/core/src/main/java/org/quetzalvane/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/PromptQuarantine.java
@@ -25,8 +25,9 @@
     /**
      * Records that the connection of an attempt broke before the response was complete.
      *
-     * @param request the request; without the parts of its prompt if nothing shows that the response had begun
-     * @param beginningMs time since the head of this attempt's stream arrived, ms; if none did, since it was sent
+     * @param request the request; without the parts of its prompt if no byte of a response had arrived
+     * @param beginningMs time since the head of this attempt's stream arrived, ms; since the first byte of the response
+     *     if no such head did, or since it was sent if no byte arrived or the service has no models
      */
     void recordBroken(Endpoint endpoint, RequestContent request, long beginningMs);
 
--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -133,7 +133,7 @@
         this.writeCheck = new WriteCheck(context, request, endpoint, retry);
         this.sentNanos = context.scheduler().nanoTime();
         this.held = context.memory().open(MemoryAccount.Kind.RESPONSE_PART, this::shed);
-        this.beginning = new ResponseBeginning(context, shared.content(), endpoint);
+        this.beginning = new ResponseBeginning(context, shared.content(), endpoint, endpointIsEngine);
         this.silence = new SilenceMonitor(context.scheduler(), this::silenceLimitMs, this::reportSilence);
         context.endpointLoads()
                 .requestStarted(endpoint.id(), request.tokenCounts().prompt());
@@ -234,12 +234,18 @@
         return open && writeCheck.passes();
     }
 
+    @Override
+    public void partOfHead() {
+        beginning.answered();
+    }
+
     @Override
     public void head(ResponseHead h) {
         if (!open) {
             return;
         }
         head = h;
+        beginning.answered();
         silence.recordProgress();
         handler.progressed(this);
         if (h.notRun()) {
@@ -261,7 +267,7 @@
             close(true);
             handler.failed(this, ResultCode.STREAM_BROKEN, "resume status=" + h.status(), false);
         } else if (h.success() && h.eventStream()) {
-            beginning.begun();
+            beginning.streamBegun();
             beginEventStream(h);
         } else {
             buffer = new BodyBuffer();
--- a/core/src/main/java/org/quetzalvane/core/serve/EndpointClient.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EndpointClient.java
@@ -32,6 +32,9 @@
          */
         boolean beforeWrite();
 
+        /** The endpoint has begun to write a response, of which the head is not complete. */
+        default void partOfHead() {}
+
         void head(ResponseHead head);
 
         void body(byte[] chunk);
--- a/core/src/main/java/org/quetzalvane/core/serve/ResponseBeginning.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ResponseBeginning.java
@@ -7,35 +7,51 @@
 
 /**
  * Tells the quarantine how far the response of one attempt got: past its beginning, or broken off before that. A stream
- * begins with its head; what does not stream is in its beginning from the time it was sent, and past it when complete.
- * Confined to the event loop.
+ * begins with its head, or with the first byte of a head that stays incomplete. Another response of an engine is in its
+ * beginning from its first byte, one of a service without models from the time the request was sent; both are past it
+ * when complete. Confined to the event loop.
  */
 final class ResponseBeginning {
-    private static final long NOT_BEGUN = Long.MIN_VALUE;
+    private static final long NEVER = Long.MIN_VALUE;
 
     private final Scheduler scheduler;
     private final PromptQuarantine quarantine;
     private final RequestContent content;
     private final Endpoint endpoint;
+    private final boolean readsPrompt;
     private final long sentNanos;
-    private long begunNanos = NOT_BEGUN;
+    private long answeredNanos = NEVER;
+    private long streamNanos = NEVER;
     private boolean past;
 
-    ResponseBeginning(ServingContext context, RequestContent content, Endpoint endpoint) {
+    /**
+     * Creates the beginning of a response that has not begun.
+     *
+     * @param readsPrompt whether the endpoint serves models, so that its response shows that it has read the prompt
+     */
+    ResponseBeginning(ServingContext context, RequestContent content, Endpoint endpoint, boolean readsPrompt) {
         this.scheduler = context.scheduler();
         this.quarantine = context.quarantine();
         this.content = content;
         this.endpoint = endpoint;
+        this.readsPrompt = readsPrompt;
         this.sentNanos = scheduler.nanoTime();
     }
 
+    /** The first bytes of a response arrived. */
+    void answered() {
+        if (readsPrompt && answeredNanos == NEVER) {
+            answeredNanos = scheduler.nanoTime();
+        }
+    }
+
     /** The head of a successful stream arrived. */
-    void begun() {
-        begunNanos = scheduler.nanoTime();
+    void streamBegun() {
+        streamNanos = scheduler.nanoTime();
     }
 
     void chunkReceived() {
-        if (begunNanos != NOT_BEGUN && msSince(begunNanos) >= PromptQuarantine.BEGINNING_MS) {
+        if (streamNanos != NEVER && msSince(streamNanos) >= PromptQuarantine.BEGINNING_MS) {
             recordPast();
         }
     }
@@ -47,10 +63,12 @@
 
     /** The connection broke before the response was complete. */
     void broken() {
-        if (begunNanos == NOT_BEGUN) {
-            quarantine.recordBroken(endpoint, content.withoutPromptParts(), msSince(sentNanos));
+        if (streamNanos != NEVER) {
+            quarantine.recordBroken(endpoint, content, msSince(streamNanos));
+        } else if (answeredNanos != NEVER) {
+            quarantine.recordBroken(endpoint, content, msSince(answeredNanos));
         } else {
-            quarantine.recordBroken(endpoint, content, msSince(begunNanos));
+            quarantine.recordBroken(endpoint, content.withoutPromptParts(), msSince(sentNanos));
         }
     }
 
@@ -71,7 +89,8 @@
     private void recordPast() {
         if (!past) {
             past = true;
-            quarantine.recordPastBeginning(begunNanos == NOT_BEGUN ? content.withoutPromptParts() : content);
+            boolean promptRead = answeredNanos != NEVER || streamNanos != NEVER;
+            quarantine.recordPastBeginning(promptRead ? content : content.withoutPromptParts());
         }
     }
 }
--- a/core/src/test/java/org/quetzalvane/core/serve/QuarantinedRequestTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/QuarantinedRequestTest.java
@@ -85,6 +85,49 @@
         assertThat(quarantine.told).contains("broken " + client.sent.get(0) + " " + begunMs + " " + content);
     }
 
+    /** An engine that ended before the head of its answer was complete was not taken to have read the prompt. */
+    @ParameterizedTest
+    @CsvSource({"0, 0", "0, 80", "100, 80"})
+    void attemptThatBreaksWithinItsHeadIsReportedWithThePartsOfItsPrompt(long waitedMs, long answeredMs) {
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        advance(waitedMs);
+        client.last().partOfHead();
+        advance(answeredMs);
+        client.last().failed(false, "reset");
+        RequestContent content = content(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        assertThat(quarantine.told).contains("broken " + client.sent.get(0) + " " + answeredMs + " " + content);
+    }
+
+    /** An answer of an engine that is no stream begins and passes like one. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void answerOfAnEngineThatIsNoStreamIsReportedWithThePartsOfItsPrompt(boolean completes) {
+        start(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        client.last().head(plainHead(200));
+        client.last().body(EVENT);
+        advance(80);
+        RequestContent content = content(RouteKind.STREAMING, RESIDENT_ADAPTER);
+        if (completes) {
+            client.last().end();
+            assertThat(quarantine.told).last().isEqualTo("past " + content);
+        } else {
+            client.last().failed(false, "reset");
+            assertThat(quarantine.told).contains("broken " + client.sent.get(0) + " 80 " + content);
+        }
+    }
+
+    /** The age of a request without a prompt is counted from its send, whatever arrived of its response. */
+    @Test
+    void ageOfARequestOfAPlainServiceIncludesItsWait() {
+        start(RouteKind.NON_IDEMPOTENT, null);
+        advance(50);
+        client.last().partOfHead();
+        advance(30);
+        client.last().failed(false, "reset");
+        RequestContent identity = content(RouteKind.NON_IDEMPOTENT, null).withoutPromptParts();
+        assertThat(quarantine.told).contains("broken " + client.sent.get(0) + " 80 " + identity);
+    }
+
     /** Nothing shows that the engine had read the prompt. */
     @Test
     void attemptThatBreaksBeforeItsHeadIsReportedWithoutThePartsOfItsPrompt() {
--- a/core/src/test/java/org/quetzalvane/core/team/EngineSimulation.java
+++ b/core/src/test/java/org/quetzalvane/core/team/EngineSimulation.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -33,6 +34,8 @@
 
     /** Whether responses have no head before they are complete, as those of a plain service. */
     boolean plain;
+    /** Whether an engine ends under a crashing request before any byte of its answer has arrived; drawn for each. */
+    BooleanSupplier endsUnanswered = () -> false;
     /** Times that callers send a sound request again after it has failed. */
     int callerRepeats;
 
@@ -139,7 +142,9 @@
             instance = engine.instance;
             sentMs = network.nowMs();
             engine.runs.add(this);
-            if (!plain) {
+            if (!plain && guilty && endsUnanswered.getAsBoolean()) {
+                at(10 + random.nextLong(150), this::crash);
+            } else if (!plain) {
                 at(10 + random.nextLong(150), this::head);
             } else if (guilty) {
                 at(50 + random.nextLong(72), this::crash);
--- a/transport/src/main/java/org/quetzalvane/transport/ClientConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ClientConnection.java
@@ -59,6 +59,12 @@
     private boolean foreign;
 
     private boolean discarding;
+    /** Whether the bytes that arrived last may be part of the head of the response to the present call. */
+    private boolean partOfHead;
+
+    /** Whether any byte of that head was seen. */
+    private boolean headStarted;
+
     private long bytesWithoutProgress;
     private boolean keepAlive;
     private long idleSince;
@@ -109,6 +115,8 @@
         stopIdleTimer();
         listener = r;
         discarding = false;
+        partOfHead = false;
+        headStarted = false;
         bytesWithoutProgress = 0;
         keepAlive = false;
         decoder.startCall(request.method().equals(HttpMethod.HEAD));
@@ -194,6 +202,7 @@
     }
 
     private void handleHead(HttpResponse head) {
+        partOfHead = false;
         boolean interim = head.status().code() < 200;
         discarding = interim || !listener.matches(head, firstCall);
         if (discarding) {
@@ -202,6 +211,7 @@
             }
             return;
         }
+        headStarted = true;
         decoder.acceptHead();
         bytesWithoutProgress = 0;
         keepAlive = HttpUtil.isKeepAlive(head) && isDelimited(head);
@@ -287,6 +297,7 @@
 
     private void countBytes(int arrived) {
         bytesWithoutProgress += arrived;
+        partOfHead = arrived > 0 && !discarding;
     }
 
     private void afterRead() {
@@ -294,6 +305,10 @@
             reportForeign("bytes after a response");
             close();
         }
+        if (listener != null && partOfHead && !headStarted) {
+            headStarted = true;
+            listener.onPartOfHead();
+        }
         failIfWithoutProgress();
     }
 
--- a/transport/src/main/java/org/quetzalvane/transport/HttpResponseListener.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpResponseListener.java
@@ -17,6 +17,9 @@
         return true;
     }
 
+    /** Called when bytes have arrived that are no complete head yet; not called if the head arrives whole. */
+    default void onPartOfHead() {}
+
     void onHead(HttpResponse head);
 
     void onBody(byte[] chunk);
--- a/transport/src/test/java/org/quetzalvane/transport/TruncatedResponseTest.java
+++ b/transport/src/test/java/org/quetzalvane/transport/TruncatedResponseTest.java
@@ -121,6 +121,31 @@
         }
     }
 
+    /** An endpoint that ended while it wrote a head looked like one that had written nothing. */
+    @ParameterizedTest
+    @EnumSource(
+            value = Response.class,
+            names = {"LENGTH", "CHUNKS", "UNDELIMITED", "UNDELIMITED_ERROR"})
+    void partOfAHeadIsReportedOnceAndNotBesideAWholeOne(Response response) throws Exception {
+        List<Recorder> calls = callCutAfterEachByte(response.bytes(), HttpMethod.GET, End.RESET);
+        for (int cut = 0; cut < calls.size(); cut++) {
+            calls.get(cut).outcome();
+            assertThat(calls.get(cut).partsOfHead)
+                    .as("%s cut after %d bytes", response, cut)
+                    .isEqualTo(cut > 0 && cut < response.head.length() ? 1 : 0);
+        }
+    }
+
+    /** An interim response says nothing of the beginning of the final one. */
+    @Test
+    void interimHeadIsNoPartOfTheHead() throws Exception {
+        String interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        List<Recorder> calls = callCutAfterEachByte(interim, HttpMethod.GET, End.CLOSE);
+        Recorder whole = calls.get(interim.length());
+        assertThat(whole.outcome()).isEqualTo("failed");
+        assertThat(whole.partsOfHead).isZero();
+    }
+
     @ParameterizedTest
     @EnumSource(End.class)
     void headOfAResponseToAHeadRequestCutAfterAnyByteIsNeverComplete(End end) throws Exception {
@@ -223,6 +248,7 @@
     private static final class Recorder implements HttpResponseListener {
         private final CompletableFuture<String> outcome = new CompletableFuture<>();
         private final CompletableFuture<Void> body = new CompletableFuture<>();
+        private int partsOfHead;
         private int heads;
         private int outcomes;
         private boolean bodyBeforeHead;
@@ -235,6 +261,11 @@
             body.get(20, TimeUnit.SECONDS);
         }
 
+        @Override
+        public void onPartOfHead() {
+            partsOfHead++;
+        }
+
         @Override
         public void onHead(HttpResponse head) {
             heads++;
