Write the records of served versions again though a write is acknowledged late

Found by reading. A write that was acknowledged after the history had become complete, or after the store had come back from a copy, confirmed the listed versions alone, so that the statement of completeness, or what the copy lacks, was never written while the list stayed the same. Nodes that start later would refuse streams that may go on.

What a write confirms is now the listed versions, whether the records state completeness, and the epoch. The new test of ServedVersionTableTest failed before in 2 of 2 cases.

--- a/core/src/main/java/org/quetzalvane/core/team/ServedVersionTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/ServedVersionTable.java
@@ -58,13 +58,22 @@
     private Set<ServiceVersion> recorded;
     /** Versions that the store held when a lookup last read them. */
     private Set<ServiceVersion> lastRead = Set.of();
-    /** Listed versions that this node, as the writer, last found or wrote in the store; null if it must look again. */
-    private Set<ServiceVersion> confirmed;
+    /** What this node, as the writer, last found or wrote in the store; null if it must look again. */
+    private Written confirmed;
     /** Runs since the records were last asked for because the history was incomplete; null before that. */
     private Stopwatch sinceRead;
 
     private boolean writing;
 
+    /**
+     * What the records hold.
+     *
+     * @param listed listed versions, all of which are recorded
+     * @param complete whether the records state that they are complete
+     * @param epoch epoch of the store
+     */
+    private record Written(Set<ServiceVersion> listed, boolean complete, long epoch) {}
+
     /**
      * Creates the table of a node that knows nothing yet.
      *
@@ -98,8 +107,8 @@
     }
 
     /**
-     * Looks again whether the store holds the records, because it came back from a copy that may lack them. A node that
-     * did not follow the list until then may have missed versions that nobody can tell it of any more.
+     * Processes that the store came back from a copy, which may lack records. A node that did not follow the list until
+     * then may have missed versions that nobody can tell it of any more.
      */
     public void storeRestored() {
         confirmed = null;
@@ -184,7 +193,6 @@
     private void complete(String why) {
         if (!complete) {
             complete = true;
-            confirmed = null;
             logHistory(why);
         }
     }
@@ -225,7 +233,7 @@
             }
             return;
         }
-        if (!writing && !listed.isEmpty() && !listed.equals(confirmed)) {
+        if (!writing && !listed.isEmpty() && !new Written(listed, complete, topic.epoch()).equals(confirmed)) {
             writing = true;
             topic.readNewest(result -> writeDifference(listed, result));
         }
@@ -244,9 +252,10 @@
             obsolete = Set.of();
             scheduler.schedule(Duration.ofMillis(EndpointTable.RETENTION_MS), () -> confirmed = null);
         }
-        boolean states = complete && stored.completeEpoch() != topic.epoch();
+        Written next = new Written(listed, complete, topic.epoch());
+        boolean states = complete && stored.completeEpoch() != next.epoch;
         if (missing.isEmpty() && obsolete.isEmpty() && !states) {
-            written(listed, true);
+            written(next, true);
             return;
         }
         log.log(
@@ -259,17 +268,17 @@
                 "complete",
                 complete,
                 "epoch",
-                topic.epoch());
+                next.epoch);
         Map<String, byte[]> values = new HashMap<>(ServedVersionRecords.encode(missing));
         if (states) {
-            values.putAll(ServedVersionRecords.encodeStatement(topic.epoch()));
+            values.putAll(ServedVersionRecords.encodeStatement(next.epoch));
         }
-        topic.write(values, ServedVersionRecords.keys(obsolete), acknowledged -> written(listed, acknowledged));
+        topic.write(values, ServedVersionRecords.keys(obsolete), acknowledged -> written(next, acknowledged));
     }
 
-    private void written(Set<ServiceVersion> listed, boolean acknowledged) {
+    private void written(Written state, boolean acknowledged) {
         writing = false;
-        confirmed = acknowledged ? listed : null;
+        confirmed = acknowledged ? state : null;
     }
 
     private static Set<ServiceVersion> difference(Set<ServiceVersion> all, Set<ServiceVersion> without) {
--- a/core/src/test/java/org/quetzalvane/core/team/FakeWritableTopic.java
+++ b/core/src/test/java/org/quetzalvane/core/team/FakeWritableTopic.java
@@ -17,6 +17,8 @@
     /** Answers that the test gives later, or null to give them at once. */
     List<Runnable> held;
 
+    /** Acknowledgements of writes that the test gives later, or null to give them at once. */
+    List<Runnable> heldWrites;
     /** Rises when the store comes back from a copy. */
     long epoch;
 
@@ -65,7 +67,12 @@
             values.putAll(written);
             removed.forEach(values::remove);
         }
-        done.accept(!away);
+        boolean executed = !away;
+        if (heldWrites != null) {
+            heldWrites.add(() -> done.accept(executed));
+        } else {
+            done.accept(executed);
+        }
     }
 
     /** All values as text. */
--- a/core/src/test/java/org/quetzalvane/core/team/ServedVersionTableTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/ServedVersionTableTest.java
@@ -329,4 +329,26 @@
         advance(EndpointTable.RETENTION_MS + ServedVersionTable.CHECK_INTERVAL_MS);
         assertThat(find()).containsExactly("v1");
     }
+
+    /** What became known, or was lost, while a write was on its way was never written. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void recordsAreWrittenThoughAWriteIsAcknowledgedLate(boolean restored) {
+        topic.values.put("1", (SERVICE + "\nv1").getBytes(StandardCharsets.UTF_8));
+        list("old", "v1");
+        advance(EndpointTable.RETENTION_MS / 2);
+        Runnable restore = copyRecords();
+        topic.heldWrites = new ArrayList<>();
+        list("new", "v2");
+        advance(ServedVersionTable.CHECK_INTERVAL_MS);
+        if (restored) {
+            restore.run();
+            table.storeRestored();
+        }
+        advance(EndpointTable.RETENTION_MS);
+        topic.heldWrites.remove(0).run();
+        topic.heldWrites = null;
+        advance(ServedVersionTable.CHECK_INTERVAL_MS);
+        assertThat(topic.texts()).contains(SERVICE + "\nv1", SERVICE + "\nv2", restored ? "1" : "0");
+    }
 }
