--- a/entry/src/test/java/org/quetzalvane/entry/EntryProcess.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EntryProcess.java
@@ -126,6 +126,21 @@
         signal("-CONT");
     }
 
+    /** Freezes the node for a time. */
+    void freezeFor(long ms) throws IOException, InterruptedException {
+        freeze();
+        TimeUnit.MILLISECONDS.sleep(ms);
+        thaw();
+    }
+
+    /** Kills the node, starts it again after a time and waits until it is ready. */
+    void killFor(long ms) throws IOException, InterruptedException {
+        kill();
+        TimeUnit.MILLISECONDS.sleep(ms);
+        start();
+        awaitReady();
+    }
+
     /** Sends SIGKILL and waits for the exit. */
     void kill() throws InterruptedException {
         process.destroyForcibly();
--- a/entry/src/test/java/org/quetzalvane/entry/FaultSoak.java
+++ b/entry/src/test/java/org/quetzalvane/entry/FaultSoak.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -12,6 +13,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 
 import org.quetzalvane.platform.BootSettings;
@@ -54,7 +56,11 @@
     private final List<String> faults = new CopyOnWriteArrayList<>();
     private final AtomicInteger lastEngine = new AtomicInteger();
     private int release = 1;
-    private int configVersion = 1;
+    private final AtomicInteger configVersion = new AtomicInteger();
+    private final Set<StreamingEngineStandIn> draining = ConcurrentHashMap.newKeySet();
+    /** Ids of engines that have left for good, whose entries a restore may bring back. */
+    private final Set<String> gone = ConcurrentHashMap.newKeySet();
+
     private volatile boolean ended;
 
     /** What happens to nodes, engines and the store. */
@@ -73,9 +79,17 @@
         ENGINE_RESTART,
         /** The same with the next software version. */
         ENGINE_UPGRADE,
-        ENGINE_DRAIN
+        ENGINE_DRAIN,
+        ALL_NODES_KILLED,
+        /** The store is away for a moment and comes back from a copy that is some seconds old. */
+        STORE_RESTORE,
+        /** The same while all nodes are killed. */
+        STORE_RESTORE_AND_KILL
     }
 
+    /** Faults without a restore of the store. */
+    static final Set<Fault> WITHOUT_RESTORE = EnumSet.range(Fault.NODE_FREEZE, Fault.ENGINE_DRAIN);
+
     /** Creates a soak that has not started, with engines that send each response once. */
     FaultSoak(long seed, Path directory) {
         this(seed, directory, new EngineResponses(0, 0));
@@ -209,17 +223,8 @@
 
     private void begin(Fault f, long forMs) throws Exception {
         switch (f) {
-            case NODE_FREEZE -> disturb(n -> {
-                n.freeze();
-                TimeUnit.MILLISECONDS.sleep(forMs);
-                n.thaw();
-            });
-            case NODE_KILL -> disturb(n -> {
-                n.kill();
-                TimeUnit.MILLISECONDS.sleep(forMs);
-                n.start();
-                n.awaitReady();
-            });
+            case NODE_FREEZE -> disturb(n -> n.freezeFor(forMs));
+            case NODE_KILL -> disturb(n -> n.killFor(forMs));
             case NODE_STOP -> disturb(n -> {
                 n.stop();
                 n.start();
@@ -241,13 +246,48 @@
             case ENGINE_RESTART -> restart(takeEngine(), 0, forMs);
             case ENGINE_UPGRADE -> restart(takeEngine(), 1, forMs);
             case ENGINE_DRAIN -> replaceDrained(forMs);
+            case ALL_NODES_KILLED -> killAll(forMs);
+            case STORE_RESTORE -> restoreStore(forMs, () -> {});
+            case STORE_RESTORE_AND_KILL -> restoreStore(forMs, () -> killAll(forMs / 4));
             default -> throw new IllegalArgumentException(f.name());
         }
     }
 
     /** Disturbs one node that is not disturbed yet, in a thread of its own. */
     private void disturb(NodeTask task) {
-        EntryProcess n = nodes.get(random.nextInt(nodes.size()));
+        disturb(nodes.get(random.nextInt(nodes.size())), task);
+    }
+
+    private void killAll(long downMs) {
+        nodes.forEach(n -> disturb(n, node -> node.killFor(downMs)));
+    }
+
+    /** Restores the store from a copy that is taken now and used some seconds later. */
+    private void restoreStore(long forMs, Runnable meanwhile) {
+        store.takeCopy();
+        repair(2_000 + 2 * forMs, () -> {
+            store.down(true);
+            meanwhile.run();
+            TimeUnit.MILLISECONDS.sleep(forMs / 3);
+            store.restoreCopy();
+            store.down(false);
+            store.writeConfig(config());
+            engines.forEach(e -> writeAgain(e, () -> engines.contains(e), "ready"));
+            draining.forEach(e -> writeAgain(e, () -> draining.contains(e), "draining"));
+            repair(3 * HEARTBEAT_MS, () -> gone.forEach(store::removeEndpoint));
+        });
+    }
+
+    /** Writes an engine's entry at its next heartbeat, if it still lives. */
+    private void writeAgain(StreamingEngineStandIn e, BooleanSupplier lives, String state) {
+        repair(Math.floorMod(e.identity().hashCode(), HEARTBEAT_MS), () -> {
+            if (lives.getAsBoolean()) {
+                store.writeEndpoint(e.identity().id(), e.entry(state));
+            }
+        });
+    }
+
+    private void disturb(EntryProcess n, NodeTask task) {
         if (disturbed.add(n)) {
             repairs.add(start(() -> {
                 task.run(n);
@@ -268,7 +308,7 @@
         String version = nextVersion();
         old.close();
         repair(downMs, () -> {
-            store.removeEndpoint(old.identity().id());
+            leave(old);
             startEngine(version);
         });
     }
@@ -285,14 +325,21 @@
     /** The new engine starts first. */
     private void replaceDrained(long drainMs) throws IOException {
         StreamingEngineStandIn old = takeEngine();
+        draining.add(old);
         startEngine(nextVersion());
         store.writeEndpoint(old.identity().id(), old.entry("draining"));
         repair(3_000 + drainMs, () -> {
-            store.removeEndpoint(old.identity().id());
+            draining.remove(old);
+            leave(old);
             old.close();
         });
     }
 
+    private void leave(StreamingEngineStandIn old) {
+        gone.add(old.identity().id());
+        store.removeEndpoint(old.identity().id());
+    }
+
     /** One replacement in three is of a new software version. */
     private String nextVersion() {
         release += random.nextInt(3) == 0 ? 1 : 0;
@@ -314,7 +361,7 @@
     }
 
     private String config() {
-        return SampleConfig.withVersion(configVersion++).replace("\"slots\":4", "\"slots\":32");
+        return SampleConfig.withVersion(configVersion.incrementAndGet()).replace("\"slots\":4", "\"slots\":32");
     }
 
     private void repair(long afterMs, ThrowingTask task) {
--- a/entry/src/test/java/org/quetzalvane/entry/FaultSoakMain.java
+++ b/entry/src/test/java/org/quetzalvane/entry/FaultSoakMain.java
@@ -8,18 +8,14 @@
 import org.quetzalvane.platform.standin.StreamCaller;
 
 /**
- * Runs soaks by hand: FIRST_SEED LAST_SEED NODES SECONDS [KIND,...|all [FAILURE_PERCENT SECOND_COPY_PERCENT]]; prints
+ * Runs soaks by hand: FIRST_SEED LAST_SEED NODES SECONDS [KIND,...|all|restores [FAILURE_PERCENT SECOND_COPY_PERCENT]]; prints
  * what each one found.
  */
 final class FaultSoakMain {
     private FaultSoakMain() {}
 
     public static void main(String[] args) throws Exception {
-        List<FaultSoak.Fault> kinds = args.length < 5 || args[4].equals("all")
-                ? List.of(FaultSoak.Fault.values())
-                : Arrays.stream(args[4].split(","))
-                        .map(FaultSoak.Fault::valueOf)
-                        .toList();
+        List<FaultSoak.Fault> kinds = kinds(args.length < 5 ? "all" : args[4]);
         for (long seed = Long.parseLong(args[0]); seed <= Long.parseLong(args[1]); seed++) {
             Path directory = Files.createTempDirectory("soak-" + seed + "-");
             EngineResponses responses = args.length < 7
@@ -37,6 +33,17 @@
         System.exit(0);
     }
 
+    /** The kinds of a name: all without a restore of the store, all with it, or those listed. */
+    private static List<FaultSoak.Fault> kinds(String name) {
+        return switch (name) {
+            case "all" -> List.copyOf(FaultSoak.WITHOUT_RESTORE);
+            case "restores" -> List.of(FaultSoak.Fault.values());
+            default -> Arrays.stream(name.split(","))
+                    .map(FaultSoak.Fault::valueOf)
+                    .toList();
+        };
+    }
+
     private static void print(StreamCaller.Outcome o) {
         System.out.println("  events " + o.events() + " versions " + o.versions() + " complete " + o.complete());
         o.attempts().forEach(a -> System.out.println("    " + a));
--- a/entry/src/test/java/org/quetzalvane/entry/FaultSoakTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/FaultSoakTest.java
@@ -25,14 +25,27 @@
     @ParameterizedTest
     @CsvSource({"1, 3", "2, 5"})
     void streamsAreInOrderAndOfOneSoftwareVersion(long seed, int nodes) throws Exception {
-        runAndJudge(seed, nodes, EnumSet.complementOf(EnumSet.of(FaultSoak.Fault.ENGINE_UPGRADE)));
+        runAndJudge(seed, nodes, withoutUpgrades(FaultSoak.WITHOUT_RESTORE));
     }
 
     /** The same while engines start again under their ids with another software version. */
     @ParameterizedTest
     @CsvSource({"119, 4", "133, 5"})
     void streamsAreOfOneSoftwareVersionWhileEnginesAreUpgradedUnderTheirIds(long seed, int nodes) throws Exception {
-        runAndJudge(seed, nodes, EnumSet.allOf(FaultSoak.Fault.class));
+        runAndJudge(seed, nodes, FaultSoak.WITHOUT_RESTORE);
+    }
+
+    /** The same while the store comes back from copies that lack versions, and all nodes are killed. */
+    @ParameterizedTest
+    @CsvSource({"201, 3", "202, 4"})
+    void streamsAreOfOneSoftwareVersionThoughTheStoreIsRestored(long seed, int nodes) throws Exception {
+        runAndJudge(seed, nodes, withoutUpgrades(EnumSet.allOf(FaultSoak.Fault.class)));
+    }
+
+    private static Set<FaultSoak.Fault> withoutUpgrades(Set<FaultSoak.Fault> kinds) {
+        Set<FaultSoak.Fault> rest = EnumSet.copyOf(kinds);
+        rest.remove(FaultSoak.Fault.ENGINE_UPGRADE);
+        return rest;
     }
 
     /**
@@ -42,7 +55,7 @@
     @ParameterizedTest
     @CsvSource({"1, 3", "2, 4"})
     void callersGetTheirOwnResponsesFromEnginesThatSendResponsesTwice(long seed, int nodes) throws Exception {
-        Set<FaultSoak.Fault> kinds = EnumSet.complementOf(EnumSet.of(FaultSoak.Fault.ENGINE_UPGRADE));
+        Set<FaultSoak.Fault> kinds = withoutUpgrades(FaultSoak.WITHOUT_RESTORE);
         try (FaultSoak soak = new FaultSoak(seed, directory, new EngineResponses(25, 40))) {
             soak.run(nodes, SECONDS, List.copyOf(kinds));
             assertThat(soak.foreign()).as(soak.summary()).isEmpty();
