Condemn a prompt part after three ends within the head of an answer

Cause: two of three such crashes did not count.

A break within a head is now reported as that. Three of them on different requests condemn, because an engine writes a head at once and ordinary ends hardly ever fall within one; and its response may seem to begin up to 50 ms after the end. Other evidence and rules are as before. Nodes of the software before leave the new field out, which counts as false.

--- a/core/src/main/java/org/quetzalvane/core/quarantine/CrashEnd.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/CrashEnd.java
@@ -17,8 +17,10 @@
      *
      * @param request hash of the request's id
      * @param parts shared parts of its prompt
-     * @param beganNanos time at which the head of the response arrived, on the clock of this node
-     * @param ageMs time from the head to the break, ms
+     * @param beganNanos time at which the response began, or the request was sent if it did not, on the clock of this
+     *     node
+     * @param ageMs time from then to the break, ms
+     * @param withinHead whether a part of the head had arrived and no more
      */
-    public record Begun(long request, PartSet parts, long beganNanos, long ageMs) {}
+    public record Begun(long request, PartSet parts, long beganNanos, long ageMs, boolean withinHead) {}
 }
--- a/core/src/main/java/org/quetzalvane/core/quarantine/CrashJudge.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/CrashJudge.java
@@ -34,8 +34,14 @@
             new Rule(4, PROMPT_MS, 2 / 3.0),
             new Rule(6, PROMPT_MS, 1 / 3.0),
             new Rule(8, PromptQuarantine.BEGINNING_MS, 2 / 3.0));
+    /**
+     * What condemns a prompt part, besides {@link #PART_RULES}, if the heads of all counted responses were incomplete:
+     * an endpoint writes a head at once, so that chance explains few of them.
+     */
+    private static final Rule WITHIN_HEAD_RULE = new Rule(3, PROMPT_MS, 1 / 2.0);
     /** What condemns a prompt part; one row suffices. */
     private static final List<Rule> PART_RULES = List.of(
+            WITHIN_HEAD_RULE,
             new Rule(4, PROMPT_MS, 2 / 3.0),
             new Rule(6, PROMPT_MS, 1 / 3.0),
             new Rule(10, PromptQuarantine.BEGINNING_MS, 2 / 3.0));
@@ -170,8 +176,9 @@
     private static Finding find(long part, List<Hit> hits, List<CrashEnd> ends, Passes passes) {
         boolean identity = PartSet.isIdentity(part);
         for (Rule rule : rules(part)) {
-            List<Hit> young =
-                    hits.stream().filter(h -> h.begun.ageMs() <= rule.maxAgeMs).toList();
+            List<Hit> young = hits.stream()
+                    .filter(h -> h.begun.ageMs() <= rule.maxAgeMs && (rule != WITHIN_HEAD_RULE || h.begun.withinHead()))
+                    .toList();
             List<Hit> counted =
                     count(young.stream().filter(h -> !isFlap(h.end, ends)).toList(), identity);
             boolean applies = rule != PLAIN_REQUEST_RULE
--- a/core/src/main/java/org/quetzalvane/core/quarantine/InstanceRecord.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/InstanceRecord.java
@@ -152,12 +152,17 @@
 
     private List<CrashEnd.Begun> begunBy(long endNanos) {
         return begun.values().stream()
-                .filter(b -> b.beganNanos() - endNanos <= 0
+                .filter(b -> beganBefore(endNanos, b)
                         && within(b.beganNanos() + b.ageMs() * 1_000_000 - endNanos + 50_000_000, END_WINDOW_MS))
                 .sorted(Comparator.comparingLong(CrashEnd.Begun::ageMs).thenComparingLong(CrashEnd.Begun::request))
                 .toList();
     }
 
+    /** A response that broke within its head began at its end, which other nodes may have noticed a little earlier. */
+    private static boolean beganBefore(long endNanos, CrashEnd.Begun b) {
+        return b.beganNanos() - endNanos <= (b.withinHead() ? NOTICE_MS * 1_000_000 : 0);
+    }
+
     private static boolean within(long nanos, long ms) {
         return nanos >= 0 && nanos <= ms * 1_000_000;
     }
--- a/core/src/main/java/org/quetzalvane/core/quarantine/InstanceReport.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/InstanceReport.java
@@ -28,8 +28,9 @@
      *
      * @param request hash of the request's id
      * @param parts hashes of the shared parts of its prompt
-     * @param ageMs time from the head of its response to the break, ms
+     * @param ageMs time from the beginning of its response, or from its send, to the break, ms
      * @param brokeMs time since the break, ms
+     * @param withinHead whether a part of the head of its response had arrived and no more
      */
-    public record BegunRequest(long request, List<Long> parts, long ageMs, long brokeMs) {}
+    public record BegunRequest(long request, List<Long> parts, long ageMs, long brokeMs, boolean withinHead) {}
 }
--- a/core/src/main/java/org/quetzalvane/core/quarantine/LocalQuarantine.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/LocalQuarantine.java
@@ -111,9 +111,9 @@
     }
 
     @Override
-    public void recordBroken(Endpoint endpoint, RequestContent content, long beginningMs) {
+    public void recordBroken(Endpoint endpoint, RequestContent content, long beginningMs, boolean withinHead) {
         long request = content.request();
-        state.recordBroken(endpoint, content.parts(), request, beginningMs);
+        state.recordBroken(endpoint, content.parts(), request, beginningMs, withinHead);
         sharing.reportsReady();
         scheduleJudgement();
         if (trials.onTrial(request) != null && brokenTrials.putIfAbsent(request, endpoint) == null) {
--- a/core/src/main/java/org/quetzalvane/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/PromptQuarantine.java
@@ -29,7 +29,16 @@
      * @param beginningMs time since the head of this attempt's stream arrived, ms; since the first byte of the response
      *     if no such head did, or since it was sent if no byte arrived or the service has no models
      */
-    void recordBroken(Endpoint endpoint, RequestContent request, long beginningMs);
+    default void recordBroken(Endpoint endpoint, RequestContent request, long beginningMs) {
+        recordBroken(endpoint, request, beginningMs, false);
+    }
+
+    /**
+     * Records that the connection of an attempt broke before the response was complete.
+     *
+     * @param withinHead whether a part of the head of a response had arrived and no more
+     */
+    void recordBroken(Endpoint endpoint, RequestContent request, long beginningMs, boolean withinHead);
 
     /** Records that a connection to the endpoint was refused: the instance has ended. */
     void recordUnreachable(Endpoint endpoint);
@@ -55,7 +64,7 @@
         public void recordPastBeginning(RequestContent request) {}
 
         @Override
-        public void recordBroken(Endpoint endpoint, RequestContent request, long beginningMs) {}
+        public void recordBroken(Endpoint endpoint, RequestContent request, long beginningMs, boolean withinHead) {}
 
         @Override
         public void recordUnreachable(Endpoint endpoint) {}
--- a/core/src/main/java/org/quetzalvane/core/quarantine/QuarantineState.java
+++ b/core/src/main/java/org/quetzalvane/core/quarantine/QuarantineState.java
@@ -78,14 +78,15 @@
     }
 
     /** Records an attempt of this node that broke; returns whether a report is to be sent. */
-    void recordBroken(Endpoint e, PartSet parts, long request, long beginningMs) {
+    void recordBroken(Endpoint e, PartSet parts, long request, long beginningMs, boolean withinHead) {
         long now = scheduler.nanoTime();
         CrashEvidence.Instance i = new CrashEvidence.Instance(e.id(), e.bornMs());
         InstanceRecord r = recordFor(e.service(), i, now, now - beginningMs * 1_000_000);
         r.addOwnBreak(self, now);
         List<CrashEnd.Begun> begun = unsent.computeIfAbsent(i, k -> new ArrayList<>());
         if (beginningMs < PromptQuarantine.BEGINNING_MS) {
-            CrashEnd.Begun b = new CrashEnd.Begun(request, parts, now - beginningMs * 1_000_000, beginningMs);
+            CrashEnd.Begun b =
+                    new CrashEnd.Begun(request, parts, now - beginningMs * 1_000_000, beginningMs, withinHead);
             if (r.addBegun(b) && begun.size() < InstanceRecord.MAX_BEGUN) {
                 begun.add(b);
             }
@@ -150,7 +151,8 @@
         List<CrashEnd.Begun> added = new ArrayList<>();
         for (InstanceReport.BegunRequest b : report.begun()) {
             long began = now - (b.brokeMs() + b.ageMs()) * 1_000_000;
-            CrashEnd.Begun begun = new CrashEnd.Begun(b.request(), PartSet.ofHashes(b.parts()), began, b.ageMs());
+            CrashEnd.Begun begun =
+                    new CrashEnd.Begun(b.request(), PartSet.ofHashes(b.parts()), began, b.ageMs(), b.withinHead());
             if (b.ageMs() >= 0 && b.ageMs() < PromptQuarantine.BEGINNING_MS && r.addBegun(begun)) {
                 added.add(begun);
             }
@@ -325,13 +327,13 @@
 
     private static InstanceReport.BegunRequest report(CrashEnd.Begun b, long now) {
         long brokeMs = (now - b.beganNanos()) / 1_000_000 - b.ageMs();
-        return new InstanceReport.BegunRequest(b.request(), b.parts().hashes(), b.ageMs(), brokeMs);
+        return new InstanceReport.BegunRequest(b.request(), b.parts().hashes(), b.ageMs(), brokeMs, b.withinHead());
     }
 
     private void logEvidence(InstanceRecord r, String from, List<CrashEnd.Begun> begun) {
         String requests = begun.stream()
                 .limit(LOGGED_REQUESTS)
-                .map(b -> Long.toHexString(b.request()) + ":" + b.ageMs() + ":" + b.parts())
+                .map(b -> Long.toHexString(b.request()) + ":" + b.ageMs() + (b.withinHead() ? "h:" : ":") + b.parts())
                 .reduce((a, b) -> a + ", " + b)
                 .orElse("");
         log.log(
--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -236,7 +236,7 @@
 
     @Override
     public void partOfHead() {
-        beginning.answered();
+        beginning.headStarted();
     }
 
     @Override
@@ -245,7 +245,7 @@
             return;
         }
         head = h;
-        beginning.answered();
+        beginning.headCompleted();
         silence.recordProgress();
         handler.progressed(this);
         if (h.notRun()) {
--- a/core/src/main/java/org/quetzalvane/core/serve/ResponseBeginning.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ResponseBeginning.java
@@ -22,6 +22,7 @@
     private final long sentNanos;
     private long answeredNanos = NEVER;
     private long streamNanos = NEVER;
+    private boolean headComplete;
     private boolean past;
 
     /**
@@ -38,13 +39,19 @@
         this.sentNanos = scheduler.nanoTime();
     }
 
-    /** The first bytes of a response arrived. */
-    void answered() {
+    /** The first bytes of the head of a response arrived. */
+    void headStarted() {
         if (readsPrompt && answeredNanos == NEVER) {
             answeredNanos = scheduler.nanoTime();
         }
     }
 
+    /** The head of a response is complete. */
+    void headCompleted() {
+        headStarted();
+        headComplete = true;
+    }
+
     /** The head of a successful stream arrived. */
     void streamBegun() {
         streamNanos = scheduler.nanoTime();
@@ -66,7 +73,7 @@
         if (streamNanos != NEVER) {
             quarantine.recordBroken(endpoint, content, msSince(streamNanos));
         } else if (answeredNanos != NEVER) {
-            quarantine.recordBroken(endpoint, content, msSince(answeredNanos));
+            quarantine.recordBroken(endpoint, content, msSince(answeredNanos), !headComplete);
         } else {
             quarantine.recordBroken(endpoint, content.withoutPromptParts(), msSince(sentNanos));
         }
--- a/core/src/test/java/org/quetzalvane/core/quarantine/QuarantineBoundsTest.java
+++ b/core/src/test/java/org/quetzalvane/core/quarantine/QuarantineBoundsTest.java
@@ -35,10 +35,10 @@
     @Test
     void instancesAndRequestsInEvidenceAreLimitedAndExpire() {
         for (int i = 0; i < 7_500; i++) {
-            state.recordBroken(endpoint(i), parts("a" + i), i, 10);
+            state.recordBroken(endpoint(i), parts("a" + i), i, 10, false);
         }
         for (int r = 0; r < 500; r++) {
-            state.recordBroken(endpoint(7_499), parts("b" + r), 10_000 + r, r);
+            state.recordBroken(endpoint(7_499), parts("b" + r), 10_000 + r, r, false);
         }
         assertThat(state.sizes().get(0)).isEqualTo(CrashEvidence.MAX_INSTANCES);
         List<InstanceReport> reports = state.takeReports();
--- a/core/src/test/java/org/quetzalvane/core/serve/FakeQuarantine.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/FakeQuarantine.java
@@ -37,8 +37,8 @@
     }
 
     @Override
-    public void recordBroken(Endpoint endpoint, RequestContent request, long beginningMs) {
-        told.add("broken " + endpoint.id() + " " + beginningMs + " " + request);
+    public void recordBroken(Endpoint endpoint, RequestContent request, long beginningMs, boolean withinHead) {
+        told.add("broken " + endpoint.id() + (withinHead ? " within its head " : " ") + beginningMs + " " + request);
     }
 
     @Override
--- a/core/src/test/java/org/quetzalvane/core/serve/QuarantinedRequestTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/QuarantinedRequestTest.java
@@ -95,7 +95,8 @@
         advance(answeredMs);
         client.last().failed(false, "reset");
         RequestContent content = content(RouteKind.STREAMING, RESIDENT_ADAPTER);
-        assertThat(quarantine.told).contains("broken " + client.sent.get(0) + " " + answeredMs + " " + content);
+        assertThat(quarantine.told)
+                .contains("broken " + client.sent.get(0) + " within its head " + answeredMs + " " + content);
     }
 
     /** An answer of an engine that is no stream begins and passes like one. */
--- a/core/src/test/java/org/quetzalvane/core/team/CrashingPromptTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/CrashingPromptTest.java
@@ -39,6 +39,31 @@
         assertThat(network.condemning()).isEqualTo(nodes);
     }
 
+    /** Engines end within the head of the answer; of some of these nodes have read no byte when the reset arrives. */
+    @ParameterizedTest
+    @CsvSource({
+        "9, 6, 2, 0, 1",
+        "9, 6, 2, 0.5, 2",
+        "9, 8, 2, 0.5, 3",
+        "9, 8, 3, 0.5, 4",
+        "95, 40, 3, 0.5, 5",
+        "300, 40, 3, 0.5, 6"
+    })
+    void partIsRefusedThoughEnginesEndWithinTheHead(int nodes, int engines, double rate, double unanswered, long seed) {
+        QuarantineNetwork network = new QuarantineNetwork(nodes, RandomSource.XO_RO_SHI_RO_128_PP.create(seed));
+        EngineSimulation s = new EngineSimulation(network, engines);
+        s.endsWithinHead = true;
+        s.endsUnanswered = () -> network.random.nextDouble() < unanswered;
+        s.arrivals(100, 40_000, () -> s.soundParts(RARE_PARTS));
+        network.advance(5_000);
+        s.crashing.add("x");
+        s.arrivals(rate, 35_000, () -> s.guiltyParts("x", RARE_PARTS));
+        network.advance(35_000);
+        assertThat(s.sendsLaterThan(STABILITY_MS)).isLessThanOrEqualTo(3);
+        assertThat(s.soundAdmitted).isGreaterThanOrEqualTo(s.soundAsked * 99 / 100);
+        assertThat(network.condemning()).isEqualTo(nodes);
+    }
+
     /** Engines end before a byte of the answer has arrived, at each or at half of the requests with the part. */
     @ParameterizedTest
     @CsvSource({"9, 6, 2, 1.0, 1", "9, 8, 2, 0.5, 2", "95, 40, 3, 1.0, 3"})
--- a/core/src/test/java/org/quetzalvane/core/team/EngineSimulation.java
+++ b/core/src/test/java/org/quetzalvane/core/team/EngineSimulation.java
@@ -36,6 +36,8 @@
     boolean plain;
     /** Whether an engine ends under a crashing request before any byte of its answer has arrived; drawn for each. */
     BooleanSupplier endsUnanswered = () -> false;
+    /** Whether an engine ends under a crashing request while it writes the head of its answer. */
+    boolean endsWithinHead;
     /** Times that callers send a sound request again after it has failed. */
     int callerRepeats;
 
@@ -104,6 +106,7 @@
         Endpoint instance;
         long sentMs;
         long headMs = -1;
+        boolean withinHead;
         int attempts;
 
         Run(QuarantineNetwork.Node node, String identity, List<String> parts, int repeats) {
@@ -144,6 +147,8 @@
             engine.runs.add(this);
             if (!plain && guilty && endsUnanswered.getAsBoolean()) {
                 at(10 + random.nextLong(150), this::crash);
+            } else if (!plain && guilty && endsWithinHead) {
+                at(10 + random.nextLong(150), this::crashWithinHead);
             } else if (!plain) {
                 at(10 + random.nextLong(150), this::head);
             } else if (guilty) {
@@ -179,6 +184,11 @@
             }
         }
 
+        private void crashWithinHead() {
+            withinHead = engine.runs.contains(this);
+            crash();
+        }
+
         private void crash() {
             if (engine.runs.contains(this)) {
                 ends.add(network.nowMs());
@@ -205,10 +215,13 @@
         /** The connection broke. */
         void broken() {
             boolean begun = headMs >= 0;
-            long age = network.nowMs() - (begun ? headMs : sentMs);
+            boolean partOfHead = withinHead;
+            long age = partOfHead ? 0 : network.nowMs() - (begun ? headMs : sentMs);
             headMs = -1;
+            withinHead = false;
             node.scheduler.run(() -> {
-                quarantine().recordBroken(instance, begun ? content : content.withoutPromptParts(), age);
+                RequestContent evidence = begun || partOfHead ? content : content.withoutPromptParts();
+                quarantine().recordBroken(instance, evidence, age, partOfHead);
                 at(3, () -> node.scheduler.run(this::start));
             });
         }
