Begin streams at a version once its record outlasts a copy, and tell a copy's age

Cause: nothing bounded how soon after its record a version began streams, and nothing told how old the copy was, so that one version in the records of a copy proved nothing.

Change: a version that joins a service with an established one is marked as pending for 20 s; streams that can be resumed begin at established versions while these have room. The records hold counts of the endpoints' status reports, renewed every 3 s; the difference from the counts in entries written after the restore bounds the age of the copy. A copy younger than 20 s holds each version that has begun a stream, so that the records prove the origin, also while another version is listed again. A lookup waits up to 2.5 s for the reports.

Ruled out: the time of day (clocks are set back), and counts in the copy's own entries (a node that lists late takes new ones for old).

--- a/core/src/main/java/org/quetzalvane/core/routes/ServingConfig.java
+++ b/core/src/main/java/org/quetzalvane/core/routes/ServingConfig.java
@@ -62,6 +62,13 @@
         return Optional.empty();
     }
 
+    /** Whether a route has streams that callers may resume. */
+    public boolean streamsResumable() {
+        return routesByHost.values().stream()
+                .flatMap(List::stream)
+                .anyMatch(r -> r.kind() == RouteKind.STREAMING && r.retryable());
+    }
+
     /** The service with this name, or null if this version lacks it. */
     public ServiceSpec service(String name) {
         return services.get(name);
--- a/core/src/main/java/org/quetzalvane/core/serve/EngineAcquisition.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EngineAcquisition.java
@@ -63,6 +63,7 @@
     private final CallerRequest request;
     private final Route route;
     private final Handler handler;
+    private final EstablishedVersions establishedVersions;
     private long startNanos;
     private int loadRequests;
     private boolean admitted;
@@ -92,6 +93,8 @@
         this.request = request;
         this.route = route;
         this.handler = handler;
+        this.establishedVersions =
+                new EstablishedVersions(context.servedVersions(), context.outlierDetector(), context.endpointLoads());
         this.startNanos = context.scheduler().nanoTime();
     }
 
@@ -120,7 +123,7 @@
                 version,
                 route.objectiveMs(),
                 request.tokenCounts().prompt());
-        EngineSelector.Selection selection = context.engineSelector().select(usable, need, tried);
+        EngineSelector.Selection selection = select(usable, need, tried);
         if (selection == null) {
             String cause = "engines=" + usable.size() + " tried=" + tried.size();
             if (loadRequests > 0) {
@@ -149,6 +152,14 @@
                         outcome -> onLoadOutcome(selection.engine(), version, outcome, tried));
     }
 
+    private EngineSelector.Selection select(List<Endpoint> usable, EngineSelector.Need need, Set<String> tried) {
+        List<Endpoint> preferred = establishedVersions.preferred(usable, route);
+        EngineSelector.Selection selection = context.engineSelector().select(preferred, need, tried);
+        return selection == null && preferred.size() < usable.size()
+                ? context.engineSelector().select(usable, need, tried)
+                : selection;
+    }
+
     /**
      * Sends the request at once if its adapter was used within {@link #CONFIRM_RESIDENCY_AFTER_MS} or is the base
      * model, or if the engine has no known owner. Otherwise first asks the owner to keep the adapter resident, because
--- a/core/src/main/java/org/quetzalvane/core/serve/ServedVersions.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/ServedVersions.java
@@ -3,9 +3,14 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
+import org.quetzalvane.core.fleet.Endpoint;
+
 /**
  * Port that knows which software versions may have begun the streams of a service that callers can still resume.
- * Confined to the event loop.
+ *
+ * <p>A version is established once it has been recorded for longer than the store may lose records. Streams begin at
+ * established versions while these have room, so that the origin of a stream can be told though all nodes were lost and
+ * the store came back from a copy. Confined to the event loop.
  */
 public interface ServedVersions {
 
@@ -21,4 +26,12 @@
     default boolean maySeveralServe() {
         return false;
     }
+
+    /** Whether the software version of an endpoint is established. */
+    default boolean isEstablished(Endpoint e) {
+        return true;
+    }
+
+    /** Establishes the versions of a service's endpoints before their time, because streams have to begin at them. */
+    default void establish(String service) {}
 }
--- a/core/src/main/java/org/quetzalvane/core/team/ServedVersionTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/ServedVersionTable.java
@@ -1,15 +1,19 @@
 package org.quetzalvane.core.team;
 
 import java.time.Duration;
-import java.util.HashMap;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import org.quetzalvane.core.event.EventCode;
 import org.quetzalvane.core.event.StructuredLog;
+import org.quetzalvane.core.fleet.Endpoint;
 import org.quetzalvane.core.fleet.EndpointTable;
 import org.quetzalvane.core.fleet.ServiceVersion;
 import org.quetzalvane.core.serve.ServedVersions;
@@ -23,24 +27,38 @@
  * The software versions that have served each service, kept in the platform's store beyond the life of all nodes.
  *
  * <p>A node that started after a version had left the endpoints' list would otherwise take the remaining version for
- * the one that began a stream. One node, the writer, records each version when its first endpoint is listed, and
- * removes it once it has been missing for {@link EndpointTable#RETENTION_MS}, longer than any stream lasts. A node that
- * is asked for a stream of unknown origin reads the list and the records anew, unless it knows several versions: it may
- * have been frozen or cut off while another version joined.
+ * the one that began a stream. One node, the writer, keeps records ({@link ServedVersionRecorder}). A node that is
+ * asked for a stream of unknown origin reads the list and the records anew, unless it knows several versions at which
+ * streams begin: it may have been frozen or cut off while another version joined.
  *
  * <p>Knowing one version proves nothing unless the history is complete, that is, unless no version that this node does
- * not know can have begun a stream that still lasts. It is complete if the records state so for the current epoch of
- * the store, if there are no records at all because no node has served before, or once the node has followed the list
- * for the retention time. It is incomplete again after a gap in following the list, and after a restore of the store
- * that the node did not follow. Confined to the event loop.
+ * not know can have begun a stream that still lasts. It is complete if
+ *
+ * <ul>
+ *   <li>the records state so for the current epoch of the store,
+ *   <li>there are no records at all because no node has served before,
+ *   <li>the node has followed the list for the retention time, or
+ *   <li>the store came back from a copy whose records were complete and that is younger than {@link
+ *       ServedVersionRecorder#PENDING_MS}: each version is recorded for longer than that before streams begin at it.
+ * </ul>
+ *
+ * <p>It is incomplete again after a gap in following the list, and after a restore of the store that the node did not
+ * follow. Confined to the event loop.
  */
 public final class ServedVersionTable implements ServedVersions {
-    /** Interval at which the writer compares the list with what it has recorded, ms. */
+    /** Interval at which the list is compared with what is known and recorded, ms. */
     static final long CHECK_INTERVAL_MS = 500;
     /** Time after which a read of the list or of the records counts as failed, ms. */
     public static final long LOOKUP_TIMEOUT_MS = 300;
     /** Shortest interval between reads of the records while the history is incomplete, ms. */
     static final long REREAD_INTERVAL_MS = 2_000;
+    /** Shortest interval between reads of the records while a listed version is not established, ms. */
+    static final long PENDING_REREAD_INTERVAL_MS = 5_000;
+    /**
+     * Longest time for which a lookup waits for the age of a copy, ms: endpoints write their entries again within about
+     * 2 s of a restore.
+     */
+    static final long COPY_AGE_WAIT_MS = 2_500;
 
     private final Scheduler scheduler;
     private final WritableTopic topic;
@@ -50,55 +68,72 @@
     private final StructuredLog log;
     private final SharedRead listReads;
     private final SharedRead recordReads;
+    private final CopyAge copyAge;
+    private final ServedVersionRecorder recorder;
     /** Time since which this node has followed the endpoints' list without a gap, or -1. */
     private long followedSinceNanos = -1;
     /** Whether this node knows all versions that streams which still last may have begun at. */
     private boolean complete;
+    /** Whether it knows them from a copy of the store that is young enough. */
+    private boolean completeByCopy;
     /** Versions that the store held when this node began to follow the list, or null. */
     private Set<ServiceVersion> recorded;
-    /** Versions that the store held when a lookup last read them. */
-    private Set<ServiceVersion> lastRead = Set.of();
-    /** What this node, as the writer, last found or wrote in the store; null if it must look again. */
-    private Written confirmed;
-    /** Runs since the records were last asked for because the history was incomplete; null before that. */
+    /** What the store held when it was last read. */
+    private ServedVersionRecords lastRead = ServedVersionRecords.NONE;
+    /** Versions at which streams may begin while other versions of their services have room. */
+    private final Set<ServiceVersion> established = new HashSet<>();
+    /** Listed versions when the list was last checked. */
+    private Set<ServiceVersion> listedBefore = Set.of();
+    /** Runs since the records were last asked for at an interval; null before that. */
     private Stopwatch sinceRead;
+    /** Counts of status reports in the copy that the store came back from, until its age is known; or null. */
+    private ReportCounts copiedReports;
 
-    private boolean writing;
+    private long copyFoundNanos;
+    /** Lookups that wait for the age of the copy. */
+    private final List<Runnable> awaitingCopyAge = new ArrayList<>();
 
-    /**
-     * What the records hold.
-     *
-     * @param listed listed versions, all of which are recorded
-     * @param complete whether the records state that they are complete
-     * @param epoch epoch of the store
-     */
-    private record Written(Set<ServiceVersion> listed, boolean complete, long epoch) {}
+    private boolean establishing;
 
     /**
-     * Creates the table of a node that knows nothing yet.
+     * What the table of a node is based on.
      *
      * @param topic topic of the records
      * @param endpoints listed endpoints
-     * @param listReads reads the list anew and applies it to the endpoints
+     * @param listReads reads the list anew, applies it to the endpoints, and reports its end to {@link #listed}
      * @param listCurrent whether the endpoints' list is known and up to date
      * @param writer whether this node is the one that writes
+     * @param streamsResumable whether callers may resume streams
+     * @param reportIntervalMs interval at which endpoints write their entries, milliseconds
      */
-    public ServedVersionTable(
-            Scheduler scheduler,
+    public record Inputs(
             WritableTopic topic,
             EndpointTable endpoints,
             SharedRead listReads,
             BooleanSupplier listCurrent,
             BooleanSupplier writer,
-            StructuredLog log) {
+            BooleanSupplier streamsResumable,
+            long reportIntervalMs) {}
+
+    /** Creates the table of a node that knows nothing yet. */
+    public ServedVersionTable(Scheduler scheduler, Inputs inputs, StructuredLog log) {
         this.scheduler = scheduler;
-        this.topic = topic;
-        this.endpoints = endpoints;
-        this.listReads = listReads;
-        this.listCurrent = listCurrent;
-        this.writer = writer;
+        this.topic = inputs.topic();
+        this.endpoints = inputs.endpoints();
+        this.listReads = inputs.listReads();
+        this.listCurrent = inputs.listCurrent();
+        this.writer = inputs.writer();
         this.log = log;
         this.recordReads = new SharedRead(scheduler, topic, Duration.ofMillis(LOOKUP_TIMEOUT_MS), this::recordsRead);
+        this.copyAge = new CopyAge(inputs.reportIntervalMs());
+        this.recorder = new ServedVersionRecorder(
+                scheduler,
+                inputs,
+                new RecorderKnowledge(),
+                copyAge,
+                // What is listed again while the age of a copy is unknown must not count as served before the restore.
+                () -> writer.getAsBoolean() && listCurrent.getAsBoolean() && !awaitsCopyAge(),
+                log);
     }
 
     /** Starts following the list, and recording while this node is the writer. */
@@ -111,43 +146,114 @@
      * then may have missed versions that nobody can tell it of any more.
      */
     public void storeRestored() {
-        confirmed = null;
+        recorder.readAgain();
+        copyAge.restored();
+        copiedReports = null;
         if (!listCurrent.getAsBoolean()) {
             forget("restored while the list was not current");
         }
     }
 
+    /**
+     * Processes an entry of the endpoints' list.
+     *
+     * @param e the endpoint
+     * @param reports number of status reports that the instance has written, by its own count; 0 if it states none
+     * @param position position of the entry in the list, which rises over restores as well
+     */
+    public void reported(Endpoint e, long reports, long position) {
+        if (lastRead == ServedVersionRecords.NONE) {
+            readRecords(REREAD_INTERVAL_MS);
+        }
+        copyAge.reported(new ReportCounts.Instance(e.id(), e.bornMs()), reports, position);
+        checkCopyAge();
+    }
+
+    /** Processes that an entry was removed from the endpoints' list. */
+    public void entryRemoved(String id) {
+        copyAge.removed(id);
+    }
+
+    /** Processes that the whole list of endpoints was read up to a position, exclusive. */
+    public void listed(long end) {
+        copyAge.listed(end);
+    }
+
     @Override
     public void find(String service, Consumer<Set<String>> done) {
-        if (endpoints.softwareVersions(service).size() > 1) {
-            done.accept(endpoints.softwareVersions(service));
+        if (named(established, service).size() > 1) {
+            done.accept(named(served(), service));
             return;
         }
-        listReads.then(listRead -> {
-            if (listRead) {
-                recordReads.then(recordsRead -> done.accept(recordsRead && complete ? versions(service) : Set.of()));
+        listReads.then(listRead -> recordReads.then(recordsRead -> {
+            if (listRead && recordsRead) {
+                conclude(service, done);
             } else {
                 done.accept(Set.of());
             }
-        });
+        }));
+    }
+
+    /** Ends a lookup once the list and the records were read. */
+    private void conclude(String service, Consumer<Set<String>> done) {
+        if (complete) {
+            done.accept(named(mayHaveBegunStreams(), service));
+        } else if (awaitsCopyAge()) {
+            awaitingCopyAge.add(() -> conclude(service, done));
+        } else {
+            Set<String> known = named(served(), service);
+            done.accept(known.size() > 1 ? known : Set.of());
+        }
     }
 
     @Override
     public boolean maySeveralServe() {
         if (!complete) {
-            readRecords();
+            readRecords(REREAD_INTERVAL_MS);
             return true;
         }
         Set<ServiceVersion> versions = served();
         return versions.stream().map(ServiceVersion::service).distinct().count() < versions.size();
     }
 
-    private Set<String> versions(String service) {
-        Set<ServiceVersion> all = served();
-        all.addAll(lastRead);
-        Set<String> versions = new HashSet<>();
-        all.stream().filter(v -> v.service().equals(service)).forEach(v -> versions.add(v.softwareVersion()));
-        return versions;
+    @Override
+    public boolean isEstablished(Endpoint e) {
+        return established.contains(version(e));
+    }
+
+    @Override
+    public void establish(String service) {
+        Set<ServiceVersion> joining = endpoints.ready().stream()
+                .map(ServedVersionTable::version)
+                .filter(v -> v.service().equals(service) && !established.contains(v))
+                .collect(Collectors.toSet());
+        Set<ServiceVersion> pending = joining.stream()
+                .filter(v -> lastRead.isPending(v, topic.epoch()))
+                .collect(Collectors.toSet());
+        if (pending.size() < joining.size()) {
+            readRecords(CHECK_INTERVAL_MS);
+        }
+        if (establishing || pending.isEmpty()) {
+            return;
+        }
+        establishing = true;
+        topic.write(Map.of(), ServedVersionRecords.pendingKeys(pending), acknowledged -> {
+            if (acknowledged) {
+                established.addAll(pending);
+            }
+            scheduler.schedule(Duration.ofMillis(CHECK_INTERVAL_MS), () -> establishing = false);
+        });
+    }
+
+    private static ServiceVersion version(Endpoint e) {
+        return new ServiceVersion(e.service(), e.softwareVersion());
+    }
+
+    private static Set<String> named(Set<ServiceVersion> versions, String service) {
+        return versions.stream()
+                .filter(v -> v.service().equals(service))
+                .map(ServiceVersion::softwareVersion)
+                .collect(Collectors.toSet());
     }
 
     /** Versions known to have served within the retention time. */
@@ -159,13 +265,26 @@
         return versions;
     }
 
+    /**
+     * Versions at which streams that still last may have begun, once the records were just read: those that have served
+     * and are not pending. Streams cannot have begun either at a version that a young copy lacks.
+     */
+    private Set<ServiceVersion> mayHaveBegunStreams() {
+        Set<ServiceVersion> versions = served();
+        versions.addAll(lastRead.versions());
+        versions.removeIf(v -> !established.contains(v)
+                && (lastRead.isPending(v, topic.epoch())
+                        || completeByCopy && !lastRead.versions().contains(v)));
+        return versions;
+    }
+
     private boolean followedLongEnough() {
         return followedSinceNanos >= 0
                 && scheduler.nanoTime() - followedSinceNanos >= EndpointTable.RETENTION_MS * 1_000_000;
     }
 
-    private void readRecords() {
-        if (sinceRead == null || sinceRead.elapsedMs() >= REREAD_INTERVAL_MS) {
+    private void readRecords(long intervalMs) {
+        if (sinceRead == null || sinceRead.elapsedMs() >= intervalMs) {
             sinceRead = Stopwatch.start(scheduler);
             recordReads.then(read -> {});
         }
@@ -174,12 +293,15 @@
     private void recordsRead(KeyedTopic.ReadResult result) {
         ServedVersionRecords read = ServedVersionRecords.decode(result, log);
         if (read != null) {
-            lastRead = read.versions();
             apply(read);
         }
     }
 
     private void apply(ServedVersionRecords read) {
+        lastRead = read;
+        read.versions().stream()
+                .filter(v -> read.isEstablished(v, topic.epoch()))
+                .forEach(established::add);
         if (recorded == null) {
             recorded = read.versions();
         }
@@ -187,6 +309,42 @@
             complete("stated by the records");
         } else if (read.isEmpty()) {
             complete("no records");
+        } else if (!complete && copiedReports == null && isCopyOfLastEpoch(read)) {
+            copiedReports = read.reports();
+            copyFoundNanos = scheduler.nanoTime();
+            scheduler.schedule(Duration.ofMillis(COPY_AGE_WAIT_MS), this::checkCopyAge);
+            listReads.then(listRead -> {});
+        }
+    }
+
+    /** Whether records were complete, and told the counts of status reports, until the store came back from a copy. */
+    private boolean isCopyOfLastEpoch(ServedVersionRecords read) {
+        long before = topic.epoch() - 1;
+        return read.completeEpoch() == before
+                && read.reports() != null
+                && read.reports().epoch() == before;
+    }
+
+    /** Whether the records are those of a copy whose age is not known yet but may become known. */
+    private boolean awaitsCopyAge() {
+        return copiedReports != null && scheduler.nanoTime() - copyFoundNanos < COPY_AGE_WAIT_MS * 1_000_000;
+    }
+
+    /** Concludes from the age of the copy that the store came back from, once it is known. */
+    private void checkCopyAge() {
+        if (copiedReports == null) {
+            return;
+        }
+        OptionalLong ageMs = copyAge.longestMs(copiedReports);
+        if (ageMs.isPresent() && ageMs.getAsLong() < ServedVersionRecorder.PENDING_MS) {
+            copiedReports = null;
+            completeByCopy = true;
+            complete("copy_age_ms=" + ageMs.getAsLong());
+        }
+        if (!awaitsCopyAge()) {
+            List<Runnable> lookups = List.copyOf(awaitingCopyAge);
+            awaitingCopyAge.clear();
+            lookups.forEach(Runnable::run);
         }
     }
 
@@ -202,6 +360,8 @@
         followedSinceNanos = -1;
         recorded = null;
         sinceRead = null;
+        copiedReports = null;
+        completeByCopy = false;
         if (complete) {
             complete = false;
             logHistory(why);
@@ -216,7 +376,7 @@
         scheduler.schedule(Duration.ofMillis(CHECK_INTERVAL_MS), this::check);
         if (!listCurrent.getAsBoolean()) {
             forget("list not current");
-            confirmed = null;
+            recorder.readAgain();
             return;
         }
         if (followedSinceNanos < 0) {
@@ -226,64 +386,54 @@
             complete("followed");
         }
         Set<ServiceVersion> listed = endpoints.softwareVersions();
+        listedBefore.stream().filter(v -> !listed.contains(v)).forEach(established::remove);
+        listedBefore = listed;
         if (!writer.getAsBoolean()) {
-            confirmed = null;
-            if (!complete && !listed.isEmpty()) {
-                readRecords();
-            }
-            return;
+            recorder.readAgain();
+            readRecordsIfNeeded(listed);
+        } else {
+            recorder.check();
         }
-        if (!writing && !listed.isEmpty() && !new Written(listed, complete, topic.epoch()).equals(confirmed)) {
-            writing = true;
-            topic.readNewest(result -> writeDifference(listed, result));
+    }
+
+    private void readRecordsIfNeeded(Set<ServiceVersion> listed) {
+        if (!complete && !listed.isEmpty()) {
+            readRecords(REREAD_INTERVAL_MS);
+        } else if (!established.containsAll(listed)) {
+            readRecords(PENDING_REREAD_INTERVAL_MS);
         }
     }
 
-    private void writeDifference(Set<ServiceVersion> listed, KeyedTopic.ReadResult result) {
-        ServedVersionRecords stored = ServedVersionRecords.decode(result, log);
-        if (stored == null || !writer.getAsBoolean() || !listCurrent.getAsBoolean()) {
-            writing = false;
-            return;
+    /** What the recorder asks of this table and tells it. */
+    private final class RecorderKnowledge implements ServedVersionRecorder.Knowledge {
+        @Override
+        public void read(ServedVersionRecords stored) {
+            apply(stored);
         }
-        apply(stored);
-        Set<ServiceVersion> missing = difference(served(), stored.versions());
-        Set<ServiceVersion> obsolete = difference(stored.versions(), listed);
-        if (!obsolete.isEmpty() && !followedLongEnough()) {
-            obsolete = Set.of();
-            scheduler.schedule(Duration.ofMillis(EndpointTable.RETENTION_MS), () -> confirmed = null);
+
+        @Override
+        public void established(Set<ServiceVersion> versions) {
+            established.addAll(versions);
         }
-        Written next = new Written(listed, complete, topic.epoch());
-        boolean states = complete && stored.completeEpoch() != next.epoch;
-        if (missing.isEmpty() && obsolete.isEmpty() && !states) {
-            written(next, true);
-            return;
+
+        @Override
+        public Set<ServiceVersion> served() {
+            return ServedVersionTable.this.served();
         }
-        log.log(
-                EventCode.SERVED_VERSIONS,
-                "store",
-                "added",
-                missing,
-                "removed",
-                obsolete,
-                "complete",
-                complete,
-                "epoch",
-                next.epoch);
-        Map<String, byte[]> values = new HashMap<>(ServedVersionRecords.encode(missing));
-        if (states) {
-            values.putAll(ServedVersionRecords.encodeStatement(next.epoch));
+
+        @Override
+        public Set<ServiceVersion> established() {
+            return established;
         }
-        topic.write(values, ServedVersionRecords.keys(obsolete), acknowledged -> written(next, acknowledged));
-    }
 
-    private void written(Written state, boolean acknowledged) {
-        writing = false;
-        confirmed = acknowledged ? state : null;
-    }
+        @Override
+        public boolean complete() {
+            return complete;
+        }
 
-    private static Set<ServiceVersion> difference(Set<ServiceVersion> all, Set<ServiceVersion> without) {
-        Set<ServiceVersion> rest = new HashSet<>(all);
-        rest.removeAll(without);
-        return rest;
+        @Override
+        public boolean followedLongEnough() {
+            return ServedVersionTable.this.followedLongEnough();
+        }
     }
 }
--- a/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
+++ b/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
@@ -62,6 +62,7 @@
                 5,
                 BootSettings.Revocation.LENIENT,
                 QuotaBounds.DEFAULT,
+                BootSettings.DEFAULT_REPORT_INTERVAL_MS,
                 0);
         EntryNode node = new EntryNode(settings);
         node.start();
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -133,7 +133,8 @@
                 settings.storeAddress(),
                 new StoreClient.Timeouts(STORE_TIMEOUT_MS, STORE_READ_TIMEOUT_MS),
                 new StoreEraLog(log, this::storeRestored));
-        platform = new PlatformState(loop, store, log, this::reconcile, this::recordsServedVersions);
+        platform = new PlatformState(
+                loop, store, log, this::reconcile, this::recordsServedVersions, settings.reportIntervalMs());
         EndpointNoticeHandler notices = new EndpointNoticeHandler(
                 platform.endpoints(),
                 log,
--- a/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
@@ -15,6 +15,8 @@
 import org.quetzalvane.core.routes.ConfigSource;
 import org.quetzalvane.core.routes.CurrentConfig;
 import org.quetzalvane.core.routes.RequiredVersions;
+import org.quetzalvane.core.routes.ServingConfig;
+import org.quetzalvane.core.store.KeyedTopic;
 import org.quetzalvane.core.store.PeerRecords;
 import org.quetzalvane.core.store.RecordFollower;
 import org.quetzalvane.core.store.SharedRead;
@@ -69,13 +71,15 @@
      *
      * @param changed runs after a batch of records in which the configuration or an endpoint changed
      * @param recordsVersions whether this node records in the store which software versions serve
+     * @param reportIntervalMs interval at which endpoints write their entries, milliseconds
      */
     PlatformState(
             Scheduler scheduler,
             StoreClient store,
             StructuredLog log,
             Runnable changed,
-            BooleanSupplier recordsVersions) {
+            BooleanSupplier recordsVersions,
+            long reportIntervalMs) {
         this.log = log;
         this.changed = changed;
         endpoints = new EndpointTable(scheduler);
@@ -88,17 +92,23 @@
                 ENTRIES_WAIT_MS,
                 ENTRIES_INTERVAL_MS,
                 this::applyEndpointRecord);
+        SharedRead listReads = new SharedRead(
+                scheduler,
+                store.endpointEntries(),
+                Duration.ofMillis(ServedVersionTable.LOOKUP_TIMEOUT_MS),
+                this::applyListing);
         servedVersions = new ServedVersionTable(
                 scheduler,
-                store.servedVersions(),
-                endpoints,
-                new SharedRead(
-                        scheduler,
-                        store.endpointEntries(),
-                        Duration.ofMillis(ServedVersionTable.LOOKUP_TIMEOUT_MS),
-                        entries::applyListing),
-                this::entriesCurrent,
-                recordsVersions,
+                new ServedVersionTable.Inputs(
+                        store.servedVersions(),
+                        endpoints,
+                        listReads,
+                        this::entriesCurrent,
+                        recordsVersions,
+                        () -> config.current()
+                                .map(ServingConfig::streamsResumable)
+                                .orElse(false),
+                        reportIntervalMs),
                 log);
         operatorRecords.onBatchApplied(this::batchApplied);
         entries.onBatchApplied(this::batchApplied);
@@ -127,6 +137,13 @@
         return servedVersions;
     }
 
+    private void applyListing(KeyedTopic.ReadResult page) {
+        entries.applyListing(page);
+        if (page.outcome() == KeyedTopic.Outcome.OK) {
+            servedVersions.listed(page.endOffset());
+        }
+    }
+
     private boolean entriesCurrent() {
         return entries.initialized() && entriesAgeMs() <= MAX_ENTRIES_AGE_MS;
     }
@@ -261,13 +278,16 @@
         if (r.value() == null) {
             log.log(EventCode.ENDPOINT_CHANGED, r.key(), "state", "removed", "offset", r.offset());
             endpoints.entryRemoved(r.key());
+            servedVersions.entryRemoved(r.key());
             batchChanged = true;
             return;
         }
         try {
-            Endpoint e = RecordDecoder.endpoint(r);
+            RecordDecoder.EndpointEntry entry = RecordDecoder.entry(r);
+            Endpoint e = entry.endpoint();
             Endpoint before = endpoints.find(e.id());
             boolean applied = endpoints.apply(e);
+            servedVersions.reported(e, entry.reports(), r.offset());
             if (before == null || before.state() != e.state() || !before.sameInstance(e)) {
                 log.log(
                         EventCode.ENDPOINT_CHANGED,
--- a/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
+++ b/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
@@ -59,6 +59,7 @@
                 s.maxDirectoryTtlS(),
                 revocation,
                 s.quota(),
+                s.reportIntervalMs(),
                 descriptors);
     }
 
@@ -90,6 +91,7 @@
                 5,
                 BootSettings.Revocation.LENIENT,
                 QuotaBounds.DEFAULT,
+                BootSettings.DEFAULT_REPORT_INTERVAL_MS,
                 0);
     }
 }
