Refuse loads at once while the owner does not reach the engine, and load elsewhere

Cause: the node that selects sends such an engine nothing itself, so that it stays the first choice for a load. The owner misses each report of the engine and knows that it cannot perform a load, but held the request until its wait ended, 1.28 s, and refused it like any other; no time was left for another engine, and nobody learned. 456 lines of 5005 with 206, asks=2 wait_ms=0; 506 lines of 4010 with orders=-1.

Change: an owner that has missed two reports in a row refuses waiting and further loads at once and says why. The request goes on to the next engine, without counting the refusal against the three that it may ask, and the node passes the engine over as a load target for 1 to 4 s. What is resident on an engine that only its owner does not reach is used without asking the owner. 4010 states whether the owner reaches the engine.

Ruled out: counting the refusal like a refused connection (an engine that is cut off from its owner alone would serve nothing), and passing over engines without a report (a report counts for 6 s, and engines that were just listed have none).

--- a/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
+++ b/core/src/main/java/org/quetzalvane/core/choice/EngineSelector.java
@@ -224,7 +224,10 @@
         return left * slots * (e.zone().equals(dataCentre) ? OWN_DATA_CENTRE_WEIGHT : 1);
     }
 
-    /** A load target that can take a load at once if there is one, else the one with the shortest wait and an owner. */
+    /**
+     * A load target that can take a load at once if there is one, else the one with the shortest wait among those whose
+     * owner is known and reaches them.
+     */
     private Endpoint loadTarget(List<Endpoint> candidates, Need need, int position) {
         String key = need.adapter().toString();
         double limitMs = need.objectiveMs() * LOAD_TARGET_WAIT_OBJECTIVE_FACTOR;
@@ -241,6 +244,7 @@
                 ? target
                 : candidates.stream()
                         .min(Comparator.comparing((Endpoint e) -> !hasOwner.test(e))
+                                .thenComparing(e -> !residency.takesLoads(e))
                                 .thenComparingInt(this::missingIdle)
                                 .thenComparingDouble(this::waitMs)
                                 .thenComparing(Endpoint::id))
@@ -248,7 +252,10 @@
     }
 
     private boolean canTakeLoad(Endpoint e, double longestWaitMs) {
-        return missingIdle(e) == 0 && waitMs(e) + permits.intervalMs(e) <= longestWaitMs && hasOwner.test(e);
+        return missingIdle(e) == 0
+                && waitMs(e) + permits.intervalMs(e) <= longestWaitMs
+                && hasOwner.test(e)
+                && residency.takesLoads(e);
     }
 
     /**
--- a/core/src/main/java/org/quetzalvane/core/residency/AdapterLoader.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/AdapterLoader.java
@@ -13,6 +13,8 @@
         RESIDENT,
         /** The adapter was not loaded in time, or the engine has no room for it. */
         REFUSED,
+        /** The owner of the engine does not reach it. */
+        UNREACHABLE,
         /** No owner of the engine is known, or the owner did not respond in time. */
         NO_OWNER
     }
--- a/core/src/main/java/org/quetzalvane/core/residency/EngineController.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/EngineController.java
@@ -67,6 +67,7 @@
     /** Number of orders that the engine has accepted, or -1 while its state must be read from a report. */
     private long acceptedOrders = -1;
 
+    private final EngineReachability reachability = new EngineReachability();
     private boolean orderInFlight;
     /** Whether no order may be sent until a report is read or a poll interval has passed. */
     private boolean ordersPaused;
@@ -137,10 +138,15 @@
         advance();
     }
 
+    /** Whether this node reaches the engine; while it does not, load requests are refused at once. */
+    public boolean isReachable() {
+        return reachability.isReachable();
+    }
+
     /** Closes the controller: refuses all waiting load requests and sends no further order. */
     public void close() {
         closed = true;
-        queue.close();
+        queue.refuseAll();
     }
 
     /** Adapters resident on the engine, or null while the state of the engine is unknown. */
@@ -155,7 +161,8 @@
      * AdapterSlotTable#MIN_EVICTION_IDLE_MS}.
      *
      * @param done called once with whether the adapter is resident, possibly before this method returns; false after
-     *     the longest wait of the request, when the request is displaced from the queue, and on {@link #close()}
+     *     the longest wait of the request, when the request is displaced from the queue, when the engine is out of
+     *     reach, and on {@link #close()}
      */
     public void request(LoadRequest request, Consumer<Boolean> done) {
         if (closed) {
@@ -175,6 +182,11 @@
             done.accept(true);
             return;
         }
+        if (!isReachable()) {
+            completeRequest(request, false, done);
+            advance();
+            return;
+        }
         queue.add(request, ok -> completeRequest(request, ok, done));
         scheduler.schedule(Duration.ofMillis(request.waitMs()), this::advance);
         advance();
@@ -218,7 +230,9 @@
                     "orders",
                     acceptedOrders,
                     "places",
-                    slots.occupancy());
+                    slots.occupancy(),
+                    "reachable",
+                    isReachable());
         }
         done.accept(ok);
     }
@@ -457,8 +471,13 @@
         if (closed) {
             return;
         }
-        if (r == null || r.bornMs() != engine.bornMs() || r.busy()) {
-            pauseOrders(r != null && !r.held().isEmpty() ? BUSY_POLL_INTERVAL_MS : MODEL_POLL_INTERVAL_MS);
+        if (r == null || r.bornMs() != engine.bornMs()) {
+            reportMissing();
+            return;
+        }
+        reachability.reportRead();
+        if (r.busy()) {
+            pauseOrders(r.held().isEmpty() ? MODEL_POLL_INTERVAL_MS : BUSY_POLL_INTERVAL_MS);
             return;
         }
         acceptedOrders = r.acceptedOrders();
@@ -472,4 +491,14 @@
         log.log(EventCode.ENGINE_READ, engine.id(), "orders", acceptedOrders, "adapters", slots.takenCount());
         advance();
     }
+
+    private void reportMissing() {
+        reachability.reportMissing();
+        if (isReachable()) {
+            pauseOrders(REPORT_DELAY_MS);
+        } else {
+            queue.refuseAll();
+            pauseOrders(MODEL_POLL_INTERVAL_MS);
+        }
+    }
 }
--- a/core/src/main/java/org/quetzalvane/core/residency/LoadQueue.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/LoadQueue.java
@@ -110,7 +110,7 @@
     }
 
     /** Refuses all requests. */
-    void close() {
+    void refuseAll() {
         List.copyOf(groups.keySet()).forEach(ref -> complete(ref, false));
     }
 
--- a/core/src/main/java/org/quetzalvane/core/residency/ResidencyTable.java
+++ b/core/src/main/java/org/quetzalvane/core/residency/ResidencyTable.java
@@ -11,7 +11,8 @@
 
 /**
  * This node's known state of the adapters resident on each engine: as reported by the engine's owner while that report
- * is valid, otherwise as in the engine's list entry.
+ * is valid, otherwise as in the engine's list entry. For some time after an owner has stated that it does not reach its
+ * engine, nothing can be loaded there, while this node may well reach what is resident.
  *
  * <p>Confined to the event loop.
  */
@@ -23,7 +24,15 @@
      */
     private static final long REPORT_VALIDITY_MS = 6_000;
 
+    /** Time for which an engine takes no loads after its owner did not reach it, ms; doubled for each further time. */
+    static final long FIRST_PAUSE_MS = 1_000;
+    /** Longest such time, ms: a third of the 12 s within which a recovered endpoint must be used again. */
+    static final long MAX_PAUSE_MS = 4_000;
+
     private final Scheduler scheduler;
+    /** Pauses of loads by engine. */
+    private final Map<String, LoadPause> loadPauses = new HashMap<>();
+
     private final Map<String, ReportedResidency> reported = new HashMap<>();
     private final Map<String, ResidencyHistory> history = new HashMap<>();
 
@@ -46,6 +55,29 @@
         }
     }
 
+    /** Records that the owner of an engine does not reach it, so that nothing can be loaded there for a while. */
+    public void recordUnreachableByOwner(Endpoint e) {
+        LoadPause before = loadPauses.get(e.id());
+        if (before != null && before.bornMs == e.bornMs() && before.untilNanos > scheduler.nanoTime()) {
+            return;
+        }
+        long ms = before == null || before.bornMs != e.bornMs()
+                ? FIRST_PAUSE_MS
+                : Math.min(MAX_PAUSE_MS, 2 * before.durationMs);
+        loadPauses.put(e.id(), new LoadPause(e.bornMs(), ms, scheduler.nanoTime() + ms * 1_000_000));
+    }
+
+    /** Records that the owner of an engine had an adapter loaded there. */
+    public void recordLoaded(Endpoint e) {
+        loadPauses.remove(e.id());
+    }
+
+    /** Whether the owner of an engine may reach it, as far as is known here. */
+    public boolean takesLoads(Endpoint e) {
+        LoadPause pause = loadPauses.get(e.id());
+        return pause == null || pause.bornMs != e.bornMs() || pause.untilNanos <= scheduler.nanoTime();
+    }
+
     /**
      * Whether the adapter was resident on this instance of the engine, which then most likely still has it in memory.
      */
@@ -110,6 +142,8 @@
         return (scheduler.nanoTime() - r.receivedNanos) / 1_000_000;
     }
 
+    private record LoadPause(long bornMs, long durationMs, long untilNanos) {}
+
     private record ResidencyHistory(long bornMs, Set<AdapterRef> adapters) {}
 
     private record ReportedResidency(EngineResidency residency, long receivedNanos) {}
--- a/core/src/main/java/org/quetzalvane/core/serve/EngineAcquisition.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EngineAcquisition.java
@@ -163,7 +163,7 @@
     /**
      * Sends the request at once if its adapter was used within {@link #CONFIRM_RESIDENCY_AFTER_MS} or is the base
      * model, or if the engine has no known owner. Otherwise first asks the owner to keep the adapter resident, because
-     * the adapter may be evicted at any moment.
+     * the adapter may be evicted at any moment; an owner that does not reach the engine cannot evict it either.
      */
     private void sendToResident(EngineSelector.Selection selection, int version, Set<String> tried) {
         if (selection.copyTarget() != null) {
@@ -181,7 +181,9 @@
         }
         long waitMs = Math.max(MIN_LOAD_WAIT_MS, remainingLoadWaitMs());
         context.adapterLoader().load(e, loadRequest(version, waitMs), outcome -> {
-            if (outcome == AdapterLoader.Outcome.NO_OWNER && !handler.isDone()) {
+            boolean ownerDecided =
+                    outcome == AdapterLoader.Outcome.RESIDENT || outcome == AdapterLoader.Outcome.REFUSED;
+            if (!ownerDecided && !handler.isDone()) {
                 handler.send(e, version);
             } else {
                 onLoadOutcome(e, version, outcome, tried);
@@ -269,6 +271,10 @@
             loadRequests--;
             selectNextAfter(MAY_HAVE_RUN_POLL_INTERVAL_MS);
         } else {
+            if (outcome == AdapterLoader.Outcome.UNREACHABLE) {
+                // Costs no more than a round trip, so that the request has time for as many engines as before.
+                loadRequests--;
+            }
             tried.add(engine.id());
             handler.selectNext();
         }
--- a/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
+++ b/core/src/main/java/org/quetzalvane/core/team/PeerMessage.java
@@ -114,8 +114,9 @@
      * @param from address of the sender for peers, IP:PORT
      * @param number number of the request
      * @param loaded whether the adapter is resident on the engine
+     * @param unreachable whether the sender does not reach the engine; false from a node of an older version
      */
-    record AdapterLoadReply(String from, long number, boolean loaded) implements PeerMessage {}
+    record AdapterLoadReply(String from, long number, boolean loaded, boolean unreachable) implements PeerMessage {}
 
     /**
      * Requests all records known to the peer; sent by a node that reports to it, or that cannot reach the store.
--- a/core/src/test/java/org/quetzalvane/core/choice/EngineSelectorTest.java
+++ b/core/src/test/java/org/quetzalvane/core/choice/EngineSelectorTest.java
@@ -132,6 +132,37 @@
         assertThat(select(engines, adapter(7)).engine().id()).isNotEqualTo(usual);
     }
 
+    /** A load that an owner cannot perform was asked of the same engine by each request, until the end. */
+    @ParameterizedTest
+    @CsvSource({"false, false", "false, true", "true, false"})
+    void engineThatItsOwnerDoesNotReachIsNoLoadTarget(boolean residentBefore, boolean allUnreachable) {
+        List<Endpoint> engines = List.of(engine(1, Map.of()), engine(2, Map.of()), engine(3, Map.of()));
+        Endpoint usual = select(engines, adapter(7)).engine();
+        if (residentBefore) {
+            residency.update(usual.id(), new EngineResidency(1, 1, Map.of("m", Map.of("a7", 1))));
+            residency.update(usual.id(), new EngineResidency(1, 2, Map.of("m", Map.of())));
+        }
+        residency.recordUnreachableByOwner(usual);
+        if (allUnreachable) {
+            engines.forEach(residency::recordUnreachableByOwner);
+        }
+        EngineSelector.Selection s = select(engines, adapter(7));
+        assertThat(s).isNotNull();
+        if (!allUnreachable) {
+            assertThat(s.engine()).isNotEqualTo(usual);
+        }
+    }
+
+    /** Its owner is cut off from it, which this node need not be. */
+    @Test
+    void engineThatItsOwnerDoesNotReachServesWhatItHolds() {
+        Endpoint holds = engine(1, Map.of("a1", 1));
+        residency.recordUnreachableByOwner(holds);
+        EngineSelector.Selection s = select(List.of(holds, engine(2, Map.of())), adapter(1));
+        assertThat(s.engine()).isEqualTo(holds);
+        assertThat(s.resident()).isTrue();
+    }
+
     @Test
     void olderVersionIsNotSelectedAsResident() {
         EngineSelector.Selection s =
--- a/core/src/test/java/org/quetzalvane/core/residency/FakeEngine.java
+++ b/core/src/test/java/org/quetzalvane/core/residency/FakeEngine.java
@@ -30,6 +30,13 @@
     long accepted;
     long timeoutMs;
     int reports;
+    /** Whether it answers nothing. */
+    boolean ended;
+    /** Reports that are missing next. */
+    int missingReports;
+
+    boolean busy;
+    long born = 1;
     int maxAdapters;
 
     FakeEngine(Scheduler clock) {
@@ -47,6 +54,10 @@
         String name =
                 o.target().adapter().isEmpty() ? o.target().model() : o.target().adapter();
         log.add(o.action() + " " + name + " expect " + o.expectedOrders() + " token " + o.fencingToken());
+        if (ended) {
+            done.accept(Answer.UNKNOWN);
+            return;
+        }
         Answer usual = o.action() == Action.UNLOAD && !inUse.contains(name) ? Answer.HOLDS : Answer.ACCEPTED;
         Answer answer = nextAnswers.isEmpty() ? usual : nextAnswers.remove();
         if (answer == Answer.ACCEPTED || answer == Answer.HOLDS) {
@@ -72,6 +83,10 @@
     @Override
     public void report(Endpoint e, Consumer<Report> done) {
         reports++;
+        if (ended || missingReports-- > 0) {
+            done.accept(null);
+            return;
+        }
         Map<String, Map<String, Integer>> all = new HashMap<>();
         Map<String, Integer> listed = new HashMap<>(resident);
         if (listsUnloading) {
@@ -79,6 +94,6 @@
         }
         models.forEach(m -> all.put(m, Map.copyOf(listed)));
         Set<String> running = statesRequests ? Set.copyOf(inUse) : null;
-        done.accept(new Report(1, accepted, false, all, Set.copyOf(pending), running));
+        done.accept(new Report(born, accepted, busy, all, Set.copyOf(pending), running));
     }
 }
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -291,6 +291,8 @@
         final List<String> engines = new ArrayList<>();
         final Map<Integer, Consumer<Outcome>> open = new HashMap<>();
         LoadRequest lastRequest;
+        /** Outcome for the adapter that is resident everywhere. */
+        Outcome residentOutcome = Outcome.RESIDENT;
 
         /** Completes every load that requests wait for, and those that are requested meanwhile. */
         void completeAll(Outcome outcome) {
@@ -311,7 +313,7 @@
             lastRequest = request;
             engines.add(engine.id());
             if (request.adapter().equals(RESIDENT_ADAPTER)) {
-                done.accept(Outcome.RESIDENT);
+                done.accept(residentOutcome);
             } else {
                 open.put(engines.size(), done);
             }
--- a/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
+++ b/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
@@ -108,7 +108,7 @@
                         1,
                         true),
                 new PeerMessage.AdapterLoadRequest("p", 1, "e", new LoadRequest(ref, 1, 0, 100, 100)),
-                new PeerMessage.AdapterLoadReply("p", 1, true),
+                new PeerMessage.AdapterLoadReply("p", 1, true, false),
                 new PeerMessage.RecordsRequest("p"),
                 new PeerMessage.Records("p", "t", true, List.of(new StoreRecord("k", new byte[1], 1)), 2),
                 new PeerMessage.StreamOrigins("p", Map.of("v", List.of(1L))),
--- a/entry/src/main/java/org/quetzalvane/entry/PeerService.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PeerService.java
@@ -224,7 +224,7 @@
                 if (ok && reported != null) {
                     components.residency().update(engine.id(), reported);
                 }
-                done.accept(outcome(ok));
+                finishLoad(engine, outcome(ok, !controller.isReachable()), done);
             });
             return;
         }
@@ -245,7 +245,7 @@
             scheduler.schedule(Duration.ZERO, () -> done.accept(Outcome.NO_OWNER));
             return;
         }
-        pendingLoads.put(n, done);
+        pendingLoads.put(n, outcome -> finishLoad(engine, outcome, done));
         scheduler.schedule(
                 Duration.ofMillis(request.waitMs() + ROUND_TRIP_MS), () -> completeLoad(n, Outcome.NO_OWNER));
     }
@@ -273,7 +273,7 @@
         } else if (m instanceof PeerMessage.AdapterLoadRequest a) {
             handleLoadRequest(a);
         } else if (m instanceof PeerMessage.AdapterLoadReply r) {
-            completeLoad(r.number(), outcome(r.loaded()));
+            completeLoad(r.number(), outcome(r.loaded(), r.unreachable()));
         } else if (m instanceof PeerMessage.RecordsRequest a) {
             sendRecords(a.from());
         } else if (m instanceof PeerMessage.EndpointLeaving l) {
@@ -348,12 +348,15 @@
 
     private void handleLoadRequest(PeerMessage.AdapterLoadRequest a) {
         EngineController controller = components.assignedEngines().find(a.engine());
-        Consumer<Boolean> reply = ok -> send(a.from(), new PeerMessage.AdapterLoadReply(address, a.number(), ok));
         if (controller == null) {
-            reply.accept(false);
-        } else {
-            controller.request(a.wish(), reply);
+            send(a.from(), new PeerMessage.AdapterLoadReply(address, a.number(), false, false));
+            return;
         }
+        controller.request(
+                a.wish(),
+                ok -> send(
+                        a.from(),
+                        new PeerMessage.AdapterLoadReply(address, a.number(), ok, !ok && !controller.isReachable())));
     }
 
     private void completeLoad(long n, Outcome outcome) {
@@ -363,8 +366,21 @@
         }
     }
 
-    private static Outcome outcome(boolean loaded) {
-        return loaded ? Outcome.RESIDENT : Outcome.REFUSED;
+    /** Remembers whether the owner reaches the engine, for the selection of the next load targets. */
+    private void finishLoad(Endpoint engine, Outcome outcome, Consumer<Outcome> done) {
+        if (outcome == Outcome.UNREACHABLE) {
+            components.residency().recordUnreachableByOwner(engine);
+        } else if (outcome == Outcome.RESIDENT) {
+            components.residency().recordLoaded(engine);
+        }
+        done.accept(outcome);
+    }
+
+    private static Outcome outcome(boolean loaded, boolean unreachable) {
+        if (loaded) {
+            return Outcome.RESIDENT;
+        }
+        return unreachable ? Outcome.UNREACHABLE : Outcome.REFUSED;
     }
 
     @Override
--- a/entry/src/test/java/org/quetzalvane/entry/EarlyPeerMessageTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EarlyPeerMessageTest.java
@@ -48,7 +48,7 @@
             byte[] reply = received.poll(REPLY_TIMEOUT_S, TimeUnit.SECONDS);
             assertThat(reply).as("reply").isNotNull();
             assertThat(new PeerCodec().decode(reply))
-                    .isEqualTo(new PeerMessage.AdapterLoadReply(settings.peerAddress(), 7, false));
+                    .isEqualTo(new PeerMessage.AdapterLoadReply(settings.peerAddress(), 7, false, false));
             assertThat(taken.isBound()).isTrue();
         } finally {
             loop.close();
--- a/entry/src/test/java/org/quetzalvane/entry/PeerCodecVersionsTest.java
+++ b/entry/src/test/java/org/quetzalvane/entry/PeerCodecVersionsTest.java
@@ -61,6 +61,16 @@
                 complete);
     }
 
+    /** An older node states only whether the adapter is loaded. */
+    @Test
+    void replyToALoadRequestOfAnOlderNodeNamesAnEngineInReach() throws IOException {
+        PeerMessage.AdapterLoadReply reply = new PeerMessage.AdapterLoadReply("10.0.0.1:1", 7, false, true);
+        byte[] frame = codec.encode(reply);
+        assertThat(codec.decode(frame)).isEqualTo(reply);
+        assertThat(codec.decode(resized(frame, 3)))
+                .isEqualTo(new PeerMessage.AdapterLoadReply("10.0.0.1:1", 7, false, false));
+    }
+
     @Test
     void statusAndViewAreDecodedAsTheyWereEncoded() throws IOException {
         PeerMessage.Status s = status(1L << 41, (1L << 41) + 3);
