Let the engines of the soak count their entries, and establish versions early where no restore is played

The stand-ins stated 0 for the number of entries that they have written, so that the soak could not show the age of a copy; and a version that is pending for 20 s meets few streams in a run of 25 to 30 s. Engines now write an entry at each heartbeat with a rising count.

--- a/entry/src/test/java/org/quetzalvane/entry/FaultSoak.java
+++ b/entry/src/test/java/org/quetzalvane/entry/FaultSoak.java
@@ -41,6 +41,8 @@
     private static final int CALLERS_PER_NODE = 6;
     private static final long NEXT_FAULT_MS = 500;
     private static final int HEARTBEAT_MS = 1_200;
+    /** Longest time for which a software version is pending if it is established early, ms. */
+    private static final int MAX_PENDING_MS = 3_000;
 
     private final Random random;
     private final Path directory;
@@ -58,9 +60,17 @@
     private int release = 1;
     private final AtomicInteger configVersion = new AtomicInteger();
     private final Set<StreamingEngineStandIn> draining = ConcurrentHashMap.newKeySet();
+    /** Engines that have written their first entries. */
+    private final Set<StreamingEngineStandIn> reporting = ConcurrentHashMap.newKeySet();
     /** Ids of engines that have left for good, whose entries a restore may bring back. */
     private final Set<String> gone = ConcurrentHashMap.newKeySet();
 
+    /**
+     * Whether streams begin at new software versions early, so that many streams meet several versions: without the
+     * loss of all nodes and a restore, the time for which versions are pending protects nothing.
+     */
+    private volatile boolean establishesEarly;
+
     private volatile boolean ended;
 
     /** What happens to nodes, engines and the store. */
@@ -108,7 +118,9 @@
         for (int i = 0; i < ENGINES; i++) {
             startEngine("v1");
         }
+        startHeartbeats();
         startNodes(nodeCount);
+        establishesEarly = !kinds.contains(Fault.STORE_RESTORE_AND_KILL);
         List<Thread> callers = new ArrayList<>();
         for (int i = 0; i < nodeCount * CALLERS_PER_NODE; i++) {
             callers.add(startCaller("c" + i));
@@ -262,6 +274,19 @@
         nodes.forEach(n -> disturb(n, node -> node.killFor(downMs)));
     }
 
+    /** Writes the engines' entries at intervals. */
+    private void startHeartbeats() {
+        start(() -> {
+            while (!ended) {
+                TimeUnit.MILLISECONDS.sleep(HEARTBEAT_MS);
+                engines.stream()
+                        .filter(reporting::contains)
+                        .forEach(e -> store.writeEndpoint(e.identity().id(), e.entry("ready")));
+                draining.forEach(e -> store.writeEndpoint(e.identity().id(), e.entry("draining")));
+            }
+        });
+    }
+
     /** Restores the store from a copy that is taken now and used some seconds later. */
     private void restoreStore(long forMs, Runnable meanwhile) {
         store.takeCopy();
@@ -355,9 +380,13 @@
                 identity, port, Set.of("a1", "a2"), repeats.observing(identity, responses), violations::add);
         engines.add(e);
         // An engine serves before its first heartbeat; until then, one that starts again is listed as it was before.
-        repair(
-                Math.floorMod(identity.hashCode(), HEARTBEAT_MS),
-                () -> store.writeEndpoint(identity.id(), e.entry("ready")));
+        repair(Math.floorMod(identity.hashCode(), HEARTBEAT_MS), () -> {
+            store.writeEndpoint(identity.id(), e.entry("ready"));
+            reporting.add(e);
+        });
+        if (establishesEarly) {
+            repair(HEARTBEAT_MS + Math.floorMod(identity.hashCode(), MAX_PENDING_MS), store::establishVersions);
+        }
     }
 
     private String config() {
