Begin streams at a needed version also while the store is away or has no record of it

Found by reading: a version that is needed because the others have no room was established only once the store had acknowledged the removal of its mark, and only if a mark was known. During an outage of the store, or while no node is the writer, callers would have been refused for lack of room though engines of the new version were idle.

The node now records the version without a mark, begins streams there also if the call fails, and tries again until it is acknowledged. Meanwhile its peers alone know the origins of these streams.

--- a/core/src/main/java/org/quetzalvane/core/team/ServedVersionRecorder.java
+++ b/core/src/main/java/org/quetzalvane/core/team/ServedVersionRecorder.java
@@ -35,6 +35,7 @@
     private final WritableTopic topic;
     private final EndpointTable endpoints;
     private final Knowledge knowledge;
+    private final VersionEstablishment establishment;
     private final CopyAge copyAge;
     private final BooleanSupplier permitted;
     private final BooleanSupplier streamsResumable;
@@ -53,15 +54,9 @@
         /** Processes what the store holds. */
         void read(ServedVersionRecords stored);
 
-        /** Processes that versions are recorded and streams may begin at them. */
-        void established(Set<ServiceVersion> versions);
-
         /** Versions known to have served within the retention time. */
         Set<ServiceVersion> served();
 
-        /** Versions at which streams may begin. */
-        Set<ServiceVersion> established();
-
         /** Whether all versions are known that streams which still last may have begun at. */
         boolean complete();
 
@@ -87,6 +82,7 @@
             Scheduler scheduler,
             ServedVersionTable.Inputs inputs,
             Knowledge knowledge,
+            VersionEstablishment establishment,
             CopyAge copyAge,
             BooleanSupplier permitted,
             StructuredLog log) {
@@ -94,6 +90,7 @@
         this.topic = inputs.topic();
         this.endpoints = inputs.endpoints();
         this.knowledge = knowledge;
+        this.establishment = establishment;
         this.copyAge = copyAge;
         this.permitted = permitted;
         this.streamsResumable = inputs.streamsResumable();
@@ -153,7 +150,7 @@
             writing = false;
             if (acknowledged) {
                 pendingSinceNanos.keySet().removeAll(versions);
-                knowledge.established(versions);
+                establishment.add(versions);
             }
         });
     }
@@ -204,27 +201,25 @@
     private void written(Written state, Set<ServiceVersion> established, Set<ServiceVersion> pending) {
         confirmed = state;
         pending.forEach(v -> pendingSinceNanos.put(v, scheduler.nanoTime()));
-        knowledge.established(established);
+        establishment.add(established);
     }
 
     /** The versions among those that are not recorded yet whose services have an established version in use. */
     private Set<ServiceVersion> joining(Set<ServiceVersion> missing, Set<ServiceVersion> listed) {
-        Set<ServiceVersion> established = knowledge.established();
         Set<String> services = endpoints.ready().stream()
-                .map(e -> new ServiceVersion(e.service(), e.softwareVersion()))
-                .filter(established::contains)
+                .map(VersionEstablishment::version)
+                .filter(establishment::contains)
                 .map(ServiceVersion::service)
                 .collect(Collectors.toSet());
         return missing.stream()
-                .filter(v -> listed.contains(v) && !established.contains(v) && services.contains(v.service()))
+                .filter(v -> listed.contains(v) && !establishment.contains(v) && services.contains(v.service()))
                 .collect(Collectors.toSet());
     }
 
     /** Marked versions at which streams may have begun since, or that are gone. */
     private Set<ServiceVersion> outdatedMarks(ServedVersionRecords stored, Set<ServiceVersion> obsolete, long epoch) {
-        Set<ServiceVersion> established = knowledge.established();
         return stored.pendingEpochs().keySet().stream()
-                .filter(v -> !stored.isPending(v, epoch) || established.contains(v) || obsolete.contains(v))
+                .filter(v -> !stored.isPending(v, epoch) || establishment.contains(v) || obsolete.contains(v))
                 .collect(Collectors.toSet());
     }
 
--- a/core/src/main/java/org/quetzalvane/core/team/ServedVersionRecords.java
+++ b/core/src/main/java/org/quetzalvane/core/team/ServedVersionRecords.java
@@ -90,11 +90,6 @@
         return new ServiceVersion(text.substring(0, Math.max(0, at)), text.substring(at + 1));
     }
 
-    /** Whether a version is recorded and streams may have begun at it. */
-    boolean isEstablished(ServiceVersion v, long epoch) {
-        return versions.contains(v) && !isPending(v, epoch);
-    }
-
     /** Whether no stream has begun at a version. */
     boolean isPending(ServiceVersion v, long epoch) {
         Long marked = pendingEpochs.get(v);
--- a/core/src/main/java/org/quetzalvane/core/team/ServedVersionTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/ServedVersionTable.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -69,6 +68,7 @@
     private final SharedRead listReads;
     private final SharedRead recordReads;
     private final CopyAge copyAge;
+    private final VersionEstablishment establishment;
     private final ServedVersionRecorder recorder;
     /** Time since which this node has followed the endpoints' list without a gap, or -1. */
     private long followedSinceNanos = -1;
@@ -80,10 +80,6 @@
     private Set<ServiceVersion> recorded;
     /** What the store held when it was last read. */
     private ServedVersionRecords lastRead = ServedVersionRecords.NONE;
-    /** Versions at which streams may begin while other versions of their services have room. */
-    private final Set<ServiceVersion> established = new HashSet<>();
-    /** Listed versions when the list was last checked. */
-    private Set<ServiceVersion> listedBefore = Set.of();
     /** Runs since the records were last asked for at an interval; null before that. */
     private Stopwatch sinceRead;
     /** Counts of status reports in the copy that the store came back from, until its age is known; or null. */
@@ -93,8 +89,6 @@
     /** Lookups that wait for the age of the copy. */
     private final List<Runnable> awaitingCopyAge = new ArrayList<>();
 
-    private boolean establishing;
-
     /**
      * What the table of a node is based on.
      *
@@ -126,10 +120,12 @@
         this.log = log;
         this.recordReads = new SharedRead(scheduler, topic, Duration.ofMillis(LOOKUP_TIMEOUT_MS), this::recordsRead);
         this.copyAge = new CopyAge(inputs.reportIntervalMs());
+        this.establishment = new VersionEstablishment(scheduler, topic, endpoints, () -> lastRead);
         this.recorder = new ServedVersionRecorder(
                 scheduler,
                 inputs,
                 new RecorderKnowledge(),
+                establishment,
                 copyAge,
                 // What is listed again while the age of a copy is unknown must not count as served before the restore.
                 () -> writer.getAsBoolean() && listCurrent.getAsBoolean() && !awaitsCopyAge(),
@@ -181,7 +177,7 @@
 
     @Override
     public void find(String service, Consumer<Set<String>> done) {
-        if (named(established, service).size() > 1) {
+        if (named(establishment.versions(), service).size() > 1) {
             done.accept(named(served(), service));
             return;
         }
@@ -218,35 +214,12 @@
 
     @Override
     public boolean isEstablished(Endpoint e) {
-        return established.contains(version(e));
+        return establishment.contains(VersionEstablishment.version(e));
     }
 
     @Override
     public void establish(String service) {
-        Set<ServiceVersion> joining = endpoints.ready().stream()
-                .map(ServedVersionTable::version)
-                .filter(v -> v.service().equals(service) && !established.contains(v))
-                .collect(Collectors.toSet());
-        Set<ServiceVersion> pending = joining.stream()
-                .filter(v -> lastRead.isPending(v, topic.epoch()))
-                .collect(Collectors.toSet());
-        if (pending.size() < joining.size()) {
-            readRecords(CHECK_INTERVAL_MS);
-        }
-        if (establishing || pending.isEmpty()) {
-            return;
-        }
-        establishing = true;
-        topic.write(Map.of(), ServedVersionRecords.pendingKeys(pending), acknowledged -> {
-            if (acknowledged) {
-                established.addAll(pending);
-            }
-            scheduler.schedule(Duration.ofMillis(CHECK_INTERVAL_MS), () -> establishing = false);
-        });
-    }
-
-    private static ServiceVersion version(Endpoint e) {
-        return new ServiceVersion(e.service(), e.softwareVersion());
+        establishment.establish(service);
     }
 
     private static Set<String> named(Set<ServiceVersion> versions, String service) {
@@ -272,7 +245,7 @@
     private Set<ServiceVersion> mayHaveBegunStreams() {
         Set<ServiceVersion> versions = served();
         versions.addAll(lastRead.versions());
-        versions.removeIf(v -> !established.contains(v)
+        versions.removeIf(v -> !establishment.contains(v)
                 && (lastRead.isPending(v, topic.epoch())
                         || completeByCopy && !lastRead.versions().contains(v)));
         return versions;
@@ -299,9 +272,7 @@
 
     private void apply(ServedVersionRecords read) {
         lastRead = read;
-        read.versions().stream()
-                .filter(v -> read.isEstablished(v, topic.epoch()))
-                .forEach(established::add);
+        establishment.read(read);
         if (recorded == null) {
             recorded = read.versions();
         }
@@ -386,8 +357,7 @@
             complete("followed");
         }
         Set<ServiceVersion> listed = endpoints.softwareVersions();
-        listedBefore.stream().filter(v -> !listed.contains(v)).forEach(established::remove);
-        listedBefore = listed;
+        establishment.listed(listed);
         if (!writer.getAsBoolean()) {
             recorder.readAgain();
             readRecordsIfNeeded(listed);
@@ -399,33 +369,23 @@
     private void readRecordsIfNeeded(Set<ServiceVersion> listed) {
         if (!complete && !listed.isEmpty()) {
             readRecords(REREAD_INTERVAL_MS);
-        } else if (!established.containsAll(listed)) {
+        } else if (!establishment.versions().containsAll(listed)) {
             readRecords(PENDING_REREAD_INTERVAL_MS);
         }
     }
 
-    /** What the recorder asks of this table and tells it. */
+    /** What the recorder asks of this table. */
     private final class RecorderKnowledge implements ServedVersionRecorder.Knowledge {
         @Override
         public void read(ServedVersionRecords stored) {
             apply(stored);
         }
 
-        @Override
-        public void established(Set<ServiceVersion> versions) {
-            established.addAll(versions);
-        }
-
         @Override
         public Set<ServiceVersion> served() {
             return ServedVersionTable.this.served();
         }
 
-        @Override
-        public Set<ServiceVersion> established() {
-            return established;
-        }
-
         @Override
         public boolean complete() {
             return complete;
--- a/core/src/test/java/org/quetzalvane/core/team/RestoredVersionsTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/RestoredVersionsTest.java
@@ -101,6 +101,31 @@
         assertThat(network.node(2).beginnings()).containsExactly("v1", "v2");
     }
 
+    /** A node that cannot reach the store needs the version as well; other nodes learn of it once the store is back. */
+    @Test
+    void versionThatIsNeededWhileTheStoreIsAwayIsEstablishedThereAndRecordedLater() {
+        network.engine("e3", "v2");
+        network.advance(ServedVersionTable.CHECK_INTERVAL_MS + ServedVersionTable.PENDING_REREAD_INTERVAL_MS);
+        network.storeAway();
+        network.node(1).table.establish(VersionNetwork.SERVICE);
+        assertThat(network.node(1).beginnings()).containsExactly("v1", "v2");
+        assertThat(network.node(2).beginnings()).containsExactly("v1");
+        network.advance(2_000);
+        network.storeBack();
+        network.advance(VersionEstablishment.RETRY_INTERVAL_MS);
+        assertThat(findAt(2)).containsExactlyInAnyOrder("v1", "v2");
+    }
+
+    /** No node has recorded the version: the writer is lost, or has not looked yet. */
+    @Test
+    void versionThatIsNeededBeforeItIsRecordedIsRecordedAsEstablished() {
+        network.engine("e3", "v2");
+        network.node(1).table.establish(VersionNetwork.SERVICE);
+        assertThat(network.node(1).beginnings()).containsExactly("v1", "v2");
+        network.advance(ServedVersionTable.CHECK_INTERVAL_MS);
+        assertThat(findAt(2)).containsExactlyInAnyOrder("v1", "v2");
+    }
+
     /** Nodes that start while a version is pending learn of that before they begin streams. */
     @Test
     void pendingVersionIsKnownToNodesThatStart() {
--- a/core/src/test/java/org/quetzalvane/core/team/VersionNetwork.java
+++ b/core/src/test/java/org/quetzalvane/core/team/VersionNetwork.java
@@ -195,6 +195,12 @@
         records.away = true;
     }
 
+    /** The store is back with all that it held. */
+    void storeBack() {
+        away = false;
+        records.away = false;
+    }
+
     Copy copy() {
         return new Copy(Map.copyOf(records.values), Map.copyOf(list), listEnd);
     }
