End lookups that wait for the age of a copy when the copy is out of sight

Found by reading: a lookup of a stream's version that waited for the age of a copy was never answered if the store came back from another copy, or the node lost sight of the list, in the 2.5 s of its wait: what it waited for was forgotten, and the timer did nothing then. The caller got no answer until its deadline.

Forgetting the copy now ends the lookups, which are refused as before.

--- a/core/src/main/java/org/quetzalvane/core/team/ServedVersionTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/ServedVersionTable.java
@@ -1,10 +1,7 @@
 package org.quetzalvane.core.team;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -53,11 +50,6 @@
     static final long REREAD_INTERVAL_MS = 2_000;
     /** Shortest interval between reads of the records while a listed version is not established, ms. */
     static final long PENDING_REREAD_INTERVAL_MS = 5_000;
-    /**
-     * Longest time for which a lookup waits for the age of a copy, ms: endpoints write their entries again within about
-     * 2 s of a restore.
-     */
-    static final long COPY_AGE_WAIT_MS = 2_500;
 
     private final Scheduler scheduler;
     private final WritableTopic topic;
@@ -68,26 +60,19 @@
     private final SharedRead listReads;
     private final SharedRead recordReads;
     private final CopyAge copyAge;
+    private final CopyProof copyProof;
     private final VersionEstablishment establishment;
     private final ServedVersionRecorder recorder;
     /** Time since which this node has followed the endpoints' list without a gap, or -1. */
     private long followedSinceNanos = -1;
     /** Whether this node knows all versions that streams which still last may have begun at. */
     private boolean complete;
-    /** Whether it knows them from a copy of the store that is young enough. */
-    private boolean completeByCopy;
     /** Versions that the store held when this node began to follow the list, or null. */
     private Set<ServiceVersion> recorded;
     /** What the store held when it was last read. */
     private ServedVersionRecords lastRead = ServedVersionRecords.NONE;
     /** Runs since the records were last asked for at an interval; null before that. */
     private Stopwatch sinceRead;
-    /** Counts of status reports in the copy that the store came back from, until its age is known; or null. */
-    private ReportCounts copiedReports;
-
-    private long copyFoundNanos;
-    /** Lookups that wait for the age of the copy. */
-    private final List<Runnable> awaitingCopyAge = new ArrayList<>();
 
     /**
      * What the table of a node is based on.
@@ -120,6 +105,8 @@
         this.log = log;
         this.recordReads = new SharedRead(scheduler, topic, Duration.ofMillis(LOOKUP_TIMEOUT_MS), this::recordsRead);
         this.copyAge = new CopyAge(inputs.reportIntervalMs());
+        this.copyProof = new CopyProof(
+                scheduler, copyAge, ServedVersionRecorder.PENDING_MS, ageMs -> complete("copy_age_ms=" + ageMs));
         this.establishment = new VersionEstablishment(scheduler, topic, endpoints, () -> lastRead);
         this.recorder = new ServedVersionRecorder(
                 scheduler,
@@ -128,7 +115,7 @@
                 establishment,
                 copyAge,
                 // What is listed again while the age of a copy is unknown must not count as served before the restore.
-                () -> writer.getAsBoolean() && listCurrent.getAsBoolean() && !awaitsCopyAge(),
+                () -> writer.getAsBoolean() && listCurrent.getAsBoolean() && !copyProof.isPending(),
                 log);
     }
 
@@ -144,7 +131,7 @@
     public void storeRestored() {
         recorder.readAgain();
         copyAge.restored();
-        copiedReports = null;
+        copyProof.forget();
         if (!listCurrent.getAsBoolean()) {
             forget("restored while the list was not current");
         }
@@ -162,7 +149,7 @@
             readRecords(REREAD_INTERVAL_MS);
         }
         copyAge.reported(new ReportCounts.Instance(e.id(), e.bornMs()), reports, position);
-        checkCopyAge();
+        copyProof.check();
     }
 
     /** Processes that an entry was removed from the endpoints' list. */
@@ -194,8 +181,8 @@
     private void conclude(String service, Consumer<Set<String>> done) {
         if (complete) {
             done.accept(named(mayHaveBegunStreams(), service));
-        } else if (awaitsCopyAge()) {
-            awaitingCopyAge.add(() -> conclude(service, done));
+        } else if (copyProof.isPending()) {
+            copyProof.await(() -> conclude(service, done));
         } else {
             Set<String> known = named(served(), service);
             done.accept(known.size() > 1 ? known : Set.of());
@@ -240,14 +227,15 @@
 
     /**
      * Versions at which streams that still last may have begun, once the records were just read: those that have served
-     * and are not pending. Streams cannot have begun either at a version that a young copy lacks.
+     * and are not pending. Shortly after a restore, streams cannot have begun either at a version that the young copy
+     * lacks and no node has recorded since.
      */
     private Set<ServiceVersion> mayHaveBegunStreams() {
         Set<ServiceVersion> versions = served();
         versions.addAll(lastRead.versions());
         versions.removeIf(v -> !establishment.contains(v)
                 && (lastRead.isPending(v, topic.epoch())
-                        || completeByCopy && !lastRead.versions().contains(v)));
+                        || copyProof.provedLately() && !lastRead.versions().contains(v)));
         return versions;
     }
 
@@ -280,10 +268,8 @@
             complete("stated by the records");
         } else if (read.isEmpty()) {
             complete("no records");
-        } else if (!complete && copiedReports == null && isCopyOfLastEpoch(read)) {
-            copiedReports = read.reports();
-            copyFoundNanos = scheduler.nanoTime();
-            scheduler.schedule(Duration.ofMillis(COPY_AGE_WAIT_MS), this::checkCopyAge);
+        } else if (!complete && isCopyOfLastEpoch(read)) {
+            copyProof.copyFound(read.reports());
             listReads.then(listRead -> {});
         }
     }
@@ -296,29 +282,6 @@
                 && read.reports().epoch() == before;
     }
 
-    /** Whether the records are those of a copy whose age is not known yet but may become known. */
-    private boolean awaitsCopyAge() {
-        return copiedReports != null && scheduler.nanoTime() - copyFoundNanos < COPY_AGE_WAIT_MS * 1_000_000;
-    }
-
-    /** Concludes from the age of the copy that the store came back from, once it is known. */
-    private void checkCopyAge() {
-        if (copiedReports == null) {
-            return;
-        }
-        OptionalLong ageMs = copyAge.longestMs(copiedReports);
-        if (ageMs.isPresent() && ageMs.getAsLong() < ServedVersionRecorder.PENDING_MS) {
-            copiedReports = null;
-            completeByCopy = true;
-            complete("copy_age_ms=" + ageMs.getAsLong());
-        }
-        if (!awaitsCopyAge()) {
-            List<Runnable> lookups = List.copyOf(awaitingCopyAge);
-            awaitingCopyAge.clear();
-            lookups.forEach(Runnable::run);
-        }
-    }
-
     private void complete(String why) {
         if (!complete) {
             complete = true;
@@ -331,12 +294,11 @@
         followedSinceNanos = -1;
         recorded = null;
         sinceRead = null;
-        copiedReports = null;
-        completeByCopy = false;
         if (complete) {
             complete = false;
             logHistory(why);
         }
+        copyProof.forget();
     }
 
     private void logHistory(String why) {
@@ -358,18 +320,14 @@
         }
         Set<ServiceVersion> listed = endpoints.softwareVersions();
         establishment.listed(listed);
-        if (!writer.getAsBoolean()) {
-            recorder.readAgain();
-            readRecordsIfNeeded(listed);
-        } else {
+        if (writer.getAsBoolean()) {
             recorder.check();
+        } else {
+            recorder.readAgain();
         }
-    }
-
-    private void readRecordsIfNeeded(Set<ServiceVersion> listed) {
-        if (!complete && !listed.isEmpty()) {
+        if (!complete && !writer.getAsBoolean() && !listed.isEmpty()) {
             readRecords(REREAD_INTERVAL_MS);
-        } else if (!establishment.versions().containsAll(listed)) {
+        } else if (complete && !establishment.versions().containsAll(listed)) {
             readRecords(PENDING_REREAD_INTERVAL_MS);
         }
     }
--- a/core/src/test/java/org/quetzalvane/core/team/RestoredVersionsTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/RestoredVersionsTest.java
@@ -23,7 +23,7 @@
 class RestoredVersionsTest {
     private static final int NODES = 3;
     /** Longest time until a lookup ends: it waits for the reports after the restore. */
-    private static final long LOOKUP_MS = ServedVersionTable.COPY_AGE_WAIT_MS + 500;
+    private static final long LOOKUP_MS = CopyProof.MAX_WAIT_MS + 500;
 
     private final VersionNetwork network = new VersionNetwork();
 
@@ -224,6 +224,25 @@
         assertThat(findAt(1)).containsExactlyInAnyOrder("v1", "v2");
     }
 
+    /** The store comes back from another copy, or the node loses sight of it, while lookups wait. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void lookupEndsThoughTheCopyIsReplacedOrOutOfSight(boolean restoredAgain) {
+        VersionNetwork.Copy copy = network.copy();
+        network.advance(3_000);
+        List.copyOf(network.engines.values()).forEach(e -> e.frozen = true);
+        loseAllNodesAndRestore(copy);
+        List<Set<String>> found = VersionNetwork.find(network.node(0));
+        assertThat(found).isEmpty();
+        if (restoredAgain) {
+            network.restore(copy);
+        } else {
+            network.storeAway();
+        }
+        network.advance(ServedVersionTable.CHECK_INTERVAL_MS);
+        assertThat(found).containsExactly(Set.of());
+    }
+
     /** A lookup waits for the reports after the restore, and no longer than endpoints take to write them. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
@@ -236,7 +255,7 @@
         loseAllNodesAndRestore(copy);
         List<Set<String>> found = VersionNetwork.find(network.node(0));
         assertThat(found).isEmpty();
-        network.advance(enginesLive ? VersionNetwork.REPORT_INTERVAL_MS : ServedVersionTable.COPY_AGE_WAIT_MS);
+        network.advance(enginesLive ? VersionNetwork.REPORT_INTERVAL_MS : CopyProof.MAX_WAIT_MS);
         assertThat(found).containsExactly(enginesLive ? Set.of("v1") : Set.of());
     }
 
