Record a version that a restore has removed without a mark

Found by reading: a version that another node had established, and whose record was lost with a restore, was marked as pending again by a writer that had not learned of it, up to 20 s later. Nodes that were asked for its streams took the other version for the one that began them, if no peer knew the origin.

A version is now marked only if the records were complete in the current epoch before it, or if a young copy has just proved that it has begun no streams. One that is recorded together with the statement of the epoch needs no mark: each copy that states that epoch contains it.

RestoredVersionsTest.versionThatAnotherNodeEstablishedMayHaveBegunStreamsAfterARestore failed before.

--- a/core/src/main/java/org/quetzalvane/core/team/ServedVersionRecorder.java
+++ b/core/src/main/java/org/quetzalvane/core/team/ServedVersionRecorder.java
@@ -60,6 +60,9 @@
         /** Whether all versions are known that streams which still last may have begun at. */
         boolean complete();
 
+        /** Whether a young copy has shown lately that streams have begun only at the versions that it holds. */
+        boolean provedByCopyLately();
+
         /** Whether the list has been followed for the retention time. */
         boolean followedLongEnough();
     }
@@ -171,7 +174,9 @@
             scheduler.schedule(Duration.ofMillis(EndpointTable.RETENTION_MS), () -> confirmed = null);
         }
         Written next = new Written(listed, knowledge.complete(), topic.epoch());
-        Set<ServiceVersion> pending = next.complete ? joining(missing, listed) : Set.of();
+        // Streams may have begun at a version that a restore has removed from the records.
+        boolean unused = stored.completeEpoch() == next.epoch || knowledge.provedByCopyLately();
+        Set<ServiceVersion> pending = next.complete && unused ? joining(missing, listed) : Set.of();
         Set<ServiceVersion> unmarked = outdatedMarks(stored, obsolete, next.epoch);
         boolean states = next.complete && stored.completeEpoch() != next.epoch;
         Runnable onWritten = () -> written(next, difference(missing, pending), pending);
--- a/core/src/main/java/org/quetzalvane/core/team/ServedVersionTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/ServedVersionTable.java
@@ -349,6 +349,11 @@
             return complete;
         }
 
+        @Override
+        public boolean provedByCopyLately() {
+            return copyProof.provedLately();
+        }
+
         @Override
         public boolean followedLongEnough() {
             return ServedVersionTable.this.followedLongEnough();
--- a/core/src/test/java/org/quetzalvane/core/team/RestoredVersionsTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/RestoredVersionsTest.java
@@ -224,6 +224,21 @@
         assertThat(findAt(1)).containsExactlyInAnyOrder("v1", "v2");
     }
 
+    /** Another node had established the version, which the writer did not know when it wrote the records again. */
+    @Test
+    void versionThatAnotherNodeEstablishedMayHaveBegunStreamsAfterARestore() {
+        VersionNetwork.Copy copy = network.copy();
+        network.engine("e3", "v2");
+        network.advance(ServedVersionTable.CHECK_INTERVAL_MS + ServedVersionTable.PENDING_REREAD_INTERVAL_MS);
+        network.node(1).table.establish(VersionNetwork.SERVICE);
+        network.restore(copy);
+        network.advance(2 * ServedVersionTable.CHECK_INTERVAL_MS);
+        assertThat(findAt(2)).containsExactlyInAnyOrder("v1", "v2");
+        network.startNodes(NODES);
+        network.advance(ServedVersionTable.CHECK_INTERVAL_MS);
+        assertThat(findAt(2)).containsExactlyInAnyOrder("v1", "v2");
+    }
+
     /** The store comes back from another copy, or the node loses sight of it, while lookups wait. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
