--- a/core/src/main/java/org/quetzalvane/core/serve/EngineAcquisition.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/EngineAcquisition.java
@@ -63,7 +63,7 @@
     private final CallerRequest request;
     private final Route route;
     private final Handler handler;
-    private final EstablishedVersions establishedVersions;
+    private final StreamEnginePreference enginePreference;
     private long startNanos;
     private int loadRequests;
     private boolean admitted;
@@ -93,8 +93,8 @@
         this.request = request;
         this.route = route;
         this.handler = handler;
-        this.establishedVersions =
-                new EstablishedVersions(context.servedVersions(), context.outlierDetector(), context.endpointLoads());
+        this.enginePreference = new StreamEnginePreference(
+                context.servedVersions(), context.outlierDetector(), context.endpointLoads());
         this.startNanos = context.scheduler().nanoTime();
     }
 
@@ -153,7 +153,7 @@
     }
 
     private EngineSelector.Selection select(List<Endpoint> usable, EngineSelector.Need need, Set<String> tried) {
-        List<Endpoint> preferred = establishedVersions.preferred(usable, route);
+        List<Endpoint> preferred = enginePreference.preferred(usable, route);
         EngineSelector.Selection selection = context.engineSelector().select(preferred, need, tried);
         return selection == null && preferred.size() < usable.size()
                 ? context.engineSelector().select(usable, need, tried)
--- a/core/src/main/java/org/quetzalvane/core/serve/EstablishedVersions.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/StreamEnginePreference.java
@@ -15,7 +15,7 @@
  * of room, for instance because a release replaces them quickly, the new version is established before its time.
  * Stateless.
  */
-final class EstablishedVersions {
+final class StreamEnginePreference {
     /** Part of the request slots up to which an engine has room: beyond it, tokens come noticeably slower. */
     private static final double ROOM_SLOTS_FACTOR = 0.75;
 
@@ -23,7 +23,7 @@
     private final OutlierDetector outliers;
     private final EndpointLoads loads;
 
-    EstablishedVersions(ServedVersions versions, OutlierDetector outliers, EndpointLoads loads) {
+    StreamEnginePreference(ServedVersions versions, OutlierDetector outliers, EndpointLoads loads) {
         this.versions = versions;
         this.outliers = outliers;
         this.loads = loads;
--- a/core/src/test/java/org/quetzalvane/core/serve/EstablishedVersionsTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/StreamEnginePreferenceTest.java
@@ -13,7 +13,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /** Streams while a version joins, on a manual clock: engine-1 and engine-2 have v1, engine-3 and engine-4 v2. */
-class EstablishedVersionsTest extends RequestFlowFixture {
+class StreamEnginePreferenceTest extends RequestFlowFixture {
     private static final int REQUESTS = 20;
 
     @BeforeEach
