Tell versions that are unused from those at which streams may have begun unseen

An engine had started again under its id with v2 while the store was away, and nodes began streams there until they saw its entry. All nodes were lost; those that started refused the stream twice, since v2 was listed, and let it go on at v1 once the writer had marked v2 as pending: a mark said that no stream had begun.

A mark now says so only if the version came under new ids while the writer followed the list, and was not removed by a restore; other versions that join are pending, that is, streams do not begin at them yet, and count as versions that may have begun some. After a restore the same holds for a version that came under a known id, and a lookup waits until each endpoint of the copy's list has reported, since one that has not may have been upgraded since.

--- a/core/src/main/java/org/quetzalvane/core/fleet/EndpointTable.java
+++ b/core/src/main/java/org/quetzalvane/core/fleet/EndpointTable.java
@@ -64,6 +64,9 @@
     /** Versions of instances that another one has replaced under their ids, and the time of the last replacement. */
     private final Map<ServiceVersion, Long> replacedVersions = new HashMap<>();
 
+    /** Versions that came by replacing an instance of another version under its id, and the time of the last one. */
+    private final Map<ServiceVersion, Long> upgradedVersions = new HashMap<>();
+
     private final List<Consumer<Endpoint>> newInstanceListeners = new ArrayList<>();
 
     public EndpointTable(Scheduler scheduler) {
@@ -120,20 +123,32 @@
         tracked.put(e.id(), new TrackedEndpoint(e, e.ready() ? NOT_LEAVING : leavingSinceNanos));
         if (newInstance) {
             if (known != null) {
-                keepVersion(known.endpoint);
+                keepVersion(replacedVersions, versionOf(known.endpoint));
+                if (!versionOf(known.endpoint).equals(versionOf(e))) {
+                    keepVersion(upgradedVersions, versionOf(e));
+                }
             }
             newInstanceListeners.forEach(l -> l.accept(e));
         }
     }
 
-    /** Keeps the version of a replaced instance as long as streams that it began may last. */
-    private void keepVersion(Endpoint replaced) {
-        replacedVersions.values().removeIf(this::isPastRetention);
-        if (replacedVersions.size() < MAX_REPLACED_VERSIONS) {
-            replacedVersions.put(versionOf(replaced), scheduler.nanoTime());
+    /** Keeps a version as long as streams that began until now may last. */
+    private void keepVersion(Map<ServiceVersion, Long> versions, ServiceVersion v) {
+        versions.values().removeIf(this::isPastRetention);
+        if (versions.size() < MAX_REPLACED_VERSIONS) {
+            versions.put(v, scheduler.nanoTime());
         }
     }
 
+    /**
+     * Whether endpoints have started again under their ids with a software version within the retention time. Streams
+     * may have begun at it before their entries stated it.
+     */
+    public boolean isUpgradedInPlace(ServiceVersion v) {
+        Long since = upgradedVersions.get(v);
+        return since != null && !isPastRetention(since);
+    }
+
     private boolean isPastRetention(long sinceNanos) {
         return scheduler.nanoTime() - sinceNanos > RETENTION_NANOS;
     }
--- a/core/src/main/java/org/quetzalvane/core/team/CopyAge.java
+++ b/core/src/main/java/org/quetzalvane/core/team/CopyAge.java
@@ -82,6 +82,11 @@
         return new ReportCounts(epoch, counts);
     }
 
+    /** Whether each listed endpoint that counts its reports has written one since the restore. */
+    boolean allReported() {
+        return listedEnd != NOT_LISTED && newest.values().stream().allMatch(r -> r.position >= listedEnd);
+    }
+
     /**
      * Longest age of the copy, ms, at the time of the last restore; empty while too few endpoints show it.
      *
--- a/core/src/main/java/org/quetzalvane/core/team/CopyProof.java
+++ b/core/src/main/java/org/quetzalvane/core/team/CopyProof.java
@@ -87,7 +87,9 @@
             return;
         }
         OptionalLong longestMs = age.longestMs(copiedReports);
-        if (longestMs.isPresent() && longestMs.getAsLong() < limitMs) {
+        // An endpoint that has not reported yet may have started again with another version since the copy was taken.
+        boolean confirmed = age.allReported() || !isPending();
+        if (confirmed && longestMs.isPresent() && longestMs.getAsLong() < limitMs) {
             copiedReports = null;
             provedNanos = scheduler.nanoTime();
             proved.accept(longestMs.getAsLong());
--- a/core/src/main/java/org/quetzalvane/core/team/ServedVersionRecorder.java
+++ b/core/src/main/java/org/quetzalvane/core/team/ServedVersionRecorder.java
@@ -60,6 +60,9 @@
         /** Whether all versions are known that streams which still last may have begun at. */
         boolean complete();
 
+        /** Listed versions at which streams may have begun before this node saw their first entries. */
+        Set<ServiceVersion> maybeUsedUnseen();
+
         /** Whether a young copy has shown lately that streams have begun only at the versions that it holds. */
         boolean provedByCopyLately();
 
@@ -149,7 +152,7 @@
     private void endPending(Set<ServiceVersion> versions) {
         writing = true;
         logWrite(Set.of(), Set.of(), Set.of(), versions);
-        topic.write(Map.of(), ServedVersionRecords.pendingKeys(versions), acknowledged -> {
+        topic.write(Map.of(), ServedVersionRecords.markKeys(versions), acknowledged -> {
             writing = false;
             if (acknowledged) {
                 pendingSinceNanos.keySet().removeAll(versions);
@@ -174,9 +177,10 @@
             scheduler.schedule(Duration.ofMillis(EndpointTable.RETENTION_MS), () -> confirmed = null);
         }
         Written next = new Written(listed, knowledge.complete(), topic.epoch());
+        Set<ServiceVersion> pending = next.complete ? joining(missing, listed) : Set.of();
         // Streams may have begun at a version that a restore has removed from the records.
-        boolean unused = stored.completeEpoch() == next.epoch || knowledge.provedByCopyLately();
-        Set<ServiceVersion> pending = next.complete && unused ? joining(missing, listed) : Set.of();
+        boolean neverRecorded = stored.completeEpoch() == next.epoch || knowledge.provedByCopyLately();
+        Set<ServiceVersion> unused = neverRecorded ? difference(pending, knowledge.maybeUsedUnseen()) : Set.of();
         Set<ServiceVersion> unmarked = outdatedMarks(stored, obsolete, next.epoch);
         boolean states = next.complete && stored.completeEpoch() != next.epoch;
         Runnable onWritten = () -> written(next, difference(missing, pending), pending);
@@ -188,12 +192,12 @@
         }
         logWrite(missing, obsolete, pending, unmarked);
         Map<String, byte[]> values = new HashMap<>(ServedVersionRecords.encode(missing));
-        values.putAll(ServedVersionRecords.encodePending(pending, next.epoch));
+        values.putAll(ServedVersionRecords.encodePending(pending, unused, next.epoch));
         if (states) {
             values.putAll(ServedVersionRecords.encodeStatement(next.epoch));
         }
         Set<String> removed = new HashSet<>(ServedVersionRecords.keys(obsolete));
-        removed.addAll(ServedVersionRecords.pendingKeys(unmarked));
+        removed.addAll(ServedVersionRecords.markKeys(unmarked));
         topic.write(values, removed, acknowledged -> {
             writing = false;
             confirmed = null;
--- a/core/src/main/java/org/quetzalvane/core/team/ServedVersionRecords.java
+++ b/core/src/main/java/org/quetzalvane/core/team/ServedVersionRecords.java
@@ -22,8 +22,9 @@
  * <p>Besides one record for each software version there are
  *
  * <ul>
- *   <li>a mark for each pending version, at which no stream has begun. It holds in the epoch of the store that it
- *       names: streams may have begun since a copy was taken.
+ *   <li>a mark for each pending version, at which streams are not to begin yet, or for one that is unused as well: no
+ *       stream has begun at it unseen. It holds in the epoch of the store that it names: streams may have begun since a
+ *       copy was taken.
  *   <li>a statement: the epoch of the store in which the records were complete. A copy that the store comes back from
  *       keeps the statement of the epoch before, which shows that it may lack versions.
  *   <li>counts of status reports, which are renewed at intervals and tell how old a copy is, see {@link CopyAge}.
@@ -31,17 +32,19 @@
  *
  * @param versions recorded versions; must not be changed
  * @param pendingEpochs marked versions, and the epoch that each mark names; must not be changed
+ * @param unused marked versions that are unused as well; must not be changed
  * @param completeEpoch epoch of the store that the statement names, or {@link #NOT_STATED}
  * @param reports counts of status reports, or null
  */
 record ServedVersionRecords(
         Set<ServiceVersion> versions,
         Map<ServiceVersion, Long> pendingEpochs,
+        Set<ServiceVersion> unused,
         long completeEpoch,
         ReportCounts reports) {
     static final long NOT_STATED = -1;
     /** Records of a store that no node has written to. */
-    static final ServedVersionRecords NONE = new ServedVersionRecords(Set.of(), Map.of(), NOT_STATED, null);
+    static final ServedVersionRecords NONE = new ServedVersionRecords(Set.of(), Map.of(), Set.of(), NOT_STATED, null);
 
     private static final LongHashFunction HASH = LongHashFunction.xx3();
     private static final char SEPARATOR = '\n';
@@ -50,6 +53,7 @@
 
     private static final String REPORTS_KEY = "reports";
     private static final String PENDING_KEY_PREFIX = "pending-";
+    private static final String UNUSED_KEY_PREFIX = "unused-";
 
     /** The records in a listing, or null if it failed; a record that cannot be decoded is logged and skipped. */
     static ServedVersionRecords decode(KeyedTopic.ReadResult result, StructuredLog log) {
@@ -58,6 +62,7 @@
         }
         Set<ServiceVersion> versions = new HashSet<>();
         Map<ServiceVersion, Long> pendingEpochs = new HashMap<>();
+        Set<ServiceVersion> unused = new HashSet<>();
         long epoch = NOT_STATED;
         ReportCounts reports = null;
         for (StoreRecord r : result.records()) {
@@ -70,15 +75,23 @@
                 epoch = Long.parseLong(text);
             } else if (r.key().equals(REPORTS_KEY)) {
                 reports = ReportCounts.decode(r.value());
-            } else if (at > 0 && r.key().startsWith(PENDING_KEY_PREFIX) && isNumber(text.substring(0, at))) {
-                pendingEpochs.put(version(text.substring(at + 1)), Long.parseLong(text.substring(0, at)));
-            } else if (at > 0 && !r.key().startsWith(PENDING_KEY_PREFIX)) {
+            } else if (at > 0 && isMark(r.key()) && isNumber(text.substring(0, at))) {
+                ServiceVersion marked = version(text.substring(at + 1));
+                pendingEpochs.put(marked, Long.parseLong(text.substring(0, at)));
+                if (r.key().startsWith(UNUSED_KEY_PREFIX)) {
+                    unused.add(marked);
+                }
+            } else if (at > 0 && !isMark(r.key())) {
                 versions.add(version(text));
             } else {
                 log.log(EventCode.BAD_RECORD, r.key(), "offset", r.offset(), "cause", "no service and version");
             }
         }
-        return new ServedVersionRecords(versions, pendingEpochs, epoch, reports);
+        return new ServedVersionRecords(versions, pendingEpochs, unused, epoch, reports);
+    }
+
+    private static boolean isMark(String key) {
+        return key.startsWith(PENDING_KEY_PREFIX) || key.startsWith(UNUSED_KEY_PREFIX);
     }
 
     private static boolean isNumber(String text) {
@@ -91,6 +104,11 @@
     }
 
     /** Whether no stream has begun at a version. */
+    boolean isUnused(ServiceVersion v, long epoch) {
+        return isPending(v, epoch) && unused.contains(v);
+    }
+
+    /** Whether streams are not to begin at a version yet. */
     boolean isPending(ServiceVersion v, long epoch) {
         Long marked = pendingEpochs.get(v);
         return marked != null && marked == epoch;
@@ -113,10 +131,15 @@
         return Map.of(STATEMENT_KEY, Long.toString(epoch).getBytes(StandardCharsets.UTF_8));
     }
 
-    /** Values by key that mark versions as pending in an epoch of the store. */
-    static Map<String, byte[]> encodePending(Collection<ServiceVersion> versions, long epoch) {
+    /**
+     * Values by key that mark versions as pending in an epoch of the store.
+     *
+     * @param unused those of the versions that are unused
+     */
+    static Map<String, byte[]> encodePending(Set<ServiceVersion> versions, Set<ServiceVersion> unused, long epoch) {
         Map<String, byte[]> values = new HashMap<>();
-        versions.forEach(v -> values.put(pendingKey(v), (epoch + "\n" + text(v)).getBytes(StandardCharsets.UTF_8)));
+        versions.forEach(v ->
+                values.put(markKey(v, unused.contains(v)), (epoch + "\n" + text(v)).getBytes(StandardCharsets.UTF_8)));
         return values;
     }
 
@@ -129,8 +152,11 @@
         return map(versions, ServedVersionRecords::key);
     }
 
-    static Set<String> pendingKeys(Collection<ServiceVersion> versions) {
-        return map(versions, ServedVersionRecords::pendingKey);
+    /** Keys of all marks that versions may have. */
+    static Set<String> markKeys(Collection<ServiceVersion> versions) {
+        Set<String> keys = new HashSet<>(map(versions, v -> markKey(v, false)));
+        keys.addAll(map(versions, v -> markKey(v, true)));
+        return keys;
     }
 
     private static Set<String> map(Collection<ServiceVersion> versions, Function<ServiceVersion, String> key) {
@@ -141,8 +167,8 @@
         return Long.toHexString(HASH.hashChars(text(v)));
     }
 
-    private static String pendingKey(ServiceVersion v) {
-        return PENDING_KEY_PREFIX + key(v);
+    private static String markKey(ServiceVersion v, boolean unused) {
+        return (unused ? UNUSED_KEY_PREFIX : PENDING_KEY_PREFIX) + key(v);
     }
 
     private static String text(ServiceVersion v) {
--- a/core/src/main/java/org/quetzalvane/core/team/ServedVersionTable.java
+++ b/core/src/main/java/org/quetzalvane/core/team/ServedVersionTable.java
@@ -65,6 +65,8 @@
     private final ServedVersionRecorder recorder;
     /** Time since which this node has followed the endpoints' list without a gap, or -1. */
     private long followedSinceNanos = -1;
+    /** Versions that were listed when this node first read the list. */
+    private final Set<ServiceVersion> listedAtFirst = new HashSet<>();
     /** Whether this node knows all versions that streams which still last may have begun at. */
     private boolean complete;
     /** Versions that the store held when this node began to follow the list, or null. */
@@ -148,6 +150,9 @@
         if (lastRead == ServedVersionRecords.NONE) {
             readRecords(REREAD_INTERVAL_MS);
         }
+        if (followedSinceNanos < 0 && !listCurrent.getAsBoolean()) {
+            listedAtFirst.add(VersionEstablishment.version(e));
+        }
         copyAge.reported(new ReportCounts.Instance(e.id(), e.bornMs()), reports, position);
         copyProof.check();
     }
@@ -227,18 +232,29 @@
 
     /**
      * Versions at which streams that still last may have begun, once the records were just read: those that have served
-     * and are not pending. Shortly after a restore, streams cannot have begun either at a version that the young copy
+     * and are not unused. Shortly after a restore, streams cannot have begun either at a version that the young copy
      * lacks and no node has recorded since.
      */
     private Set<ServiceVersion> mayHaveBegunStreams() {
         Set<ServiceVersion> versions = served();
         versions.addAll(lastRead.versions());
+        Set<ServiceVersion> maybeUsed = maybeUsedUnseen();
         versions.removeIf(v -> !establishment.contains(v)
-                && (lastRead.isPending(v, topic.epoch())
-                        || copyProof.provedLately() && !lastRead.versions().contains(v)));
+                && (lastRead.isUnused(v, topic.epoch())
+                        || copyProof.provedLately() && !lastRead.versions().contains(v) && !maybeUsed.contains(v)));
         return versions;
     }
 
+    /**
+     * Listed versions at which streams may have begun before this node saw their first entries: under the id of an
+     * earlier instance, or before this node followed the list.
+     */
+    private Set<ServiceVersion> maybeUsedUnseen() {
+        return endpoints.softwareVersions().stream()
+                .filter(v -> listedAtFirst.contains(v) || endpoints.isUpgradedInPlace(v))
+                .collect(Collectors.toSet());
+    }
+
     private boolean followedLongEnough() {
         return followedSinceNanos >= 0
                 && scheduler.nanoTime() - followedSinceNanos >= EndpointTable.RETENTION_MS * 1_000_000;
@@ -349,6 +365,11 @@
             return complete;
         }
 
+        @Override
+        public Set<ServiceVersion> maybeUsedUnseen() {
+            return ServedVersionTable.this.maybeUsedUnseen();
+        }
+
         @Override
         public boolean provedByCopyLately() {
             return copyProof.provedLately();
--- a/core/src/main/java/org/quetzalvane/core/team/VersionEstablishment.java
+++ b/core/src/main/java/org/quetzalvane/core/team/VersionEstablishment.java
@@ -101,7 +101,7 @@
         writing = true;
         Set<ServiceVersion> versions = Set.copyOf(unacknowledged);
         Map<String, byte[]> values = ServedVersionRecords.encode(versions);
-        topic.write(values, ServedVersionRecords.pendingKeys(versions), acknowledged -> {
+        topic.write(values, ServedVersionRecords.markKeys(versions), acknowledged -> {
             writing = false;
             established.addAll(versions);
             if (acknowledged) {
--- a/core/src/test/java/org/quetzalvane/core/fleet/EndpointTableTest.java
+++ b/core/src/test/java/org/quetzalvane/core/fleet/EndpointTableTest.java
@@ -198,4 +198,15 @@
         assertThat(table.softwareVersions("s")).containsExactly("v2");
         assertThat(table.softwareVersions()).containsExactly(new ServiceVersion("s", "v2"));
     }
+
+    @Test
+    void versionThatCameUnderTheIdOfAnotherCountsAsUpgradedAsLongAsStreamsMayLast() {
+        table.apply(endpointOfVersion(1, "v1"));
+        table.apply(endpointOfVersion(2, "v1"));
+        table.apply(endpointOfVersion(5, "v2"));
+        assertThat(table.isUpgradedInPlace(new ServiceVersion("s", "v1"))).isFalse();
+        assertThat(table.isUpgradedInPlace(new ServiceVersion("s", "v2"))).isTrue();
+        clock.advance(Duration.ofMillis(EndpointTable.RETENTION_MS + 1));
+        assertThat(table.isUpgradedInPlace(new ServiceVersion("s", "v2"))).isFalse();
+    }
 }
--- a/core/src/test/java/org/quetzalvane/core/team/RestoredVersionsTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/RestoredVersionsTest.java
@@ -224,6 +224,48 @@
         assertThat(findAt(1)).containsExactlyInAnyOrder("v1", "v2");
     }
 
+    /** Streams begin at an engine that started again with another version until its entry says so. */
+    @Test
+    void versionOfAnEngineThatWasUpgradedUnderItsIdMayHaveBegunStreams() {
+        network.engine("e2", "v2");
+        network.advance(ServedVersionTable.CHECK_INTERVAL_MS);
+        for (int i = 0; i < NODES; i++) {
+            assertThat(findAt(i)).containsExactlyInAnyOrder("v1", "v2");
+        }
+        network.advance(ServedVersionTable.PENDING_REREAD_INTERVAL_MS);
+        assertThat(network.node(1).beginnings()).containsExactly("v1");
+    }
+
+    /** The nodes that had used the engine were lost before they saw its entry. */
+    @Test
+    void versionThatIsListedWhenNodesStartMayHaveBegunStreams() {
+        network.storeAway();
+        network.engine("e2", "v2");
+        network.killNodes();
+        network.storeBack();
+        network.advance(VersionNetwork.REPORT_INTERVAL_MS);
+        network.startNodes(NODES);
+        network.advance(2 * ServedVersionTable.CHECK_INTERVAL_MS);
+        assertThat(findAt(1)).containsExactlyInAnyOrder("v1", "v2");
+    }
+
+    /** The entry of the earlier run came back with the copy, and the engine writes its entry last. */
+    @Test
+    void engineThatWasUpgradedSinceTheCopyIsAwaited() {
+        network.engine("e4", "v1");
+        network.advance(10_000);
+        VersionNetwork.Copy copy = network.copy();
+        network.advance(3_000);
+        network.engine("e2", "v2").frozen = true;
+        loseAllNodesAndRestore(copy);
+        List<Set<String>> found = VersionNetwork.find(network.node(0));
+        network.advance(VersionNetwork.REPORT_INTERVAL_MS);
+        assertThat(found).isEmpty();
+        network.engines.get("e2").frozen = false;
+        network.advance(VersionNetwork.REPORT_INTERVAL_MS);
+        assertThat(found).containsExactly(Set.of("v1", "v2"));
+    }
+
     /** Another node had established the version, which the writer did not know when it wrote the records again. */
     @Test
     void versionThatAnotherNodeEstablishedMayHaveBegunStreamsAfterARestore() {
--- a/core/src/test/java/org/quetzalvane/core/team/VersionNetwork.java
+++ b/core/src/test/java/org/quetzalvane/core/team/VersionNetwork.java
@@ -96,6 +96,8 @@
         private final boolean writer;
         final ServedVersionTable table;
         boolean alive = true;
+        /** Whether the whole list was applied. */
+        private boolean initialized;
 
         private Node(boolean writer) {
             this.writer = writer;
@@ -110,7 +112,7 @@
                             records,
                             endpoints,
                             listReads,
-                            () -> alive && !away && !list.isEmpty(),
+                            () -> alive && !away && initialized,
                             () -> alive && this.writer,
                             () -> true,
                             REPORT_INTERVAL_MS),
@@ -122,6 +124,7 @@
         private void onListed(boolean read) {
             if (read) {
                 list.values().forEach(this::apply);
+                initialized |= !list.isEmpty();
                 table.listed(position(listEnd));
             }
         }
