--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -69,7 +69,10 @@
             "The holder of an account's budget does not answer, so that the node uses its local share, or it answers"
                     + " again."),
 
-    LOAD_REFUSED(4010, "A load request was refused: the adapter did not become resident on the engine in time."),
+    LOAD_REFUSED(
+            4010,
+            "A load request was refused: the adapter did not become resident on the engine in time, or its owner does"
+                    + " not reach it."),
     UNLOAD_WAITS(4011, "An unload waits for running requests of the adapter; the slot stays occupied meanwhile."),
 
     REQUEST_QUEUED(5001, "A request was queued."),
