--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -16,6 +16,7 @@
     BAD_INPUT(1006, "Input from outside was rejected."),
     INPUT_TOO_LARGE(1007, "Input from outside exceeded its bound; its connection was closed."),
     FOREIGN_RESPONSE(1008, "A server sent bytes that belong to no call in progress; its idle connections were closed."),
+    SLOW_PASS(1009, "A pass of the event loop took long; what arrived meanwhile was read late."),
 
     CONFIG_APPLIED(2001, "A configuration record is in force on this node."),
     CONFIG_REFUSED(2002, "A configuration record was rejected."),
--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -85,6 +85,8 @@
         StreamVersion streamVersion();
     }
 
+    private static final long NOT_WRITTEN = Long.MIN_VALUE;
+
     private final ServingContext context;
     private final CallerRequest request;
     private final Route route;
@@ -102,6 +104,7 @@
     private boolean firstByteReceived;
     private final SilenceMonitor silence;
     private final ResponseBeginning beginning;
+    private long writtenNanos = NOT_WRITTEN;
     private long firstByteNanos;
     private long longestGapMs;
     private ResponseHead head;
@@ -231,7 +234,16 @@
 
     @Override
     public boolean beforeWrite() {
-        return open && writeCheck.passes();
+        boolean written = open && writeCheck.passes();
+        if (written) {
+            writtenNanos = context.scheduler().nanoTime();
+        }
+        return written;
+    }
+
+    /** Time since the request was written to its connection, ms, or -1 if it was not. */
+    long writtenMsAgo() {
+        return writtenNanos == NOT_WRITTEN ? -1 : (context.scheduler().nanoTime() - writtenNanos) / 1_000_000;
     }
 
     @Override
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestFlow.java
@@ -127,15 +127,12 @@
         }
     }
 
-    /**
-     * Cancels the request because its caller has disconnected; {@code sends} in the log leaves out the attempt in
-     * flight.
-     */
+    /** Cancels the request because its caller has disconnected. */
     public void callerDisconnected() {
         if (done) {
             return;
         }
-        log(EventCode.REQUEST_CANCELLED, "after_ms", requestLog.elapsedMs(), "sends", history.sends());
+        requestLog.logCancelled(history.sends(), current);
         finish();
     }
 
--- a/core/src/main/java/org/quetzalvane/core/serve/RequestLog.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RequestLog.java
@@ -69,6 +69,25 @@
         log(code, "endpoint", failed.id(), "software", failed.softwareVersion(), "cause", cause);
     }
 
+    /**
+     * Logs a request whose caller has disconnected.
+     *
+     * @param sends attempts that had ended and may have run
+     * @param current attempt in flight, or null
+     */
+    void logCancelled(int sends, Attempt current) {
+        log(
+                EventCode.REQUEST_CANCELLED,
+                "after_ms",
+                elapsedMs(),
+                "sends",
+                sends,
+                "in_flight",
+                current == null ? "" : current.endpoint().id(),
+                "written_ms_ago",
+                current == null ? -1 : current.writtenMsAgo());
+    }
+
     /**
      * Logs a completed request. {@code first_ms} and {@code gap_ms} belong to the last attempt, also of a resumed
      * stream.
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -192,6 +192,7 @@
 
     void start() {
         lineLog.start();
+        loop.onSlowPass(this::logSlowPass);
         log.log(EventCode.NODE_STARTED, settings.nodeName(), "peers", settings.peerAddress());
         transport.listen(Addresses.parse(settings.peerAddress()));
         callerServer.listen(Addresses.parse(settings.callerAddress()));
@@ -345,6 +346,10 @@
         log.log(EventCode.TASK_FAILED, "loop", "cause", t, "at", at.length == 0 ? "" : at[0]);
     }
 
+    private void logSlowPass(long lateMs, long ioMs, long tasksMs) {
+        log.log(EventCode.SLOW_PASS, "loop", "late_ms", lateMs, "io_ms", ioMs, "tasks_ms", tasksMs);
+    }
+
     private void observeLimit(Endpoint e, double perSecond, long sentNanos) {
         peerService.permits().observe(e, perSecond, sentNanos);
     }
--- a/transport/src/main/java/org/quetzalvane/transport/GuardedIoHandler.java
+++ b/transport/src/main/java/org/quetzalvane/transport/GuardedIoHandler.java
@@ -8,15 +8,18 @@
 import io.netty.channel.IoRegistration;
 
 /**
- * I/O handler that reports an {@link Error} of one connection instead of ending the thread of the event loop, and with
- * it all others. The I/O that was not handled is selected again. Confined to the event loop.
+ * I/O handler that measures each pass of the event loop, and reports an {@link Error} of one connection instead of
+ * ending the thread of the event loop, and with it all others. The I/O that was not handled is selected again. Confined
+ * to the event loop.
  */
 final class GuardedIoHandler implements IoHandler {
     private final IoHandler handler;
+    private final PassTimer passes;
     private final Consumer<Throwable> failureListener;
 
-    GuardedIoHandler(IoHandler handler, Consumer<Throwable> failureListener) {
+    GuardedIoHandler(IoHandler handler, PassTimer passes, Consumer<Throwable> failureListener) {
         this.handler = handler;
+        this.passes = passes;
         this.failureListener = failureListener;
     }
 
@@ -27,8 +30,9 @@
 
     @Override
     public int run(IoHandlerContext context) {
+        passes.begin();
         try {
-            return handler.run(context);
+            return handler.run(passes.timed(context));
         } catch (Error e) {
             report(e);
             return 0;
--- a/transport/src/main/java/org/quetzalvane/transport/NettyEventLoop.java
+++ b/transport/src/main/java/org/quetzalvane/transport/NettyEventLoop.java
@@ -35,11 +35,16 @@
     private static final int KEEP_ALIVE_PROBES = 2;
     /** Length of the accept queue, connections; a restart causes a burst of a few hundred. */
     private static final int ACCEPT_BACKLOG = 1_024;
+    /** Duration of a pass from which on it is reported; half of the time within which a cancelled request must end. */
+    private static final long SLOW_PASS_NANOS = 250_000_000;
 
     private final IoHandlerFactory nio = NioIoHandler.newFactory();
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(
-            1, executor -> new GuardedIoHandler(nio.newHandler(executor), this::reportFailure));
+            1,
+            executor ->
+                    new GuardedIoHandler(nio.newHandler(executor), new PassTimer(this::passed), this::reportFailure));
     private final EventLoop loop = group.next();
+    private volatile PassTimer.Listener slowPassListener = (lateNanos, ioNanos, tasksNanos) -> {};
     private volatile Consumer<Throwable> failureListener = t -> t.printStackTrace(System.err);
 
     EventLoop eventLoop() {
@@ -76,6 +81,31 @@
         failureListener = listener;
     }
 
+    /** Receives the passes of the event loop that took long, on the event loop. */
+    @FunctionalInterface
+    public interface SlowPassListener {
+        /**
+         * A pass was slow; what arrived meanwhile was read late.
+         *
+         * @param lateMs time for which the loop woke up too late for a timer, ms
+         * @param ioMs duration of its I/O, ms
+         * @param tasksMs duration of its tasks, ms
+         */
+        void slowPass(long lateMs, long ioMs, long tasksMs);
+    }
+
+    /** Sets the listener for slow passes. */
+    public void onSlowPass(SlowPassListener listener) {
+        slowPassListener = (lateNanos, ioNanos, tasksNanos) ->
+                listener.slowPass(lateNanos / 1_000_000, ioNanos / 1_000_000, tasksNanos / 1_000_000);
+    }
+
+    private void passed(long lateNanos, long ioNanos, long tasksNanos) {
+        if (lateNanos + ioNanos + tasksNanos >= SLOW_PASS_NANOS) {
+            slowPassListener.passed(lateNanos, ioNanos, tasksNanos);
+        }
+    }
+
     /**
      * Reports an exception of a task or handler. An I/O error comes from the remote side of a connection and is not
      * reported.
--- a/transport/src/test/java/org/quetzalvane/transport/NettyEventLoopTest.java
+++ b/transport/src/test/java/org/quetzalvane/transport/NettyEventLoopTest.java
@@ -1,11 +1,16 @@
 package org.quetzalvane.transport;
 
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.channels.Pipe;
 import java.nio.channels.SelectionKey;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
 
 import io.netty.channel.IoEventLoop;
 import io.netty.channel.nio.NioIoOps;
@@ -13,11 +18,15 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
 class NettyEventLoopTest {
+    private static final long SLOW_MS = 600;
+
     private final NettyEventLoop loop = new NettyEventLoop();
 
     @AfterEach
@@ -56,4 +65,37 @@
         pipe.sink().close();
         pipe.source().close();
     }
+
+    /** A node that read requests late left no line of it. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void slowPassIsReportedWithWhatTookLong(boolean inTask) throws Exception {
+        CompletableFuture<long[]> reported = new CompletableFuture<>();
+        loop.onSlowPass((lateMs, ioMs, tasksMs) -> reported.complete(new long[] {lateMs, ioMs, tasksMs}));
+        Runnable slow = () -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(SLOW_MS));
+        InetSocketAddress at = new HttpServer(loop, () -> new ServerLimits(8_192, 8_192, 5_000, 5_000), x -> slow.run())
+                .listen(new InetSocketAddress("127.0.0.1", 0));
+        try (Socket s = new Socket(at.getAddress(), at.getPort())) {
+            if (inTask) {
+                loop.execute(slow);
+            } else {
+                s.getOutputStream().write("GET / HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            }
+            long[] times = reported.get(10, TimeUnit.SECONDS);
+            assertThat(times[0] + times[1] + times[2]).isGreaterThanOrEqualTo(SLOW_MS - 50);
+        }
+    }
+
+    @Test
+    void waitingForEventsIsNoSlowPass() throws Exception {
+        AtomicBoolean reported = new AtomicBoolean();
+        loop.onSlowPass((lateMs, ioMs, tasksMs) -> reported.set(true));
+        for (int i = 0; i < 3; i++) {
+            CountDownLatch ran = new CountDownLatch(1);
+            loop.execute(ran::countDown);
+            ran.await();
+            TimeUnit.MILLISECONDS.sleep(SLOW_MS);
+        }
+        assertThat(reported).isFalse();
+    }
 }
