--- a/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
@@ -3,10 +3,8 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Locale;
 import java.util.function.Supplier;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -23,7 +21,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.quetzalvane.core.limit.ConnectionTable;
-import org.quetzalvane.core.limit.RetryAfter;
 import org.quetzalvane.core.time.Scheduler;
 
 /**
@@ -40,9 +37,6 @@
     /** Checks, one idle limit apart, after which a client that has read nothing of its response counts as gone. */
     private static final int MAX_STALLED_CHECKS = 2;
 
-    /** Retry time of requests whose header lines cannot be held, ms. */
-    private static final long REFUSED_RETRY_AFTER_MS = 1_000;
-
     private final HttpServer server;
     private final NettyEventLoop loop;
     private final Supplier<ServerLimits> limits;
@@ -310,15 +304,7 @@
     }
 
     private void sendRejection() {
-        DefaultFullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, rejection, Unpooled.EMPTY_BUFFER);
-        HttpUtil.setContentLength(r, 0);
-        HttpUtil.setKeepAlive(r, false);
-        if (rejection.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-            long ms =
-                    RetryAfter.spread(REFUSED_RETRY_AFTER_MS, ctx.channel().id().asShortText());
-            r.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", ms / 1_000.0));
-        }
-        ctx.writeAndFlush(r).addListener(ChannelFutureListener.CLOSE);
+        ctx.writeAndFlush(RejectionResponse.of(rejection, ctx.channel())).addListener(ChannelFutureListener.CLOSE);
     }
 
     @Override
