--- a/core/src/main/java/org/quetzalvane/core/event/EventCode.java
+++ b/core/src/main/java/org/quetzalvane/core/event/EventCode.java
@@ -97,7 +97,8 @@
     PROMPT_TRIAL(5016, "A request with condemned prompt parts is sent as a trial, or its trial ended."),
     ATTEMPT_KEPT(5017, "The attempt that was to replace a silent one failed or was withdrawn; the silent one goes on."),
     RETRY_SENT(5018, "A retry is written to its connection and counts in the retry budget from now on."),
-    RETRY_WITHHELD(5019, "A retry was not sent, since the retry budget has shrunk while it waited.");
+    RETRY_WITHHELD(5019, "A retry was not sent, since the retry budget has shrunk while it waited."),
+    REQUEST_DROPPED(5020, "A request was not handled, since its caller had closed the connection before.");
 
     private final int number;
     private final String description;
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -193,6 +193,7 @@
     void start() {
         lineLog.start();
         loop.onSlowPass(this::logSlowPass);
+        callerServer.onDeparted(x -> log.log(EventCode.REQUEST_DROPPED, Ingress.requestId(x)));
         log.log(EventCode.NODE_STARTED, settings.nodeName(), "peers", settings.peerAddress());
         transport.listen(Addresses.parse(settings.peerAddress()));
         callerServer.listen(Addresses.parse(settings.callerAddress()));
--- a/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
+++ b/transport/src/main/java/org/quetzalvane/transport/HttpServer.java
@@ -39,6 +39,7 @@
     private final ConnectionTable table;
     private final Consumer<ServerExchange> handler;
     private final Set<ServerConnection> connections = new HashSet<>();
+    private Consumer<ServerExchange> departedListener = x -> {};
     private Channel serverChannel;
     private boolean draining;
     private boolean accepting = true;
@@ -77,6 +78,11 @@
         this.handler = handler;
     }
 
+    /** Sets the listener for requests that are not handled, because their clients closed the connection before. */
+    public void onDeparted(Consumer<ServerExchange> listener) {
+        departedListener = listener;
+    }
+
     /** Binds the address and waits until it is bound. */
     public InetSocketAddress listen(InetSocketAddress at) {
         serverChannel = loop.server()
@@ -141,6 +147,10 @@
         handler.accept(exchange);
     }
 
+    void departed(ServerExchange exchange) {
+        departedListener.accept(exchange);
+    }
+
     void connectionClosed(ServerConnection c) {
         connections.remove(c);
     }
--- a/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
@@ -28,21 +28,22 @@
  * rejects. A request whose body cannot be held is passed on at once without its body, which is discarded as it arrives,
  * so that the client reads the response and may go on using the connection.
  *
+ * <p>Before a request is passed on, everything that has arrived is read: a client that has given up has closed the
+ * connection behind its request.
+ *
  * <p>Confined to the event loop.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
     /** Number of queued requests above which reading is paused; clients usually send one at a time. */
     private static final int MAX_QUEUED_REQUESTS = 8;
 
-    /** Checks, one idle limit apart, after which a client that has read nothing of its response counts as gone. */
-    private static final int MAX_STALLED_CHECKS = 2;
-
     private final HttpServer server;
     private final NettyEventLoop loop;
     private final Supplier<ServerLimits> limits;
     private final ConnectionTable.Entry entry;
     private final RequestDecoder decoder;
     private final ArrivingRequest arriving;
+    private final ClientActivity client = new ClientActivity();
     private final Deque<ServerExchange> queued = new ArrayDeque<>();
     private ChannelHandlerContext ctx;
     /** Whether the rest of the present request's body is discarded, since it cannot be held. */
@@ -54,13 +55,12 @@
 
     private ServerExchange current;
     private ChannelFuture lastResponse;
-    private long lastUnsentBytes;
-    private int stalledChecks;
     private Scheduler.Timer timer;
     private long idleSince;
     private HttpResponseStatus rejection;
     private boolean firstByteReceived;
-    private long lastReadNanos;
+
+    private boolean passOnScheduled;
 
     ServerConnection(
             HttpServer server,
@@ -83,7 +83,7 @@
             @Override
             public void channelRead(ChannelHandlerContext c, Object msg) {
                 entry.bytesArrived();
-                lastReadNanos = loop.nanoTime();
+                client.bytesRead(loop.nanoTime());
                 if (!firstByteReceived && current == null) {
                     firstByteReceived = true;
                     startTimer(limits.get().headerTimeoutMs(), ServerConnection.this::headerTimeout);
@@ -101,7 +101,7 @@
 
     /** Time at which bytes of the client arrived last, ns. */
     long lastReadNanos() {
-        return lastReadNanos;
+        return client.lastReadNanos();
     }
 
     /** Whether a request has begun to arrive that is not whole. */
@@ -206,7 +206,7 @@
             if (queued.size() > MAX_QUEUED_REQUESTS) {
                 ctx.channel().config().setAutoRead(false);
             }
-            handleNext();
+            schedulePassOn();
         }
     }
 
@@ -214,7 +214,7 @@
     private void refuseBody() {
         queued.add(arriving.take(this, ctx, false));
         discarding = true;
-        handleNext();
+        schedulePassOn();
     }
 
     /** The body of a request that was refused has ended. */
@@ -231,8 +231,20 @@
         written.addListener(ChannelFutureListener.CLOSE);
     }
 
+    /** Passes the next request on once the present read of the socket has ended. */
+    private void schedulePassOn() {
+        if (!passOnScheduled) {
+            passOnScheduled = true;
+            loop.execute(() -> {
+                passOnScheduled = false;
+                handleNext();
+            });
+        }
+    }
+
     private void handleNext() {
-        if (current != null || queued.isEmpty()) {
+        boolean ends = closing || closeAfterDiscarded;
+        if (current != null || ends || queued.isEmpty() || !client.isPresent(ctx.channel())) {
             return;
         }
         current = queued.poll();
@@ -320,6 +332,9 @@
         server.connectionClosed(this);
         entry.remove();
         arriving.release();
+        if (!closing) {
+            queued.forEach(server::departed);
+        }
         queued.forEach(ServerExchange::release);
         queued.clear();
         if (current != null) {
@@ -344,7 +359,7 @@
 
     /** Closes the connection unless a response is being sent or the idle limit was raised meanwhile. */
     private void closeIfIdleTooLong() {
-        if (hasUnsentResponse() && clientReads()) {
+        if (hasUnsentResponse() && client.readsResponses(unsentBytes())) {
             startIdleTimer();
             return;
         }
@@ -356,14 +371,6 @@
         }
     }
 
-    /** Whether the client has read something at one of the last {@link #MAX_STALLED_CHECKS} checks. */
-    private boolean clientReads() {
-        long unsent = unsentBytes();
-        stalledChecks = unsent == lastUnsentBytes ? stalledChecks + 1 : 0;
-        lastUnsentBytes = unsent;
-        return stalledChecks < MAX_STALLED_CHECKS;
-    }
-
     private void startTimer(long ms, Runnable task) {
         stopTimer();
         timer = loop.schedule(Duration.ofMillis(ms), () -> {
--- /dev/null
+++ b/transport/src/test/java/org/quetzalvane/transport/DepartedClientTest.java
@@ -0,0 +1,139 @@
+package org.quetzalvane.transport;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentSkipListSet;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Clients that close their connections while the event loop is held up. */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class DepartedClientTest {
+    private static final int CLIENTS = 20;
+    private static final int MAX_BODY_BYTES = 100_000;
+
+    private final NettyEventLoop loop = new NettyEventLoop();
+    private final Set<String> handled = new ConcurrentSkipListSet<>();
+    private final List<Socket> sockets = new ArrayList<>();
+    private final HttpServer server =
+            new HttpServer(loop, () -> new ServerLimits(8_192, MAX_BODY_BYTES, 5_000, 5_000), x -> {
+                handled.add(x.head().uri());
+                x.respond(200, EmptyHttpHeaders.INSTANCE, new byte[0]);
+            });
+
+    /** How a client ends its connection. */
+    private enum End {
+        CLOSE,
+        RESET
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        loop.close();
+        for (Socket s : sockets) {
+            s.close();
+        }
+    }
+
+    /** Work went on for callers that had left before their requests were read. */
+    @ParameterizedTest
+    @CsvSource({
+        "false, 0, 1, CLOSE",
+        "false, 0, 1, RESET",
+        "true, 0, 1, CLOSE",
+        "false, 100, 1, CLOSE",
+        "false, 60000, 1, CLOSE",
+        "true, 100, 2, CLOSE",
+        "false, 0, 5, CLOSE",
+        "false, 0, 20, CLOSE"
+    })
+    void requestOfAClientThatHasLeftIsNotHandled(boolean kept, int bodyBytes, int requests, End end) throws Exception {
+        InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0));
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 2 * CLIENTS; i++) {
+            clients.add(connect(at, kept));
+        }
+        handled.clear();
+        CountDownLatch held = holdUp();
+        for (int i = 0; i < 2 * CLIENTS; i++) {
+            Socket s = clients.get(i);
+            boolean leaves = i % 2 == 0;
+            StringBuilder sent = new StringBuilder();
+            for (int k = 0; k < requests; k++) {
+                sent.append(request("/" + (leaves ? "left" : "stays") + "/" + i + "/" + k, bodyBytes));
+            }
+            write(s, sent.toString(), leaves ? end : null);
+        }
+        TimeUnit.MILLISECONDS.sleep(100);
+        held.countDown();
+        assertThatHandledIsOnly("stays", CLIENTS * requests);
+    }
+
+    private void assertThatHandledIsOnly(String prefix, int count) throws InterruptedException {
+        for (int i = 0; i < 100 && handled.size() < count; i++) {
+            TimeUnit.MILLISECONDS.sleep(100);
+        }
+        TimeUnit.MILLISECONDS.sleep(300);
+        assertThat(handled).hasSize(count).allMatch(uri -> uri.startsWith("/" + prefix));
+    }
+
+    /** Keeps the event loop from running until the latch is counted down. */
+    private CountDownLatch holdUp() throws InterruptedException {
+        CountDownLatch begun = new CountDownLatch(1);
+        CountDownLatch held = new CountDownLatch(1);
+        loop.execute(() -> {
+            begun.countDown();
+            try {
+                held.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        begun.await();
+        return held;
+    }
+
+    /** Connects; a kept connection has carried a request before. */
+    private Socket connect(InetSocketAddress at, boolean kept) throws IOException {
+        Socket s = new Socket(at.getAddress(), at.getPort());
+        sockets.add(s);
+        if (kept) {
+            write(s, request("/stays/first", 0), null);
+            byte[] head = new byte[12];
+            assertThat(s.getInputStream().readNBytes(head, 0, head.length)).isEqualTo(head.length);
+        }
+        return s;
+    }
+
+    private static void write(Socket s, String text, End end) {
+        try {
+            s.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+            if (end == End.RESET) {
+                s.setSoLinger(true, 0);
+            }
+            if (end != null) {
+                s.close();
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static String request(String uri, int bodyBytes) {
+        String body = "x".repeat(bodyBytes);
+        return "POST " + uri + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + bodyBytes + "\r\n\r\n" + body;
+    }
+}
