--- a/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/Attempt.java
@@ -234,7 +234,7 @@
 
     @Override
     public boolean beforeWrite() {
-        boolean written = open && writeCheck.passes();
+        boolean written = open && response.callerPresent() && open && writeCheck.passes();
         if (written) {
             writtenNanos = context.scheduler().nanoTime();
         }
--- a/core/src/main/java/org/quetzalvane/core/serve/CallerResponse.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/CallerResponse.java
@@ -8,6 +8,12 @@
  */
 public interface CallerResponse {
 
+    /**
+     * Whether the caller still waits. Looks at its connection, since a disconnect may have arrived that was not
+     * reported yet; then {@link RequestFlow#callerDisconnected()} is called within this call.
+     */
+    boolean callerPresent();
+
     /** Sends a complete response of an endpoint. */
     void send(ResponseHead head, byte[] body);
 
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import org.junit.jupiter.api.BeforeEach;
@@ -333,6 +334,13 @@
         boolean ended;
         boolean aborted;
         boolean full;
+        /** Asked when the request looks whether its caller still waits. */
+        BooleanSupplier present = () -> true;
+
+        @Override
+        public boolean callerPresent() {
+            return present.getAsBoolean();
+        }
 
         @Override
         public void send(ResponseHead head, byte[] content) {
--- a/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
@@ -244,7 +244,7 @@
 
     private void handleNext() {
         boolean ends = closing || closeAfterDiscarded;
-        if (current != null || ends || queued.isEmpty() || !client.isPresent(ctx.channel())) {
+        if (current != null || ends || queued.isEmpty() || !clientPresent()) {
             return;
         }
         current = queued.poll();
@@ -252,6 +252,24 @@
         server.handle(current);
     }
 
+    /** Whether the client has not closed the connection; otherwise the current request has ended. */
+    boolean clientPresent() {
+        boolean present = client.isPresent(ctx.channel());
+        if (!present) {
+            endCurrent();
+        }
+        return present;
+    }
+
+    private void endCurrent() {
+        if (current != null) {
+            ServerExchange e = current;
+            current = null;
+            e.disconnected();
+            e.release();
+        }
+    }
+
     /**
      * Whether the response to a request is the last one; what has been read behind it is answered first, also if it is
      * not decoded yet.
@@ -337,12 +355,7 @@
         }
         queued.forEach(ServerExchange::release);
         queued.clear();
-        if (current != null) {
-            ServerExchange e = current;
-            current = null;
-            e.disconnected();
-            e.release();
-        }
+        endCurrent();
     }
 
     @Override
--- a/transport/src/main/java/org/quetzalvane/transport/ServerExchange.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerExchange.java
@@ -81,6 +81,14 @@
         onWritable = callback;
     }
 
+    /**
+     * Whether the client still waits for the response. Reads the connection first, so that a close is seen that the
+     * event loop has not read yet; the callback for it runs within this call.
+     */
+    public boolean clientPresent() {
+        return !finished && connection.clientPresent() && !finished;
+    }
+
     /** Sends a complete response. */
     public void respond(int status, HttpHeaders headers, byte[] content) {
         if (finished) {
--- a/transport/src/test/java/org/quetzalvane/transport/DepartedClientTest.java
+++ b/transport/src/test/java/org/quetzalvane/transport/DepartedClientTest.java
@@ -10,9 +10,17 @@
 import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -82,6 +90,43 @@
         assertThatHandledIsOnly("stays", CLIENTS * requests);
     }
 
+    /** A request that waited for a connection was written in the pass of the event loop that saw its caller leave. */
+    @Test
+    void requestIsNotPassedOnBeforeTheCloseOfItsClientIsRead() throws Exception {
+        AtomicInteger arrived = new AtomicInteger();
+        HttpServer endpoint = new HttpServer(loop, () -> new ServerLimits(8_192, 8_192, 5_000, 5_000), x -> {
+            arrived.incrementAndGet();
+            x.respond(200, EmptyHttpHeaders.INSTANCE, new byte[0]);
+        });
+        InetSocketAddress endpointAt = endpoint.listen(new InetSocketAddress("127.0.0.1", 0));
+        HttpClient client = new HttpClient(loop, 5_000);
+        CountDownLatch waiting = new CountDownLatch(2 * CLIENTS);
+        List<Runnable> sends = new ArrayList<>();
+        HttpServer relay = new HttpServer(loop, () -> new ServerLimits(8_192, 8_192, 5_000, 5_000), x -> {
+            sends.add(() -> client.send(endpointAt, get(), HttpClient.NEW_CONNECTION, x::clientPresent, ignored()));
+            waiting.countDown();
+        });
+        InetSocketAddress at = relay.listen(new InetSocketAddress("127.0.0.1", 0));
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 2 * CLIENTS; i++) {
+            clients.add(connect(at, false));
+            write(clients.get(i), request("/" + i, 0), null);
+        }
+        waiting.await();
+        CountDownLatch held = holdUp();
+        loop.execute(() -> sends.forEach(Runnable::run));
+        for (int i = 0; i < CLIENTS; i++) {
+            clients.get(i).close();
+        }
+        TimeUnit.MILLISECONDS.sleep(100);
+        held.countDown();
+        for (int i = 0; i < 50 && arrived.get() < CLIENTS; i++) {
+            TimeUnit.MILLISECONDS.sleep(100);
+        }
+        TimeUnit.MILLISECONDS.sleep(500);
+        assertThat(arrived).hasValue(CLIENTS);
+    }
+
     private void assertThatHandledIsOnly(String prefix, int count) throws InterruptedException {
         for (int i = 0; i < 100 && handled.size() < count; i++) {
             TimeUnit.MILLISECONDS.sleep(100);
@@ -136,4 +181,26 @@
         String body = "x".repeat(bodyBytes);
         return "POST " + uri + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + bodyBytes + "\r\n\r\n" + body;
     }
+
+    private static FullHttpRequest get() {
+        FullHttpRequest r = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+        r.headers().set(HttpHeaderNames.HOST, "x");
+        return r;
+    }
+
+    private static HttpResponseListener ignored() {
+        return new HttpResponseListener() {
+            @Override
+            public void onHead(HttpResponse head) {}
+
+            @Override
+            public void onBody(byte[] chunk) {}
+
+            @Override
+            public void onComplete() {}
+
+            @Override
+            public void onFailure(boolean notSent, String cause) {}
+        };
+    }
 }
