--- a/transport/src/main/java/org/quetzalvane/transport/ClientActivity.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ClientActivity.java
@@ -45,9 +45,7 @@
         do {
             readsBefore = reads;
             socket.read();
-        } while (reads > readsBefore
-                && connection.isActive()
-                && connection.config().isAutoRead());
+        } while (reads > readsBefore && connection.isActive());
         return connection.isActive();
     }
 }
--- a/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
@@ -34,8 +34,11 @@
  * <p>Confined to the event loop.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
-    /** Number of queued requests above which reading is paused; clients usually send one at a time. */
-    private static final int MAX_QUEUED_REQUESTS = 8;
+    /**
+     * Number of queued requests from which on the connection takes no more; clients usually send one at a time. Reading
+     * goes on, since the end of the connection lies behind what has arrived.
+     */
+    private static final int MAX_QUEUED_REQUESTS = 64;
 
     private final HttpServer server;
     private final NettyEventLoop loop;
@@ -50,6 +53,8 @@
     private boolean discarding;
 
     private boolean closeAfterDiscarded;
+    /** Whether the connection ends with the response to the last queued request; what follows it is discarded. */
+    private boolean full;
     /** Whether the connection ends with a response that is complete; what is read from then on is discarded. */
     private boolean closing;
 
@@ -141,7 +146,7 @@
     @Override
     public void channelRead(ChannelHandlerContext c, Object msg) {
         try {
-            if (rejection == null && !closing) {
+            if (rejection == null && !full && !closing) {
                 handle((HttpObject) msg);
             }
         } finally {
@@ -203,9 +208,7 @@
             stopTimer();
             firstByteReceived = false;
             queued.add(arriving.take(this, ctx, true));
-            if (queued.size() > MAX_QUEUED_REQUESTS) {
-                ctx.channel().config().setAutoRead(false);
-            }
+            full = queued.size() >= MAX_QUEUED_REQUESTS;
             schedulePassOn();
         }
     }
@@ -275,7 +278,8 @@
      * not decoded yet.
      */
     boolean closesAfterResponse(HttpRequest r) {
-        return server.draining() && queued.isEmpty() && !decoder.hasBytes() && rejection == null
+        return full && queued.isEmpty()
+                || server.draining() && queued.isEmpty() && !decoder.hasBytes() && rejection == null
                 || !HttpUtil.isKeepAlive(r)
                 || discarding && HttpUtil.is100ContinueExpected(r);
     }
@@ -297,7 +301,6 @@
         if (close && discarding) {
             // A socket that is closed with unread bytes is reset, which can discard the response.
             closeAfterDiscarded = true;
-            ctx.channel().config().setAutoRead(true);
             startIdleTimer();
             return;
         }
@@ -309,7 +312,6 @@
             sendRejection();
             return;
         }
-        ctx.channel().config().setAutoRead(true);
         startIdleTimer();
         handleNext();
     }
--- a/transport/src/test/java/org/quetzalvane/transport/DepartedClientTest.java
+++ b/transport/src/test/java/org/quetzalvane/transport/DepartedClientTest.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,6 +25,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -90,6 +92,50 @@
         assertThatHandledIsOnly("stays", CLIENTS * requests);
     }
 
+    /** The end of a connection was not seen while reading was paused behind several requests. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 12, 200})
+    void closeIsSeenBehindQueuedRequests(int queued) throws Exception {
+        CountDownLatch disconnected = new CountDownLatch(1);
+        AtomicInteger calls = new AtomicInteger();
+        HttpServer silent = new HttpServer(loop, () -> new ServerLimits(8_192, 8_192, 5_000, 5_000), x -> {
+            calls.incrementAndGet();
+            x.onDisconnect(disconnected::countDown);
+        });
+        InetSocketAddress at = silent.listen(new InetSocketAddress("127.0.0.1", 0));
+        Socket s = connect(at, false);
+        write(s, request("/left", 0).repeat(1 + queued), null);
+        TimeUnit.MILLISECONDS.sleep(200);
+        s.close();
+        assertThat(disconnected.await(5, TimeUnit.SECONDS)).isTrue();
+        assertThat(calls).hasValue(1);
+    }
+
+    /** A client that sends many requests together is told which of them are answered. */
+    @ParameterizedTest
+    @ValueSource(ints = {12, 60, 200})
+    void requestsBehindOneAnotherAreAnsweredUpToTheLastThatSaysSo(int requests) throws Exception {
+        InetSocketAddress at = server.listen(new InetSocketAddress("127.0.0.1", 0));
+        Socket s = connect(at, false);
+        write(s, request("/stays", 0).repeat(requests), null);
+        s.setSoTimeout(1_000);
+        StringBuilder received = new StringBuilder();
+        try {
+            for (int c = s.getInputStream().read();
+                    c >= 0;
+                    c = s.getInputStream().read()) {
+                received.append((char) c);
+            }
+        } catch (SocketTimeoutException e) {
+            assertThat(received).as("a connection that stays open").doesNotContain("connection: close");
+        }
+        String[] responses = received.toString().split("(?=HTTP/1.1 200)");
+        assertThat(responses).hasSizeGreaterThanOrEqualTo(Math.min(requests, 64));
+        boolean all = responses.length == requests;
+        assertThat(all || responses[responses.length - 1].contains("connection: close"))
+                .isTrue();
+    }
+
     /** A request that waited for a connection was written in the pass of the event loop that saw its caller leave. */
     @Test
     void requestIsNotPassedOnBeforeTheCloseOfItsClientIsRead() throws Exception {
