--- a/entry/src/test/java/org/quetzalvane/entry/KeptConnection.java
+++ b/entry/src/test/java/org/quetzalvane/entry/KeptConnection.java
@@ -71,6 +71,16 @@
         return outcomes;
     }
 
+    /** Waits for the first byte of a response; returns false if none arrives in the time, or the connection ends. */
+    boolean awaitResponse(int ms) throws IOException {
+        socket.setSoTimeout(ms);
+        try {
+            return in.read() >= 0;
+        } catch (SocketTimeoutException e) {
+            return false;
+        }
+    }
+
     private LostJudge.Outcome read(String node, Request r, boolean sent) {
         status = 0;
         boolean complete = false;
@@ -107,7 +117,8 @@
         }
     }
 
-    private boolean send(Request r) throws InterruptedException {
+    /** Sends a request; returns false if the connection ends before it is sent whole. */
+    boolean send(Request r) throws InterruptedException {
         String head = head(r);
         try {
             OutputStream out = socket.getOutputStream();
