--- a/core/src/main/java/org/quetzalvane/core/serve/AccountGate.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/AccountGate.java
@@ -70,7 +70,7 @@
 
     private Refusal withoutKey(boolean isPublic) {
         if (!isPublic) {
-            return unauthenticated("no API key");
+            return missing("no API key");
         }
         account = null;
         return null;
@@ -86,12 +86,19 @@
         }
         ClientAccount found = accounts.find(key).orElse(null);
         if (found == null) {
-            return unauthenticated("unknown API key in configuration version " + configVersion);
+            return missing("unknown API key in configuration version " + configVersion);
         }
         account = found;
         return null;
     }
 
+    /** Refuses what the configuration does not allow; the caller may come back if a newer one may allow it. */
+    private Refusal missing(String cause) {
+        return context.config().mayBeOutOfDate()
+                ? new Refusal(ResultCode.NOT_READY, RequestFlow.DEFAULT_RETRY_AFTER_MS, cause)
+                : unauthenticated(cause);
+    }
+
     private static Refusal unauthenticated(String cause) {
         return new Refusal(ResultCode.UNAUTHENTICATED, -1, cause);
     }
--- a/core/src/main/java/org/quetzalvane/core/serve/RouteMatch.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RouteMatch.java
@@ -28,12 +28,12 @@
         Route route = c.match(request.host(), request.path()).orElse(null);
         if (route == null) {
             String cause = "no route for the host and path in " + describe(c, config.source());
-            return refused(null, ResultCode.UNKNOWN_PATH, -1, cause);
+            return missing(config, null, ResultCode.UNKNOWN_PATH, cause);
         }
         ServiceSpec service = c.service(route.serviceFor(request.id()));
         if (service == null) {
             String cause = "the service of the route is missing in " + describe(c, config.source());
-            return refused(route, ResultCode.UNKNOWN_SERVICE, -1, cause);
+            return missing(config, route, ResultCode.UNKNOWN_SERVICE, cause);
         }
         AdapterRef adapter = request.adapter();
         if (adapter != null && !adapter.isValid()) {
@@ -42,6 +42,13 @@
         return new RouteMatch(route, service, null, -1, null);
     }
 
+    /** Refuses what the configuration lacks; the caller may come back if a newer one may have it. */
+    private static RouteMatch missing(CurrentConfig config, Route route, ResultCode code, String cause) {
+        return config.mayBeOutOfDate()
+                ? refused(route, ResultCode.NOT_READY, RequestFlow.DEFAULT_RETRY_AFTER_MS, cause)
+                : refused(route, code, -1, cause);
+    }
+
     private static String describe(ServingConfig c, ConfigSource source) {
         return "configuration version " + c.version() + ", source=" + source.name() + " age_ms=" + source.ageMs();
     }
--- a/core/src/test/java/org/quetzalvane/core/serve/AccountRequestTest.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/AccountRequestTest.java
@@ -212,6 +212,23 @@
         assertThat(client.sent).hasSize(outcome == null ? 1 : 0);
     }
 
+    /** Guards against keys that are refused for good by a node that may lack the configuration that added them. */
+    @ParameterizedTest
+    @CsvSource({
+        "2000, Bearer k9, UNAUTHENTICATED",
+        "2001, Bearer k9, NOT_READY",
+        "2001, Bearer k1, ",
+        "2001, Bearer, UNAUTHENTICATED"
+    })
+    void unknownKeyIsRefusedForGoodOnlyByAConfigurationThatIsUpToDate(
+            long ageMs, String authorization, ResultCode outcome) {
+        configure(3, BOTH, false);
+        configAgeMs = ageMs;
+        startWith(RouteKind.IDEMPOTENT, null, List.of(authorization));
+        assertThat(response.errorCode).isEqualTo(outcome);
+        assertThat(client.sent).hasSize(outcome == null ? 1 : 0);
+    }
+
     /** Guards against a request beyond the allowance that waits, runs or tells its caller to come back too early. */
     @Test
     void requestBeyondTheAllowanceIsRefusedBeforeItWaitsForAnything() {
--- a/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
+++ b/core/src/test/java/org/quetzalvane/core/serve/RequestFlowFixture.java
@@ -34,6 +34,7 @@
 import org.quetzalvane.core.residency.ResidencyTable;
 import org.quetzalvane.core.routes.AccountTable;
 import org.quetzalvane.core.routes.AdapterRef;
+import org.quetzalvane.core.routes.ConfigSource;
 import org.quetzalvane.core.routes.CurrentConfig;
 import org.quetzalvane.core.routes.EngineSpec;
 import org.quetzalvane.core.routes.IngressLimits;
@@ -47,13 +48,20 @@
 
 /** Requests on a manual clock, with endpoints, loads and stream origins controlled by the test. */
 abstract class RequestFlowFixture {
+    /** Age of the configuration up to which it is up to date, ms. */
+    static final long MAX_CONFIG_AGE_MS = 2_000;
+
     static final long MEMORY_BYTES = 60 * 1024 * 1024;
     static final AdapterRef RESIDENT_ADAPTER = new AdapterRef("m", "a1");
     static final List<String> SHARED_PARTS = List.of("a1", "b2");
     static final AdapterRef MISSING_ADAPTER = new AdapterRef("m", "a9");
 
     final ManualScheduler clock = new ManualScheduler();
-    private final CurrentConfig config = new CurrentConfig();
+    /** Time since the store last answered the source of the configuration, ms. */
+    long configAgeMs;
+
+    private final CurrentConfig config =
+            new CurrentConfig(() -> new ConfigSource("store", configAgeMs), MAX_CONFIG_AGE_MS);
     final EndpointTable endpoints = new EndpointTable(clock);
     final EndpointLoads loads = new EndpointLoads();
     private final AdapterUsage adapterUsage = new AdapterUsage(clock);
--- a/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
+++ b/entry/src/main/java/org/quetzalvane/entry/ClassArchiveTraining.java
@@ -63,6 +63,7 @@
                 BootSettings.Revocation.LENIENT,
                 QuotaBounds.DEFAULT,
                 BootSettings.DEFAULT_REPORT_INTERVAL_MS,
+                BootSettings.DEFAULT_CONFIG_APPLY_MS,
                 0);
         EntryNode node = new EntryNode(settings);
         node.start();
--- a/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
+++ b/entry/src/main/java/org/quetzalvane/entry/EntryNode.java
@@ -133,8 +133,7 @@
                 settings.storeAddress(),
                 new StoreClient.Timeouts(STORE_TIMEOUT_MS, STORE_READ_TIMEOUT_MS),
                 new StoreEraLog(log, this::storeRestored));
-        platform = new PlatformState(
-                loop, store, log, this::reconcile, this::recordsServedVersions, settings.reportIntervalMs());
+        platform = new PlatformState(loop, store, log, this::reconcile, this::recordsServedVersions, settings);
         EndpointNoticeHandler notices = new EndpointNoticeHandler(
                 platform.endpoints(),
                 log,
--- a/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
@@ -25,6 +25,7 @@
 import org.quetzalvane.core.team.RecordRelay;
 import org.quetzalvane.core.team.ServedVersionTable;
 import org.quetzalvane.core.time.Scheduler;
+import org.quetzalvane.platform.BootSettings;
 import org.quetzalvane.platform.RecordDecoder;
 import org.quetzalvane.platform.StoreClient;
 
@@ -53,7 +54,7 @@
     private static final String PEER_TOPIC_OPERATOR = "operator";
     private static final String PEER_TOPIC_ENDPOINTS = "endpoints";
 
-    private final CurrentConfig config = new CurrentConfig(this::configSource);
+    private final CurrentConfig config;
     private final RequiredVersions versions = new RequiredVersions();
     private final EndpointTable endpoints;
     private final RecordFollower operatorRecords;
@@ -71,7 +72,7 @@
      *
      * @param changed runs after a batch of records in which the configuration or an endpoint changed
      * @param recordsVersions whether this node records in the store which software versions serve
-     * @param reportIntervalMs interval at which endpoints write their entries, milliseconds
+     * @param settings intervals and bounds of the platform
      */
     PlatformState(
             Scheduler scheduler,
@@ -79,7 +80,8 @@
             StructuredLog log,
             Runnable changed,
             BooleanSupplier recordsVersions,
-            long reportIntervalMs) {
+            BootSettings settings) {
+        this.config = new CurrentConfig(this::configSource, settings.configApplyMs());
         this.log = log;
         this.changed = changed;
         endpoints = new EndpointTable(scheduler);
@@ -108,7 +110,7 @@
                         () -> config.current()
                                 .map(ServingConfig::streamsResumable)
                                 .orElse(false),
-                        reportIntervalMs),
+                        settings.reportIntervalMs()),
                 log);
         operatorRecords.onBatchApplied(this::batchApplied);
         entries.onBatchApplied(this::batchApplied);
--- a/entry/src/test/java/org/quetzalvane/entry/NodeCostMain.java
+++ b/entry/src/test/java/org/quetzalvane/entry/NodeCostMain.java
@@ -18,7 +18,6 @@
 import org.quetzalvane.core.routes.RequiredVersions;
 import org.quetzalvane.core.store.StoreRecord;
 import org.quetzalvane.core.team.PeerMessage;
-import org.quetzalvane.platform.BootSettings;
 import org.quetzalvane.platform.StoreClient;
 import org.quetzalvane.transport.HttpClient;
 import org.quetzalvane.transport.NettyEventLoop;
@@ -134,7 +133,7 @@
                 (code, subject, fields) -> {},
                 () -> node.assigned.reconcile(state[0].endpoints().ready()),
                 () -> false,
-                BootSettings.DEFAULT_REPORT_INTERVAL_MS);
+                TestSettings.of("n", Set.of(), "127.0.0.1:9"));
         PeerCodec codec = new PeerCodec();
         CostMeter encode = new CostMeter();
         CostMeter decode = new CostMeter();
--- a/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
+++ b/entry/src/test/java/org/quetzalvane/entry/TestSettings.java
@@ -60,6 +60,7 @@
                 revocation,
                 s.quota(),
                 s.reportIntervalMs(),
+                s.configApplyMs(),
                 descriptors);
     }
 
@@ -92,6 +93,7 @@
                 BootSettings.Revocation.LENIENT,
                 QuotaBounds.DEFAULT,
                 BootSettings.DEFAULT_REPORT_INTERVAL_MS,
+                BootSettings.DEFAULT_CONFIG_APPLY_MS,
                 0);
     }
 }
