--- a/transport/src/main/java/org/quetzalvane/transport/ResponseDecoder.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ResponseDecoder.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.IntConsumer;
+import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -14,11 +15,15 @@
 import io.netty.handler.codec.http.HttpVersion;
 
 /**
- * Response decoder that expects no body after a HEAD request, reports bytes that arrive, and counts the status lines
- * among those that it has read, up to the head that is accepted for a call. Confined to the event loop.
+ * Response decoder that accepts only status lines of HTTP, expects no body after a HEAD request, reports bytes that
+ * arrive, and counts the status lines among those that it has read, up to the head that is accepted for a call.
+ * Confined to the event loop.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
     private static final Set<HttpVersion> VERSIONS = Set.of(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1);
+    private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
+    /** Tabs, and all characters of ISO 8859-1 but control characters. */
+    private static final Pattern REASON = Pattern.compile("[\\t\\x20-\\x7e\\x80-\\xff]*");
 
     private final IntConsumer arrived;
     private final Runnable afterRead;
@@ -85,6 +90,16 @@
         }
     }
 
+    /** The library takes any integer for a status, with leading zeros or a sign as well. */
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        if (!STATUS.matcher(initialLine[1]).matches()
+                || !REASON.matcher(initialLine[2]).matches()) {
+            throw new IllegalArgumentException("no status line of HTTP");
+        }
+        return super.createMessage(initialLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage msg) {
         return headRequest && !msg.headers().contains(HttpHeaderNames.UPGRADE) || super.isContentAlwaysEmpty(msg);
