--- a/adapters/src/main/java/org/quetzalvane/adapters/http/BufferingHttpClient.java
+++ b/adapters/src/main/java/org/quetzalvane/adapters/http/BufferingHttpClient.java
@@ -25,6 +25,8 @@
  * is a response, not a failure.
  */
 public final class BufferingHttpClient implements AutoCloseable {
+    private static final int MAX_STATUS = 599;
+
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
     private static final int MAX_CONNECTIONS_PER_DESTINATION = 256;
@@ -104,8 +106,10 @@
 
     /** Creates a request without sending it. */
     public Request request(String method, String url, Map<String, String> headers, byte[] body) {
-        Request request =
-                client.newRequest(url).method(method).onRequestBegin(r -> r.attribute(SEND_STARTED_ATTRIBUTE, true));
+        Request request = client.newRequest(url)
+                .method(method)
+                .onRequestBegin(r -> r.attribute(SEND_STARTED_ATTRIBUTE, true))
+                .onResponseBegin(BufferingHttpClient::abortIfStatusIsInvalid);
         request.headers(h -> headers.forEach(h::put));
         if (body != null) {
             request.body(new BytesRequestContent("application/json", body));
@@ -113,6 +117,13 @@
         return request;
     }
 
+    /** The library rejects statuses below 100 only. */
+    private static void abortIfStatusIsInvalid(org.eclipse.jetty.client.Response response) {
+        if (response.getStatus() > MAX_STATUS) {
+            response.abort(new IOException("invalid status " + response.getStatus()));
+        }
+    }
+
     /** Converts the failure of a request created by {@link #request} to an exception with a result code. */
     public static QuetzalvaneException failure(Result result) {
         boolean sendStarted = result.getRequest().getAttributes().containsKey(SEND_STARTED_ATTRIBUTE);
--- a/adapters/src/test/java/org/quetzalvane/adapters/http/BufferingHttpClientTest.java
+++ b/adapters/src/test/java/org/quetzalvane/adapters/http/BufferingHttpClientTest.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -13,6 +14,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.exc.QuetzalvaneException;
 
@@ -46,6 +49,24 @@
         assertThat(codeOf(post(TIMEOUT))).isEqualTo(ResultCode.ENDPOINT_UNREACHABLE);
     }
 
+    /** A response of another status than those of HTTP was passed on, or waited for. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099", "0200", "600", "999"})
+    void reportsUnknownOutcomeWhenTheStatusIsInvalid(String status) {
+        threads.execute(() -> {
+            try (Socket s = server.accept()) {
+                assertThat(s.getInputStream().read()).isNotNegative();
+                s.getOutputStream()
+                        .write(("HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nok")
+                                .getBytes(StandardCharsets.US_ASCII));
+                assertThat(s.getInputStream().readAllBytes()).isNotNull();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        assertThat(codeOf(post(TIMEOUT))).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+    }
+
     @Test
     void reportsUnknownOutcomeWhenConnectionIsResetAfterSending() {
         threads.execute(() -> {
