--- a/transport/src/main/java/org/quetzalvane/transport/ClientActivity.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ClientActivity.java
@@ -11,6 +11,9 @@
     /** Checks in a row without progress after which a client counts as not reading. */
     private static final int MAX_STALLED_CHECKS = 2;
 
+    /** Reads of the socket, of at most 1 MiB each, after which a client that still sends counts as present. */
+    private static final int MAX_READS_AHEAD = 4;
+
     private long reads;
     private long lastReadNanos;
     private long lastUnsentBytes;
@@ -41,11 +44,11 @@
      */
     boolean isPresent(Channel connection) {
         AbstractNioChannel.NioUnsafe socket = (AbstractNioChannel.NioUnsafe) connection.unsafe();
-        long readsBefore;
-        do {
+        long readsBefore = -1;
+        for (int i = 0; i < MAX_READS_AHEAD && reads > readsBefore && connection.isActive(); i++) {
             readsBefore = reads;
             socket.read();
-        } while (reads > readsBefore && connection.isActive());
+        }
         return connection.isActive();
     }
 }
--- a/transport/src/test/java/org/quetzalvane/transport/DepartedClientTest.java
+++ b/transport/src/test/java/org/quetzalvane/transport/DepartedClientTest.java
@@ -5,6 +5,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -173,6 +174,42 @@
         assertThat(arrived).hasValue(CLIENTS);
     }
 
+    /** A client that went on sending without end would have kept the event loop reading its connection. */
+    @Test
+    void clientThatKeepsSendingDoesNotHoldUpOthers() throws Exception {
+        HttpServer silent = new HttpServer(loop, () -> new ServerLimits(8_192, 8_192, 5_000, 5_000), x -> {
+            handled.add(x.head().uri());
+            loop.schedule(Duration.ofMillis(1), x::clientPresent);
+        });
+        InetSocketAddress at = silent.listen(new InetSocketAddress("127.0.0.1", 0));
+        String many = request("/endless", 0).repeat(1_000);
+        for (int i = 0; i < 3; i++) {
+            Socket s = connect(at, false);
+            Thread sender = new Thread(() -> sendWithoutEnd(s, many));
+            sender.setDaemon(true);
+            sender.start();
+        }
+        while (!handled.contains("/endless")) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        TimeUnit.MILLISECONDS.sleep(300);
+        write(connect(at, false), request("/stays", 0), null);
+        for (int i = 0; i < 50 && !handled.contains("/stays"); i++) {
+            TimeUnit.MILLISECONDS.sleep(100);
+        }
+        assertThat(handled).contains("/stays");
+    }
+
+    private static void sendWithoutEnd(Socket s, String text) {
+        try {
+            while (!s.isClosed()) {
+                s.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+            }
+        } catch (IOException e) {
+            // The test has closed the connection.
+        }
+    }
+
     private void assertThatHandledIsOnly(String prefix, int count) throws InterruptedException {
         for (int i = 0; i < 100 && handled.size() < count; i++) {
             TimeUnit.MILLISECONDS.sleep(100);
