--- a/core/src/main/java/org/quetzalvane/core/serve/AccountGate.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/AccountGate.java
@@ -6,6 +6,7 @@
 
 import org.quetzalvane.core.ResultCode;
 import org.quetzalvane.core.limit.Permit;
+import org.quetzalvane.core.limit.RetryAfter;
 import org.quetzalvane.core.routes.AccountTable;
 import org.quetzalvane.core.routes.Allowance;
 import org.quetzalvane.core.routes.ClientAccount;
@@ -94,9 +95,11 @@
 
     /** Refuses what the configuration does not allow; the caller may come back if a newer one may allow it. */
     private Refusal missing(String cause) {
-        return context.config().mayBeOutOfDate()
-                ? new Refusal(ResultCode.NOT_READY, RequestFlow.DEFAULT_RETRY_AFTER_MS, cause)
-                : unauthenticated(cause);
+        if (!context.config().mayBeOutOfDate()) {
+            return unauthenticated(cause);
+        }
+        long retryAfterMs = RetryAfter.spread(RequestFlow.DEFAULT_RETRY_AFTER_MS, request.id());
+        return new Refusal(ResultCode.NOT_READY, retryAfterMs, cause);
     }
 
     private static Refusal unauthenticated(String cause) {
--- a/core/src/main/java/org/quetzalvane/core/serve/RouteMatch.java
+++ b/core/src/main/java/org/quetzalvane/core/serve/RouteMatch.java
@@ -1,6 +1,7 @@
 package org.quetzalvane.core.serve;
 
 import org.quetzalvane.core.ResultCode;
+import org.quetzalvane.core.limit.RetryAfter;
 import org.quetzalvane.core.routes.AdapterRef;
 import org.quetzalvane.core.routes.ConfigSource;
 import org.quetzalvane.core.routes.CurrentConfig;
@@ -28,12 +29,12 @@
         Route route = c.match(request.host(), request.path()).orElse(null);
         if (route == null) {
             String cause = "no route for the host and path in " + describe(c, config.source());
-            return missing(config, null, ResultCode.UNKNOWN_PATH, cause);
+            return missing(config, request, null, ResultCode.UNKNOWN_PATH, cause);
         }
         ServiceSpec service = c.service(route.serviceFor(request.id()));
         if (service == null) {
             String cause = "the service of the route is missing in " + describe(c, config.source());
-            return missing(config, route, ResultCode.UNKNOWN_SERVICE, cause);
+            return missing(config, request, route, ResultCode.UNKNOWN_SERVICE, cause);
         }
         AdapterRef adapter = request.adapter();
         if (adapter != null && !adapter.isValid()) {
@@ -43,10 +44,13 @@
     }
 
     /** Refuses what the configuration lacks; the caller may come back if a newer one may have it. */
-    private static RouteMatch missing(CurrentConfig config, Route route, ResultCode code, String cause) {
-        return config.mayBeOutOfDate()
-                ? refused(route, ResultCode.NOT_READY, RequestFlow.DEFAULT_RETRY_AFTER_MS, cause)
-                : refused(route, code, -1, cause);
+    private static RouteMatch missing(
+            CurrentConfig config, CallerRequest request, Route route, ResultCode code, String cause) {
+        if (!config.mayBeOutOfDate()) {
+            return refused(route, code, -1, cause);
+        }
+        long retryAfterMs = RetryAfter.spread(RequestFlow.DEFAULT_RETRY_AFTER_MS, request.id());
+        return refused(route, ResultCode.NOT_READY, retryAfterMs, cause);
     }
 
     private static String describe(ServingConfig c, ConfigSource source) {
