--- a/core/src/main/java/org/quetzalvane/core/team/RecordRelay.java
+++ b/core/src/main/java/org/quetzalvane/core/team/RecordRelay.java
@@ -35,11 +35,17 @@
     private final Function<String, Long> appliedOffset;
     private final Map<String, Long> requestedNanos = new HashMap<>();
     private final Set<String> received = new HashSet<>();
+    /** Until when hubs have passed on each topic, as of the last time that one was relied on. */
+    private final Map<String, Coverage> coverage = new HashMap<>();
+
     private Map<String, PeerMessage.TopicPosition> hubPositions = Map.of();
     private String hub;
     /** Runs since the last view; null before the first. */
     private Stopwatch sinceView;
 
+    /** A hub passed on all that the store had answered up to {@code storeAgeMs} before the stopwatch was started. */
+    private record Coverage(Stopwatch sinceRelied, long storeAgeMs) {}
+
     /**
      * Creates the decision of a node that relies on no hub yet.
      *
@@ -100,7 +106,25 @@
 
     /** Whether the hub passes the records of a topic on, so that this node need not read the store for them. */
     public boolean reliesOnHub(String topic) {
-        return hub != null && hubHearsStore(topic) && isComplete(topic);
+        boolean relies = hub != null && hubHearsStore(topic) && isComplete(topic);
+        if (relies) {
+            coverage.put(topic, new Coverage(Stopwatch.start(scheduler), storeAgeMs(topic)));
+        }
+        return relies;
+    }
+
+    /**
+     * Time since the store last answered a source that this node has all records of a topic from, milliseconds: itself,
+     * or a hub for as long as it was relied on. A node that loses its hub knows no less than before.
+     *
+     * @param ownMs time since the store last answered this node
+     */
+    public long ageMs(String topic, long ownMs) {
+        reliesOnHub(topic);
+        Coverage c = coverage.get(topic);
+        return c == null
+                ? ownMs
+                : Math.min(ownMs, c.storeAgeMs() + c.sinceRelied().elapsedMs());
     }
 
     /** Time after which the hub should have listed a restored store, milliseconds; 0 without a hub. */
@@ -127,7 +151,7 @@
     }
 
     /** Time since the hub last heard from the store on a topic that its last view states, milliseconds. */
-    public long storeAgeMs(String topic) {
+    long storeAgeMs(String topic) {
         return hubPositions.get(topic).ageMs() + sinceView.elapsedMs();
     }
 
--- a/core/src/test/java/org/quetzalvane/core/team/RecordRelayTest.java
+++ b/core/src/test/java/org/quetzalvane/core/team/RecordRelayTest.java
@@ -67,6 +67,23 @@
         assertThat(relay.reliesOnHub(TOPIC)).isTrue();
     }
 
+    /**
+     * A node that lost its hub counted its configuration as old as its own last read, which was before it had the hub.
+     * Parameters: silence of the hub, time since this node's own read, and the age.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, 90000, 10", "900, 90000, 910", "1500, 90000, 1510", "1500, 200, 200", "60000, 90000, 60010"})
+    void lossOfTheHubDoesNotMakeRecordsOlder(long silentMs, long ownMs, long ageMs) {
+        assertThat(relay.ageMs(TOPIC, ownMs)).isEqualTo(ownMs);
+        synchronize("h1");
+        assertThat(relay.reliesOnHub(TOPIC)).isTrue();
+        clock.advance(Duration.ofMillis(silentMs));
+        if (silentMs > 900) {
+            relay.onDisconnect("h1");
+        }
+        assertThat(relay.ageMs(TOPIC, ownMs)).isEqualTo(ageMs);
+    }
+
     /** A hub whose read of one topic hung was relied on for it, since it still heard from the store on another one. */
     @Test
     void hubIsReliedOnOnlyForTheTopicsOnWhichItHearsFromTheStore() {
--- a/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
+++ b/entry/src/main/java/org/quetzalvane/entry/PlatformState.java
@@ -171,9 +171,8 @@
     }
 
     private long ageMs(String topic) {
-        return relay != null && relay.reliesOnHub(topic)
-                ? relay.storeAgeMs(topic)
-                : follower(topic).msSinceLastResponse();
+        long ownMs = follower(topic).msSinceLastResponse();
+        return relay == null ? ownMs : relay.ageMs(topic, ownMs);
     }
 
     /** Number of ready endpoints that have a base model resident. */
