--- a/transport/src/main/java/org/quetzalvane/transport/ClientActivity.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ClientActivity.java
@@ -14,8 +14,13 @@
     /** Reads of the socket, of at most 1 MiB each, after which a client that still sends counts as present. */
     private static final int MAX_READS_AHEAD = 4;
 
+    /** Time after a look at the connection within which it is not looked at again, ns. */
+    private static final long LOOK_INTERVAL_NANOS = 10_000_000;
+
     private long reads;
     private long lastReadNanos;
+    private long lastLookNanos;
+    private boolean looked;
     private long lastUnsentBytes;
     private int stalledChecks;
 
@@ -42,7 +47,12 @@
      * read last, and a close lies behind the bytes that were sent before it. Not to be called while the connection is
      * being read.
      */
-    boolean isPresent(Channel connection) {
+    boolean isPresent(Channel connection, long nowNanos) {
+        if (looked && nowNanos - lastLookNanos < LOOK_INTERVAL_NANOS) {
+            return connection.isActive();
+        }
+        looked = true;
+        lastLookNanos = nowNanos;
         AbstractNioChannel.NioUnsafe socket = (AbstractNioChannel.NioUnsafe) connection.unsafe();
         long readsBefore = -1;
         for (int i = 0; i < MAX_READS_AHEAD && reads > readsBefore && connection.isActive(); i++) {
--- a/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
+++ b/transport/src/main/java/org/quetzalvane/transport/ServerConnection.java
@@ -257,7 +257,7 @@
 
     /** Whether the client has not closed the connection; otherwise the current request has ended. */
     boolean clientPresent() {
-        boolean present = client.isPresent(ctx.channel());
+        boolean present = client.isPresent(ctx.channel(), loop.nanoTime());
         if (!present) {
             endCurrent();
         }
