--- a/entry/src/test/java/org/quetzalvane/entry/PausedNodes.java
+++ b/entry/src/test/java/org/quetzalvane/entry/PausedNodes.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -42,6 +43,8 @@
     final PausedStore store = new PausedStore(clock);
     private final boolean fencingEnforced;
     private final Map<String, Node> nodes = new TreeMap<>();
+    /** Nodes, as FROM>TO, between which messages are lost. */
+    private final Set<String> silentLinks = new HashSet<>();
 
     PausedNodes(boolean fencingEnforced) {
         this.fencingEnforced = fencingEnforced;
@@ -80,6 +83,15 @@
         clock.advance(Duration.ofMillis(ms));
     }
 
+    /** Loses the messages from one node to another one from now on, or no longer. */
+    void silence(String from, String to, boolean on) {
+        if (on) {
+            silentLinks.add(from + ">" + to);
+        } else {
+            silentLinks.remove(from + ">" + to);
+        }
+    }
+
     /** What can happen to a node. */
     enum Fault {
         FROZEN,
@@ -247,7 +259,7 @@
             if (to == null || !targets.contains(peer) && !to.targets.contains(address)) {
                 return false;
             }
-            if (peersReachable && to.peersReachable) {
+            if (peersReachable && to.peersReachable && !silentLinks.contains(address + ">" + peer)) {
                 to.scheduler.schedule(Duration.ofMillis(1), () -> to.receive(m));
             }
             return true;
