--- a/entry/src/test/java/org/quetzalvane/entry/EntryProcess.java
+++ b/entry/src/test/java/org/quetzalvane/entry/EntryProcess.java
@@ -5,7 +5,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 
 import org.quetzalvane.platform.BootSettings;
@@ -52,6 +56,33 @@
         start();
     }
 
+    /**
+     * Starts nodes on one store, of which each knows all earlier ones, and waits until they are ready.
+     *
+     * @param adapted settings of a node by the usual ones
+     * @param started receives each node as soon as its process runs, so that it can be closed if a later one fails
+     */
+    static void startAll(
+            int count,
+            String storeAddress,
+            UnaryOperator<BootSettings> adapted,
+            Path directory,
+            Consumer<EntryProcess> started)
+            throws IOException, InterruptedException {
+        Set<String> seeds = new TreeSet<>();
+        List<EntryProcess> nodes = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            BootSettings s = adapted.apply(TestSettings.of("n" + i, seeds, storeAddress));
+            EntryProcess n = new EntryProcess(s, directory);
+            nodes.add(n);
+            started.accept(n);
+            seeds.add(s.peerAddress());
+        }
+        for (EntryProcess n : nodes) {
+            n.awaitReady();
+        }
+    }
+
     BootSettings settings() {
         return settings;
     }
--- a/entry/src/test/java/org/quetzalvane/entry/FaultSoak.java
+++ b/entry/src/test/java/org/quetzalvane/entry/FaultSoak.java
@@ -8,15 +8,14 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 
-import org.quetzalvane.platform.BootSettings;
 import org.quetzalvane.platform.standin.PlatformStoreStandIn;
 import org.quetzalvane.platform.standin.SampleConfig;
 import org.quetzalvane.platform.standin.StreamCaller;
@@ -119,7 +118,7 @@
             startEngine("v1");
         }
         startHeartbeats();
-        startNodes(nodeCount);
+        EntryProcess.startAll(nodeCount, store.address(), UnaryOperator.identity(), directory, nodes::add);
         establishesEarly = !kinds.contains(Fault.STORE_RESTORE_AND_KILL);
         List<Thread> callers = new ArrayList<>();
         for (int i = 0; i < nodeCount * CALLERS_PER_NODE; i++) {
@@ -207,19 +206,6 @@
         return f.name().startsWith("ENGINE_");
     }
 
-    private void startNodes(int count) throws IOException, InterruptedException {
-        Set<String> seeds = Set.of();
-        for (int i = 0; i < count; i++) {
-            BootSettings s = TestSettings.of("n" + i, seeds, store.address());
-            nodes.add(new EntryProcess(s, directory));
-            seeds = new TreeSet<>(seeds);
-            seeds.add(s.peerAddress());
-        }
-        for (EntryProcess n : nodes) {
-            n.awaitReady();
-        }
-    }
-
     private Thread startCaller(String name) {
         Random own = new Random(random.nextLong());
         StreamCaller caller = new StreamCaller(
--- a/entry/src/test/java/org/quetzalvane/entry/GoneSoak.java
+++ b/entry/src/test/java/org/quetzalvane/entry/GoneSoak.java
@@ -6,13 +6,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 
-import org.quetzalvane.platform.BootSettings;
 import org.quetzalvane.platform.standin.CallerClient;
 import org.quetzalvane.platform.standin.EndpointStandIn;
 import org.quetzalvane.platform.standin.PlatformStoreStandIn;
@@ -52,7 +50,7 @@
             startEndpoint("plain-" + i, "plain");
             startEndpoint("engine-" + i, "engines");
         }
-        startNodes(nodeCount);
+        EntryProcess.startAll(nodeCount, store.address(), UnaryOperator.identity(), directory, nodes::add);
         List<Thread> callers = new ArrayList<>();
         for (int i = 0; i < nodeCount * CALLERS_PER_NODE; i++) {
             callers.add(startCaller("c" + i, nodes.get(i % nodeCount)));
@@ -101,19 +99,6 @@
         store.close();
     }
 
-    private void startNodes(int count) throws IOException, InterruptedException {
-        Set<String> seeds = Set.of();
-        for (int i = 0; i < count; i++) {
-            BootSettings s = TestSettings.of("n" + i, seeds, store.address());
-            nodes.add(new EntryProcess(s, directory));
-            seeds = new TreeSet<>(seeds);
-            seeds.add(s.peerAddress());
-        }
-        for (EntryProcess n : nodes) {
-            n.awaitReady();
-        }
-    }
-
     private void startEndpoint(String id, String service) {
         EndpointStandIn e = new EndpointStandIn(id, service, this::serve);
         e.onDeparted(x -> judge.began(x.head().headers().get(CallerClient.ID_HEADER, ""), System.nanoTime(), 0));
--- a/entry/src/test/java/org/quetzalvane/entry/LostSoak.java
+++ b/entry/src/test/java/org/quetzalvane/entry/LostSoak.java
@@ -9,7 +9,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -18,7 +17,6 @@
 import java.util.stream.Collectors;
 
 import org.quetzalvane.entry.LostJudge.Kind;
-import org.quetzalvane.platform.BootSettings;
 import org.quetzalvane.platform.standin.CallerClient;
 import org.quetzalvane.platform.standin.EndpointStandIn;
 import org.quetzalvane.platform.standin.PlatformStoreStandIn;
@@ -89,7 +87,8 @@
             startEndpoint("plain-" + i, "plain");
             startEndpoint("engine-" + i, "engines");
         }
-        startNodes(nodeCount);
+        EntryProcess.startAll(
+                nodeCount, store.address(), s -> TestSettings.withGracePeriod(s, GRACE_MS), directory, nodes::add);
         List<Thread> callers = new ArrayList<>();
         for (int i = 0; i < nodeCount * CALLERS_PER_NODE; i++) {
             callers.add(startCaller("c" + i, nodes.get(i % nodeCount)));
@@ -143,19 +142,6 @@
         store.close();
     }
 
-    private void startNodes(int count) throws IOException, InterruptedException {
-        Set<String> seeds = Set.of();
-        for (int i = 0; i < count; i++) {
-            BootSettings s = TestSettings.withGracePeriod(TestSettings.of("n" + i, seeds, store.address()), GRACE_MS);
-            nodes.add(new EntryProcess(s, directory));
-            seeds = new TreeSet<>(seeds);
-            seeds.add(s.peerAddress());
-        }
-        for (EntryProcess n : nodes) {
-            n.awaitReady();
-        }
-    }
-
     private void startEndpoint(String id, String service) {
         EndpointStandIn e = new EndpointStandIn(id, service, this::serve);
         endpoints.add(e);
